Run the whole path, thin, in separate processes

An operator's ticket reaches two agents, which fetch the weights (one from the origin, one from its peer), verify them, order their engines and serve; a caller gets a draft and an order through the entry; the report says who got which weights, when and from where. Its first golden file is the demo's session.

The golden test was flaky at first: 2 of 10 runs failed with one request.final too many. Cause: the demo called before the entry's next status round had seen the servers serve, and tried again on an honest not-run.

--- /dev/null
+++ b/packages/wasabideck_agent/wasabideck_agent/__init__.py
@@ -0,0 +1,1 @@
+"""The process beside each backend server."""
--- /dev/null
+++ b/packages/wasabideck_agent/wasabideck_agent/agent.py
@@ -0,0 +1,261 @@
+"""The agent process: all of its parts, put together."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import time
+
+import aiohttp
+from aiohttp import web
+from attrs import define, field
+from grpclib.server import Server
+from wasabideck_platform.channels import LINK_FAILURES, Channels, observe_clock
+from wasabideck_platform.clients import Platform, connect_platform
+from wasabideck_platform.events import Events, open_events
+from wasabideck_platform.http import HttpClient, PlatformUnavailable
+from wasabideck_platform.metrics import Metrics, render_metrics
+from wasabideck_platform.process import announce_ready, every, first_of
+from wasabideck_platform.servers import Engine, PlainService
+from wasabideck_platform.settings import PLAIN, AgentSettings, split_address
+from wasabideck_platform.spread import PeersService, Spread
+from wasabideck_policy.admission import Gate
+from wasabideck_policy.distribution import rank
+from wasabideck_policy.manifests import Manifest
+from wasabideck_policy.membership import AGENT, ENTRY, Member
+from wasabideck_wire import inner_pb2 as pb
+
+from .chunk_store import ChunkStore
+from .chunks_service import ChunksService
+from .claim_store import ClaimStore
+from .reconcile import Reconciler
+from .runs import Runner, RunsService
+from .transfer import Transfer
+
+__all__ = ["serve_agent"]
+
+SYNC_SECONDS = 0.5
+WATCHED_ENTRIES = 3
+LOAD_SECONDS = 0.5
+ROWS_SECONDS = 1.0
+FORGET_SECONDS = 5.0
+DRAIN_SECONDS = 60.0
+
+
+@define
+class Agent:
+    """State of one agent process."""
+
+    cfg: AgentSettings
+    events: Events
+    channels: Channels
+    platform: Platform
+    spread: Spread
+    runner: Runner
+    store: ChunkStore
+    chunks: ChunksService
+    metrics: Metrics
+    members: list[Member] = field(factory=list)
+    load: float = 0.0
+    load_at: float = 0.0
+
+    @property
+    def vm(self) -> str:
+        """Name of the VM."""
+        return self.cfg.process.vm
+
+    def peers(self, manifest: str = "") -> list[Member]:
+        """Agents of the same service, this one left out."""
+        return [
+            m
+            for m in self.members
+            if m.kind == AGENT
+            and m.vm != self.vm
+            and m.service == self.cfg.server.service
+        ]
+
+    def entries(self) -> list[Member]:
+        """The few entries that this agent watches."""
+        found = {m.vm: m for m in self.members if m.kind == ENTRY and not m.leaving}
+        return [found[vm] for vm in rank(self.vm, found)[:WATCHED_ENTRIES]]
+
+    def status(self) -> pb.StatusReply:
+        """What this agent tells entries about its server."""
+        gate = self.runner.gate
+        return pb.StatusReply(
+            vm=self.vm,
+            service=self.cfg.server.service,
+            leaving=gate.leaving,
+            serving=gate.open,
+            ticket=self.runner.in_force.fence,
+            version=self.runner.in_force.version,
+            manifest=self.runner.in_force.manifest,
+            in_progress=gate.running,
+            waiting=gate.waiting,
+            capacity=gate.capacity,
+            load=self.load,
+            load_at=self.load_at,
+        )
+
+    def make_transfer(self, manifest: Manifest) -> Transfer:
+        """A transfer of a manifest into this agent's store."""
+        return Transfer(
+            self.vm,
+            manifest,
+            self.store,
+            self.chunks,
+            self.platform.origin,
+            self.channels,
+            self.events,
+            self.peers,
+            self.cfg.fetches,
+            random.Random(f"{self.cfg.seed}/{self.vm}"),
+        )
+
+    async def read_members(self) -> None:
+        """Read the platform's list; keep the last one when it is down."""
+        try:
+            self.members = await self.platform.members.read()
+        except PlatformUnavailable as exc:
+            self.events.emit("members.unavailable", why=str(exc))
+
+    async def hear_state(self) -> None:
+        """Compare ticket state with the watched entries, else with the table."""
+        for member in self.entries():
+            try:
+                await self.spread.sync(self.channels.get(member.address))
+            except LINK_FAILURES:
+                self.channels.drop(member.address)
+        if not self.spread.heard:
+            try:
+                await self.spread.poll(self.platform.table)
+            except PlatformUnavailable as exc:
+                self.events.emit("table.unavailable", why=str(exc))
+        if self.cfg.server.kind == PLAIN:
+            self.runner.gate.open = self.spread.heard
+
+    async def read_load(self) -> None:
+        """Read the engine's lagging load report."""
+        if self.runner.engine is None or not self.cfg.server.reports_load:
+            return
+        try:
+            report = await self.runner.engine.load()
+        except PlatformUnavailable:
+            return
+        self.load, self.load_at = report["load"], report["at"]
+
+    async def forget_old(self) -> None:
+        """Forget attempts that ended long ago."""
+        self.runner.attempts.forget_old(time.monotonic())
+
+
+async def serve_agent(cfg: AgentSettings, stop: asyncio.Event) -> None:
+    """Serve until ``stop`` is set, then finish what is in progress."""
+    events, _ = open_events(cfg.process.vm, cfg.process.events)
+    async with aiohttp.ClientSession() as session:
+        agent = _assemble(cfg, events, session)
+        server = Server(_services(agent))
+        observe_clock(server, events.clock)
+        host, port = split_address(cfg.process.inner)
+        await server.start(host, port)
+        http = await _serve_http(agent)
+        inner = server._server.sockets[0].getsockname()
+        events.emit("process.ready", kind=AGENT)
+        announce_ready(vm=agent.vm, inner=f"{inner[0]}:{inner[1]}", http=http)
+        tasks = [asyncio.create_task(loop) for loop in _loops(agent)]
+        await first_of(stop, tasks)
+        await _drain(agent)
+        for task in tasks:
+            task.cancel()
+        server.close()
+        agent.channels.close()
+        events.emit("process.stopped", kind=AGENT)
+
+
+def _assemble(
+    cfg: AgentSettings, events: Events, session: aiohttp.ClientSession
+) -> Agent:
+    platform = connect_platform(cfg.platform, session)
+    http = HttpClient(cfg.server.url, cfg.platform.timeout_seconds, session)
+    plain = cfg.server.kind == PLAIN
+    runner = Runner(
+        vm=cfg.process.vm,
+        gate=Gate(cfg.server.capacity),
+        events=events,
+        engine=None if plain else Engine(http),
+        plain=PlainService(http) if plain else None,
+        claims=ClaimStore(platform.table),
+    )
+    store = ChunkStore()
+    return Agent(
+        cfg,
+        events,
+        Channels(events.clock),
+        platform,
+        Spread(cfg.process.vm, events),
+        runner,
+        store,
+        ChunksService(store, cfg.uploads),
+        Metrics(),
+    )
+
+
+def _services(agent: Agent) -> list:
+    peers = PeersService(agent.spread, agent.status)
+    return [RunsService(agent.runner), peers, agent.chunks]
+
+
+def _loops(agent: Agent) -> list:
+    loops = [
+        every(agent.cfg.platform.poll_seconds, agent.read_members),
+        every(SYNC_SECONDS, agent.hear_state),
+        every(LOAD_SECONDS, agent.read_load),
+        every(FORGET_SECONDS, agent.forget_old),
+    ]
+    if agent.runner.engine:
+        reconciler = Reconciler(
+            agent.vm,
+            agent.cfg.server.service,
+            agent.runner.engine,
+            agent.runner,
+            agent.spread,
+            agent.platform.origin,
+            agent.platform.table,
+            agent.store,
+            agent.events,
+            agent.metrics,
+            agent.make_transfer,
+        )
+        loops.append(reconciler.run())
+        loops.append(every(ROWS_SECONDS, reconciler.write_rows))
+    return loops
+
+
+async def _drain(agent: Agent) -> None:
+    """Refuse new work, and finish what is in progress."""
+    agent.runner.gate.leaving = True
+    agent.events.emit("process.leaving", kind=AGENT)
+    limit = time.monotonic() + DRAIN_SECONDS
+    while agent.runner.attempts.in_progress() and time.monotonic() < limit:
+        await asyncio.sleep(0.05)
+
+
+async def _serve_http(agent: Agent) -> str:
+    """Serve /metrics and /ready; the bound address."""
+
+    async def metrics(req: web.Request) -> web.Response:
+        body, headers = render_metrics(agent.metrics, req.headers.get("accept", ""))
+        return web.Response(body=body, headers=headers)
+
+    async def ready(req: web.Request) -> web.Response:
+        return web.Response(status=200 if agent.runner.gate.open else 503)
+
+    app = web.Application()
+    app.add_routes([web.get("/metrics", metrics), web.get("/ready", ready)])
+    runner = web.AppRunner(app, access_log=None)
+    await runner.setup()
+    host, port = split_address(agent.cfg.process.http)
+    site = web.TCPSite(runner, host, port)
+    await site.start()
+    bound = runner.addresses[0]
+    return f"{bound[0]}:{bound[1]}"
--- /dev/null
+++ b/packages/wasabideck_entry/wasabideck_entry/__init__.py
@@ -0,0 +1,1 @@
+"""The entry process and the operators' commands."""
--- /dev/null
+++ b/packages/wasabideck_entry/wasabideck_entry/fleet.py
@@ -0,0 +1,84 @@
+"""What an entry knows of the backend servers, and keeps asking them."""
+
+from __future__ import annotations
+
+import asyncio
+
+from attrs import define, field
+from wasabideck_platform.channels import LINK_FAILURES, Channels
+from wasabideck_policy.membership import AGENT, ENTRY, Member
+from wasabideck_policy.routing import Server
+from wasabideck_wire import inner_pb2 as pb
+from wasabideck_wire.inner_grpc import PeersStub
+
+__all__ = ["Fleet"]
+
+STATUS_TIMEOUT = 1.0
+
+
+@define
+class Fleet:
+    """The platform's list, joined with what the agents themselves say."""
+
+    vm: str
+    channels: Channels
+    members: list[Member] = field(factory=list)
+    servers: dict[str, Server] = field(factory=dict)
+    statuses: dict[str, pb.StatusReply] = field(factory=dict)
+
+    def take_members(self, members: list[Member]) -> None:
+        """Take a new list in; what is known of a server that stays is kept."""
+        self.members = members
+        agents = {m.vm: m for m in members if m.kind == AGENT}
+        self.servers = {
+            vm: self.servers.get(vm) or _server(m) for vm, m in agents.items()
+        }
+        for vm, member in agents.items():
+            self.servers[vm].address = member.address
+            # A server that said itself that it leaves stays left, however far the
+            # platform's list lags behind.
+            self.servers[vm].leaving |= member.leaving
+
+    def entries(self) -> list[Member]:
+        """The other entries."""
+        return [m for m in self.members if m.kind == ENTRY and m.vm != self.vm]
+
+    def candidates(self, service: str, without: set[str]) -> list[Server]:
+        """Servers of a service that may be given new work."""
+        return [
+            s
+            for s in self.servers.values()
+            if s.service == service and s.serving and not s.leaving
+            if s.vm not in without
+        ]
+
+    async def ask_all(self) -> None:
+        """Ask every agent for its status."""
+        await asyncio.gather(*(self._ask(s) for s in self.servers.values()))
+
+    async def _ask(self, server: Server) -> None:
+        stub = PeersStub(self.channels.get(server.address))
+        try:
+            reply = await stub.Status(
+                pb.StatusRequest(vm=self.vm), timeout=STATUS_TIMEOUT
+            )
+        except LINK_FAILURES:
+            self.channels.drop(server.address)
+            server.serving = False
+            return
+        self.statuses[server.vm] = reply
+        server.serving = reply.serving
+        server.leaving = reply.leaving
+        server.load, server.load_at = reply.load, reply.load_at
+        server.capacity = reply.capacity
+
+
+def _server(member: Member) -> Server:
+    return Server(
+        member.vm,
+        member.service,
+        member.address,
+        member.region,
+        member.data_centre,
+        serving=False,
+    )
--- /dev/null
+++ b/packages/wasabideck_lab/wasabideck_lab/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins, load generator and experiments (not shipped)."""
--- /dev/null
+++ b/packages/wasabideck_lab/wasabideck_lab/launcher.py
@@ -0,0 +1,187 @@
+"""Starts the stand-ins in this process and the real binaries beside it."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import random
+import signal
+import sys
+from pathlib import Path
+
+import orjson
+from aiohttp import web
+from attrs import define, field
+from wasabideck_policy.manifests import Manifest
+from wasabideck_policy.membership import AGENT, ENTRY, Member
+
+from .faults import Faults
+from .pacing import Pacer
+from .standin_platform import MembersStandin, TableStandin, WeightsStandin
+from .standin_servers import EngineStandin, PlainStandin
+from .toml import to_toml
+
+__all__ = ["Lab", "Process", "serve_standin"]
+
+READY_SECONDS = 30.0
+STOP_SECONDS = 30.0
+OPERATOR_TOKEN = "sample-operator-token"
+CALLER_TOKEN = "sample-caller-token"
+
+
+async def serve_standin(standin: object, size: int = 64 << 20) -> tuple[str, object]:
+    """Serve a stand-in on a free port of loopback; its address and its runner."""
+    app = web.Application(client_max_size=size)
+    app.add_routes(standin.routes())
+    runner = web.AppRunner(app, access_log=None, shutdown_timeout=0.1)
+    await runner.setup()
+    await web.TCPSite(runner, "127.0.0.1", 0).start()
+    host, port = runner.addresses[0]
+    return f"http://{host}:{port}", runner
+
+
+@define
+class Process:
+    """One of the system's processes, started by the lab."""
+
+    vm: str
+    process: asyncio.subprocess.Process
+    inner: str
+    http: str
+    events: Path
+
+    def kill(self) -> None:
+        """End it at once, as a VM that dies."""
+        self.process.kill()
+
+    def freeze(self) -> None:
+        """Stop it without ending it."""
+        self.process.send_signal(signal.SIGSTOP)
+
+    def thaw(self) -> None:
+        """Let a frozen process go on."""
+        self.process.send_signal(signal.SIGCONT)
+
+    async def stop(self) -> int:
+        """Stop it gracefully; its exit code."""
+        if self.process.returncode is None:
+            self.process.terminate()
+        return await asyncio.wait_for(self.process.wait(), STOP_SECONDS)
+
+
+@define
+class Lab:
+    """A small fleet: stand-ins here, real processes on loopback."""
+
+    folder: Path
+    seed: int = 0
+    origin_rate: float = 0.0
+    table: TableStandin = field(init=False)
+    members: MembersStandin = field(init=False)
+    weights: WeightsStandin = field(init=False)
+    addresses: dict[str, str] = field(factory=dict)
+    manifests: dict[str, Manifest] = field(factory=dict)
+    engines: dict[str, EngineStandin] = field(factory=dict)
+    plains: dict[str, PlainStandin] = field(factory=dict)
+    processes: dict[str, Process] = field(factory=dict)
+    _runners: list = field(factory=list)
+
+    def __attrs_post_init__(self) -> None:
+        """Make the platform's stand-ins."""
+        self.table = TableStandin(self.faults("table"))
+        self.members = MembersStandin(self.faults("members"))
+        self.weights = WeightsStandin(self.faults("weights"), Pacer(self.origin_rate))
+
+    def faults(self, name: str) -> Faults:
+        """A stand-in's faults, drawn from the lab's seed."""
+        return Faults(random.Random(f"{self.seed}/{name}"))
+
+    async def start_platform(self) -> None:
+        """Serve the platform's stand-ins."""
+        for name in ("table", "members", "weights"):
+            self.addresses[name] = await self._serve(getattr(self, name))
+
+    def publish(self, manifest: Manifest, chunks: list[bytes]) -> str:
+        """Publish a version's weights at the origin; the manifest's digest."""
+        digest = self.weights.publish(manifest, chunks)
+        self.manifests[digest] = manifest
+        return digest
+
+    async def start_entry(self, vm: str, services: list[dict], **place: str) -> Process:
+        """Start an entry process and put its VM on the platform's list."""
+        settings = self._common(vm, **place) | {
+            "services": services,
+            "operators": [{"name": "operator-1", "token": OPERATOR_TOKEN}],
+            "callers": [{"organisation": "org-1", "token": CALLER_TOKEN}],
+        }
+        process = await self._start(vm, "wasabideck", settings)
+        self.members.put(Member(vm, ENTRY, process.inner, **_place(place)))
+        return process
+
+    async def start_engine_vm(self, vm: str, service: str, **place: str) -> Process:
+        """Start a model engine and the agent beside it."""
+        engine = EngineStandin(self.faults(vm), self.manifests)
+        self.engines[vm] = engine
+        return await self._start_agent(vm, service, "model", engine, place)
+
+    async def start_plain_vm(self, vm: str, service: str, **place: str) -> Process:
+        """Start a plain service and the agent beside it."""
+        plain = PlainStandin(self.faults(vm))
+        self.plains[vm] = plain
+        return await self._start_agent(vm, service, "plain", plain, place)
+
+    async def _start_agent(
+        self, vm: str, service: str, kind: str, standin: object, place: dict
+    ) -> Process:
+        url = await self._serve(standin)
+        server = {"service": service, "url": url, "kind": kind}
+        settings = self._common(vm, **place) | {"server": server}
+        process = await self._start(vm, "wasabideck-agent", settings)
+        member = Member(vm, AGENT, process.inner, service=service, **_place(place))
+        self.members.put(member)
+        return process
+
+    async def close(self) -> dict[str, int]:
+        """Stop everything gracefully; exit codes by VM."""
+        stops = [process.stop() for process in self.processes.values()]
+        codes = await asyncio.gather(*stops)
+        for runner in self._runners:
+            await runner.cleanup()
+        return dict(zip(self.processes, codes, strict=True))
+
+    async def _serve(self, standin: object) -> str:
+        address, runner = await serve_standin(standin)
+        self._runners.append(runner)
+        return address
+
+    def _common(self, vm: str, **place: str) -> dict:
+        process = {"vm": vm, "events": str(self.folder / f"{vm}.events")}
+        return {
+            "seed": self.seed,
+            "process": process | _place(place),
+            "platform": {k: self.addresses[k] for k in ("table", "members", "weights")},
+        }
+
+    async def _start(self, vm: str, binary: str, settings: dict) -> Process:
+        path = self.folder / f"{vm}.toml"
+        path.write_text(to_toml(settings))
+        # The binaries stand beside the interpreter that runs the lab.
+        program = Path(sys.executable).with_name(binary)
+        child = await asyncio.create_subprocess_exec(
+            str(program),
+            "serve",
+            str(path),
+            stdout=asyncio.subprocess.PIPE,
+            env=os.environ | {"PYTHONUNBUFFERED": "1"},
+        )
+        line = await asyncio.wait_for(child.stdout.readline(), READY_SECONDS)
+        ready = orjson.loads(line)["ready"]
+        events = Path(settings["process"]["events"])
+        process = Process(vm, child, ready["inner"], ready["http"], events)
+        self.processes[vm] = process
+        return process
+
+
+def _place(place: dict[str, str]) -> dict[str, str]:
+    region = place.get("region", "region-1")
+    return {"region": region, "data_centre": place.get("data_centre", f"{region}-dc-1")}
--- /dev/null
+++ b/packages/wasabideck_lab/wasabideck_lab/standin_servers.py
@@ -0,0 +1,169 @@
+"""Stand-ins for backend servers: a model engine and a plain service."""
+
+from __future__ import annotations
+
+import asyncio
+import hashlib
+import time
+from collections import Counter
+
+import orjson
+from aiohttp import web
+from attrs import asdict, define, field
+from wasabideck_platform.servers import Loaded
+from wasabideck_policy.manifests import Manifest
+
+from .faults import Faults
+
+__all__ = ["EngineStandin", "PlainStandin"]
+
+
+@define
+class EngineStandin:
+    """A model engine that answers with its version in every word.
+
+    Attributes
+    ----------
+    token_seconds : float
+        Time between two tokens of one request.
+    answers : Counter
+        Attempts that ran, by attempt: the lab's books.
+    """
+
+    faults: Faults
+    manifests: dict[str, Manifest]
+    token_seconds: float = 0.005
+    tokens: int = 8
+    capacity: int = 8
+    load_seconds: float = 0.05
+    loaded: Loaded = field(factory=Loaded)
+    staged: dict[str, dict[int, str]] = field(factory=dict)
+    runs: Counter = field(factory=Counter)
+    running: int = 0
+    orders: list[dict] = field(factory=list)
+    mixed: int = 0
+    cancelled: set[str] = field(factory=set)
+    _loads: list[tuple[float, float]] = field(factory=lambda: [(0.0, 0.0)])
+
+    def routes(self) -> list[web.RouteDef]:
+        """Routes that it serves."""
+        return [
+            web.get("/v1/loaded", self._loaded),
+            web.get("/v1/weights/{manifest}", self._staged),
+            web.put("/v1/weights/{manifest}/{index}", self._stage),
+            web.post("/v1/orders", self._order),
+            web.get("/v1/load", self._load),
+            web.post("/v1/generate/{route}", self._generate),
+            web.post("/v1/cancel/{attempt}", self._cancel),
+        ]
+
+    async def _loaded(self, req: web.Request) -> web.Response:
+        return web.json_response(asdict(self.loaded))
+
+    async def _staged(self, req: web.Request) -> web.Response:
+        return web.json_response(list(self.staged.get(req.match_info["manifest"], ())))
+
+    async def _stage(self, req: web.Request) -> web.Response:
+        data = await req.read()
+        chunks = self.staged.setdefault(req.match_info["manifest"], {})
+        chunks[int(req.match_info["index"])] = hashlib.sha256(data).hexdigest()
+        return web.Response()
+
+    async def _order(self, req: web.Request) -> web.Response:
+        order = await req.json()
+        self.orders.append(order)
+        if self.faults.value("order_late"):
+            asyncio.get_running_loop().call_later(
+                self.faults.value("order_late"), self._carry_out, order
+            )
+            req.transport.abort()
+            return web.Response(status=500)
+        await asyncio.sleep(self.load_seconds)
+        if not self._carry_out(order):
+            return web.json_response(asdict(self.loaded), status=409)
+        return web.json_response(asdict(self.loaded))
+
+    def _carry_out(self, order: dict) -> bool:
+        """Load what an order names; False when its fencing number is old."""
+        old = order["fence"] < self.loaded.fence
+        if old and not self.faults.value("ignore_fence"):
+            return False
+        staged = self.staged.get(order["manifest"], {})
+        whole = [staged.get(index, "") for index in range(order["chunks"])]
+        # The books' own judgement, apart from the agent's: a partial or mixed model.
+        if tuple(whole) != self.manifests[order["manifest"]].chunks:
+            self.mixed += 1
+        order.pop("chunks")
+        self.loaded = Loaded(**order)
+        return True
+
+    async def _load(self, req: web.Request) -> web.Response:
+        now = time.time()
+        self._loads.append((now, self.running / self.capacity))
+        self._loads = self._loads[-1000:]
+        seen = now - self.faults.value("load_lag")
+        at, load = max((row for row in self._loads if row[0] <= seen), default=(0, 0))
+        return web.json_response({"load": load, "at": at})
+
+    async def _cancel(self, req: web.Request) -> web.Response:
+        self.cancelled.add(req.match_info["attempt"])
+        return web.Response()
+
+    async def _generate(self, req: web.Request) -> web.StreamResponse:
+        body = await req.read()
+        attempt = req.headers["x-attempt"]
+        crash = self.faults.text("crash_on")
+        if crash and crash.encode() in body:
+            req.transport.abort()
+            return web.Response(status=500)
+        self.runs[attempt] += 1
+        self.running += 1
+        try:
+            return await self._stream(req, attempt, body)
+        finally:
+            self.running -= 1
+
+    async def _stream(
+        self, req: web.Request, attempt: str, body: bytes
+    ) -> web.StreamResponse:
+        version = self.loaded.version
+        res = web.StreamResponse()
+        await res.prepare(req)
+        subject = hashlib.sha256(body).hexdigest()[:6]
+        for index in range(self.tokens):
+            if attempt in self.cancelled:
+                break
+            await asyncio.sleep(self.token_seconds)
+            row = {"text": f"{subject}-{version}-{index} ", "version": version}
+            await res.write(orjson.dumps(row) + b"\n")
+        await res.write(orjson.dumps({"done": True}) + b"\n")
+        return res
+
+
+@define
+class PlainStandin:
+    """A plain service; its books count how often each call ran."""
+
+    faults: Faults
+    seconds: float = 0.005
+    runs: Counter = field(factory=Counter)
+    attempts: Counter = field(factory=Counter)
+
+    def routes(self) -> list[web.RouteDef]:
+        """Routes that it serves."""
+        return [web.post("/v1/calls/{route}", self._call)]
+
+    async def _call(self, req: web.Request) -> web.Response:
+        body = await req.read()
+        crash = self.faults.text("crash_on")
+        key = req.headers.get("idempotency-key", "")
+        if crash and crash.encode() in body:
+            req.transport.abort()
+            return web.Response(status=500)
+        self.runs[key] += 1
+        self.attempts[req.headers["x-attempt"]] += 1
+        await asyncio.sleep(self.seconds)
+        if self.faults.value("silent"):
+            await asyncio.sleep(3600)
+        answer = {"key": key, "echo": hashlib.sha256(body).hexdigest()[:12]}
+        return web.json_response(answer)
--- /dev/null
+++ b/packages/wasabideck_platform/wasabideck_platform/__init__.py
@@ -0,0 +1,1 @@
+"""Clients of the platform, settings, events and metrics."""
--- /dev/null
+++ b/packages/wasabideck_platform/wasabideck_platform/http.py
@@ -0,0 +1,92 @@
+"""One HTTP client for all of the platform's services, with typed failures."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+
+import aiohttp
+import orjson
+from attrs import define
+from wasabideck_policy.outcomes import WasabideckError
+
+__all__ = ["HttpClient", "PlatformRefused", "PlatformUnavailable"]
+
+
+class PlatformUnavailable(WasabideckError):
+    """A service of the platform gave no answer.
+
+    Attributes
+    ----------
+    maybe_applied : bool
+        Whether a write may have taken effect although its answer was lost.
+    """
+
+    status = 503
+    retry_after = 2.0
+
+    def __init__(self, url: str, why: str, maybe_applied: bool):
+        super().__init__(f"{url}: {why}")
+        self.url = url
+        self.maybe_applied = maybe_applied
+
+
+class PlatformRefused(WasabideckError):
+    """A service of the platform answered that it won't."""
+
+    def __init__(self, url: str, status: int, body: bytes):
+        super().__init__(f"{url}: status {status}: {body[:200]!r}")
+        self.url = url
+        self.answer_status = status
+        self.body = body
+
+
+@define
+class HttpClient:
+    """Requests to one service under one base address."""
+
+    base: str
+    timeout: float
+    session: aiohttp.ClientSession
+
+    async def call(
+        self,
+        method: str,
+        path: str,
+        body: bytes | None = None,
+        params: Mapping[str, str] | None = None,
+        timeout: float | None = None,
+        accept: tuple[int, ...] = (200,),
+    ) -> tuple[int, bytes]:
+        """Status and body of an answer.
+
+        Raises
+        ------
+        PlatformUnavailable
+            No answer came.
+        PlatformRefused
+            The status is none of the accepted ones.
+        """
+        url = f"{self.base}{path}"
+        limit = aiohttp.ClientTimeout(total=timeout or self.timeout)
+        try:
+            async with self.session.request(
+                method, url, data=body, params=params, timeout=limit
+            ) as answer:
+                data = await answer.read()
+        except aiohttp.ClientConnectorError as exc:
+            # Nothing was sent: a write certainly did not take effect.
+            raise PlatformUnavailable(url, str(exc), maybe_applied=False) from exc
+        except (TimeoutError, aiohttp.ClientError) as exc:
+            why = str(exc) or type(exc).__name__
+            raise PlatformUnavailable(url, why, maybe_applied=True) from exc
+        if answer.status == 503:
+            raise PlatformUnavailable(url, "status 503", maybe_applied=False)
+        if answer.status not in accept:
+            raise PlatformRefused(url, answer.status, data)
+        return answer.status, data
+
+    async def json(self, method: str, path: str, value: object = None, **kw) -> object:
+        """Like ``call``, with JSON in and out."""
+        body = None if value is None else orjson.dumps(value)
+        _, data = await self.call(method, path, body, **kw)
+        return orjson.loads(data) if data else None
--- /dev/null
+++ b/packages/wasabideck_platform/wasabideck_platform/table.py
@@ -0,0 +1,81 @@
+"""Client of the platform's transactional table service."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+
+import orjson
+from attrs import define, frozen
+
+from .http import HttpClient
+
+__all__ = ["Check", "CheckFailed", "Table", "Write"]
+
+
+@frozen
+class Check:
+    """A condition of a transaction: the row is absent (None) or has these fields."""
+
+    table: str
+    key: str
+    expected: dict | None
+
+
+@frozen
+class Write:
+    """A row put by a transaction."""
+
+    table: str
+    key: str
+    row: dict
+
+
+@frozen
+class CheckFailed:
+    """A transaction was not carried out; the row that stood against it."""
+
+    check: Check
+    found: dict | None
+
+
+@define
+class Table:
+    """Rows of JSON by table and key."""
+
+    http: HttpClient
+
+    async def get(self, table: str, key: str) -> dict | None:
+        """One row, or None."""
+        params = {"key": key}
+        rows = await self.http.json("GET", f"/v1/tables/{table}", params=params)
+        return rows[0][1] if rows else None
+
+    async def scan(
+        self, table: str, prefix: str = "", above: int = -1
+    ) -> list[tuple[str, dict]]:
+        """Rows whose key has the prefix and whose ``sequence`` is above a number."""
+        params = {"prefix": prefix, "above": str(above)}
+        rows = await self.http.json("GET", f"/v1/tables/{table}", params=params)
+        return [(key, row) for key, row in rows]
+
+    async def transact(
+        self, checks: Sequence[Check], writes: Sequence[Write]
+    ) -> CheckFailed | None:
+        """Carry out all writes if all checks hold; None when done.
+
+        Raises
+        ------
+        PlatformUnavailable
+            No answer; its ``maybe_applied`` tells whether the writes may stand.
+        """
+        body = {
+            "checks": [[c.table, c.key, c.expected] for c in checks],
+            "writes": [[w.table, w.key, w.row] for w in writes],
+        }
+        status, data = await self.http.call(
+            "POST", "/v1/transact", orjson.dumps(body), accept=(200, 409)
+        )
+        if status == 200:
+            return None
+        answer = orjson.loads(data)
+        return CheckFailed(checks[answer["failed"]], answer["row"])
--- /dev/null
+++ b/packages/wasabideck_policy/wasabideck_policy/deliveries.py
@@ -0,0 +1,35 @@
+"""Delivery rows: who got which weights, when, and from where."""
+
+from __future__ import annotations
+
+from attrs import define, field
+
+__all__ = ["Delivery", "row_key"]
+
+
+@define
+class Delivery:
+    """One VM's delivery of one ticket's weights; times are wall seconds.
+
+    Attributes
+    ----------
+    sources : dict of str to int
+        Bytes received per source: a VM's name, or ``origin``.
+    """
+
+    vm: str
+    service: str
+    slot: str
+    ticket: int
+    model: str
+    version: str
+    manifest: str
+    begun: float
+    verified: float = 0.0
+    in_force: float = 0.0
+    sources: dict[str, int] = field(factory=dict)
+
+
+def row_key(delivery: Delivery) -> str:
+    """Row key: by ticket first, so that a report reads one range."""
+    return f"{delivery.ticket:020d}/{delivery.service}/{delivery.vm}/{delivery.slot}"
--- /dev/null
+++ b/packages/wasabideck_wire/wasabideck_wire/__init__.py
@@ -0,0 +1,1 @@
+"""The inner protocol of wasabideck."""
--- /dev/null
+++ b/tests/sessions/test_demo_session.py
@@ -0,0 +1,39 @@
+"""Golden file of the demo's whole session, in separate processes."""
+
+import asyncio
+from collections import Counter
+
+from wasabideck_entry.timeline import merge_events
+from wasabideck_lab.demo import run_session
+
+# How many chunks came from which source, and how often something was tried, depend
+# on which of two agents was faster; everything else is the same in every run.
+ONCE = ("ticket.accepted", "version.in-force", "claim.taken", "request.final")
+
+
+def test_first_rollout_draft_and_order(tmp_path, data_regression):
+    session = asyncio.run(run_session(tmp_path))
+    events = merge_events(str(path) for path in session.events)
+    counts = Counter((e["vm"], e["message_type"]) for e in events)
+    session_shown = {
+        "ticket": {k: session.ticket[k] for k in ("number", "operator", "sequence")},
+        "report": [_row(row) for row in session.report],
+        "bytes_from_origin_at_least_once": _origin_bytes(session) >= 64 * 16 * 1024,
+        "draft": session.draft,
+        "order": session.order,
+        "events": sorted([*key, n] for key, n in counts.items() if key[1] in ONCE),
+        "exit_codes": session.exit_codes,
+    }
+    data_regression.check(session_shown)
+
+
+def _row(row):
+    kept = ("vm", "service", "slot", "ticket", "model", "version", "manifest")
+    return {k: row[k] for k in kept} | {
+        "bytes": sum(row["sources"].values()),
+        "in_order": 0 < row["begun"] <= row["verified"] <= row["in_force"],
+    }
+
+
+def _origin_bytes(session):
+    return sum(row["sources"].get("origin", 0) for row in session.report)
