--- a/packages/wasabideck_lab/wasabideck_lab/__main__.py
+++ b/packages/wasabideck_lab/wasabideck_lab/__main__.py
@@ -2,12 +2,16 @@
 
 from __future__ import annotations
 
+import asyncio
 import sys
 
 import fire
+import orjson
 
+from . import scenarios_answers, scenarios_tickets  # noqa: F401  (they register)
 from .demo import DemoFailed, run_demo
 from .faults import FAULTS
+from .faults_run import SCENARIOS, run_scenario
 
 __all__ = ["main"]
 
@@ -29,6 +33,38 @@
         for name, meaning in FAULTS.items():
             print(f"{name:<14} {meaning}")
 
+    def faults(
+        self,
+        scenario: str = "all",
+        seed: int = 1,
+        requests: int = 1000,
+        json: bool = False,
+    ) -> None:
+        """Run fault scenarios against the real binaries, and audit them.
+
+        Parameters
+        ----------
+        scenario : str
+            Name of one scenario, or ``all``.
+        seed : int
+            Seed of the traffic and the faults.
+        requests : int
+            Requests sent while the faults strike.
+        json : bool
+            Print one JSON object a scenario.
+        """
+        names = sorted(SCENARIOS) if scenario == "all" else [scenario]
+        unknown = set(names) - SCENARIOS.keys()
+        if unknown:
+            sys.exit(f"faults: no scenario {sorted(unknown)}; {sorted(SCENARIOS)}")
+        dirty = 0
+        for name in names:
+            row = asyncio.run(run_scenario(name, seed, requests))
+            dirty += not row["clean"]
+            print(orjson.dumps(row).decode() if json else row, flush=True)
+        if dirty:
+            sys.exit(f"faults: {dirty} scenarios are not clean")
+
 
 def main() -> None:
     """Run the lab's command line."""
--- a/packages/wasabideck_lab/wasabideck_lab/standin_servers.py
+++ b/packages/wasabideck_lab/wasabideck_lab/standin_servers.py
@@ -26,8 +26,12 @@
     ----------
     token_seconds : float
         Time between two tokens of one request.
-    answers : Counter
+    runs : Counter
         Attempts that ran, by attempt: the lab's books.
+    history : list of int
+        Fencing number of each order that was carried out.
+    mixed : int
+        Orders that loaded a partial model or a mix of two.
     """
 
     faults: Faults
@@ -41,6 +45,7 @@
     runs: Counter = field(factory=Counter)
     running: int = 0
     orders: list[dict] = field(factory=list)
+    history: list[int] = field(factory=list)
     mixed: int = 0
     cancelled: set[str] = field(factory=set)
     _loads: list[tuple[float, float]] = field(factory=lambda: [(0.0, 0.0)])
@@ -95,6 +100,7 @@
             self.mixed += 1
         order.pop("chunks")
         self.loaded = Loaded(**order)
+        self.history.append(order["fence"])
         return True
 
     async def _load(self, req: web.Request) -> web.Response:
