Bring about faults between any two parties: relay, crashes, scenarios

Cause: the fault runner knew one scenario, without a fault, so no promise about answers, claims or stops had been tried against the real binaries.

Servers take 0.1 s a call and 0.02 s a token, so that each fault strikes requests in progress.

--- a/packages/wasabideck_lab/wasabideck_lab/faults.py
+++ b/packages/wasabideck_lab/wasabideck_lab/faults.py
@@ -22,6 +22,7 @@
     "order_late": "engine: seconds after which an order takes effect, unanswered",
     "ignore_fence": "engine: 1 carries out orders with old fencing numbers",
     "load_lag": "engine: seconds by which the load report is old",
+    "fail_after": "plain: share of calls that run, then answer 500",
     "silent": "engine, plain: requests run and are never answered",
 }
 
--- a/packages/wasabideck_lab/wasabideck_lab/faults_run.py
+++ b/packages/wasabideck_lab/wasabideck_lab/faults_run.py
@@ -9,11 +9,12 @@
 from pathlib import Path
 
 import aiohttp
-from attrs import asdict, define, field
+from attrs import asdict, define, evolve, field
 
 from .audit import Audit, audit
 from .demo import SERVICES, first_ticket, submit, wait_in_force, wait_serving
 from .launcher import Lab
+from .relay import Relay
 from .traffic import Traffic
 from .weights import make_weights
 
@@ -22,6 +23,9 @@
 REQUESTS = 1000
 CHUNKS = 32
 CHUNK_BYTES = 4096
+# Long enough that every fault strikes requests in progress.
+TOKEN_SECONDS = 0.02
+PLAIN_SECONDS = 0.1
 
 Scenario = Callable[["Stage"], Awaitable[None]]
 
@@ -44,11 +48,38 @@
     folder: Path
     expected_dead: set[str] = field(factory=set)
     problems: list[str] = field(factory=list)
+    relays: dict[str, Relay] = field(factory=dict)
+
+    async def relay(self, *vms: str) -> None:
+        """Put a relay before agents; entries hear its address from the list."""
+        for vm in vms:
+            relay = Relay(lambda vm=vm: self.lab.processes[vm].inner)
+            await relay.start()
+            self.relays[vm] = relay
+            self.lab.members.put(evolve(self.lab.member(vm), address=relay.address))
+
+    def kill(self, *vms: str) -> None:
+        """End VMs' processes at once."""
+        for vm in vms:
+            self.expected_dead.add(vm)
+            self.lab.processes[vm].kill()
+
+    async def freeze(self, seconds: float, *vms: str) -> None:
+        """Stop VMs' processes for a while, without ending them."""
+        for vm in vms:
+            self.lab.processes[vm].freeze()
+        await asyncio.sleep(seconds)
+        for vm in vms:
+            self.lab.processes[vm].thaw()
 
     def entries(self) -> list[str]:
         """Names of the entries that run."""
         return sorted(vm for vm in self.lab.processes if vm.startswith("entry"))
 
+    def any_session(self) -> aiohttp.ClientSession:
+        """A client session for traffic through any entry."""
+        return aiohttp.ClientSession()
+
     def session(self, vm: str = "entry-1") -> aiohttp.ClientSession:
         """A client session towards one entry."""
         return aiohttp.ClientSession(f"http://{self.lab.processes[vm].http}")
@@ -77,6 +108,8 @@
             found = audit(stage.lab, stage.traffic.results)
         finally:
             codes = await stage.lab.close()
+            for relay in stage.relays.values():
+                await relay.close()
     return _shown(name, seed, found, stage, codes)
 
 
@@ -90,7 +123,7 @@
 
 
 async def _set_up(folder: Path, seed: int, rate: float) -> Stage:
-    lab = Lab(folder, seed)
+    lab = Lab(folder, seed, token_seconds=TOKEN_SECONDS, plain_seconds=PLAIN_SECONDS)
     await lab.start_platform()
     digest = lab.publish(*make_weights("drafter", "v1", CHUNKS, CHUNK_BYTES, seed))
     await asyncio.gather(*(lab.start_entry(f"entry-{i}", SERVICES) for i in (1, 2, 3)))
--- a/packages/wasabideck_lab/wasabideck_lab/launcher.py
+++ b/packages/wasabideck_lab/wasabideck_lab/launcher.py
@@ -49,6 +49,8 @@
     inner: str
     http: str
     events: Path
+    binary: str = ""
+    settings: dict = field(factory=dict)
 
     def kill(self) -> None:
         """End it at once, as a VM that dies."""
@@ -76,6 +78,8 @@
     folder: Path
     seed: int = 0
     origin_rate: float = 0.0
+    token_seconds: float = 0.005
+    plain_seconds: float = 0.005
     table: TableStandin = field(init=False)
     members: MembersStandin = field(init=False)
     weights: WeightsStandin = field(init=False)
@@ -120,16 +124,20 @@
 
     async def start_engine_vm(self, vm: str, service: str, **place: str) -> Process:
         """Start a model engine and the agent beside it."""
-        engine = EngineStandin(self.faults(vm), self.manifests)
+        engine = EngineStandin(self.faults(vm), self.manifests, self.token_seconds)
         self.engines[vm] = engine
         return await self._start_agent(vm, service, "model", engine, place)
 
     async def start_plain_vm(self, vm: str, service: str, **place: str) -> Process:
         """Start a plain service and the agent beside it."""
-        plain = PlainStandin(self.faults(vm))
+        plain = PlainStandin(self.faults(vm), self.plain_seconds)
         self.plains[vm] = plain
         return await self._start_agent(vm, service, "plain", plain, place)
 
+    def member(self, vm: str) -> Member:
+        """A VM as the platform's list has it now."""
+        return self.members.newest()[vm]
+
     async def _start_agent(
         self, vm: str, service: str, kind: str, standin: object, place: dict
     ) -> Process:
@@ -141,6 +149,13 @@
         self.members.put(member)
         return process
 
+    async def restart(self, vm: str) -> Process:
+        """Start a VM's process again, at the addresses that the dead one had."""
+        dead = self.processes[vm]
+        place = {"inner": dead.inner, "http": dead.http}
+        settings = dead.settings | {"process": dead.settings["process"] | place}
+        return await self._start(vm, dead.binary, settings)
+
     async def close(self) -> dict[str, int]:
         """Stop everything gracefully; exit codes by VM."""
         stops = [process.stop() for process in self.processes.values()]
@@ -177,7 +192,9 @@
         line = await asyncio.wait_for(child.stdout.readline(), READY_SECONDS)
         ready = orjson.loads(line)["ready"]
         events = Path(settings["process"]["events"])
-        process = Process(vm, child, ready["inner"], ready["http"], events)
+        process = Process(
+            vm, child, ready["inner"], ready["http"], events, binary, settings
+        )
         self.processes[vm] = process
         return process
 
--- a/packages/wasabideck_lab/wasabideck_lab/standin_platform.py
+++ b/packages/wasabideck_lab/wasabideck_lab/standin_platform.py
@@ -108,6 +108,10 @@
         newest.pop(vm, None)
         self._change(newest)
 
+    def newest(self) -> dict[str, Member]:
+        """The list as it is, without its lag."""
+        return self._versions[-1][1]
+
     def _change(self, members: dict[str, Member]) -> None:
         self._versions.append((time.monotonic(), members))
 
--- a/packages/wasabideck_lab/wasabideck_lab/standin_servers.py
+++ b/packages/wasabideck_lab/wasabideck_lab/standin_servers.py
@@ -6,6 +6,8 @@
 import hashlib
 import time
 from collections import Counter
+from collections.abc import Iterator
+from contextlib import contextmanager
 
 import orjson
 from aiohttp import web
@@ -15,7 +17,43 @@
 
 from .faults import Faults
 
-__all__ = ["EngineStandin", "PlainStandin"]
+__all__ = ["Crashes", "EngineStandin", "PlainStandin"]
+
+
+@define
+class Crashes:
+    """A server's crashes: all its requests in progress break with it.
+
+    Attributes
+    ----------
+    bodies : list of bytes
+        Body of the request behind each crash: the lab's books.
+    """
+
+    bodies: list[bytes] = field(factory=list)
+    restart_seconds: float = 0.3
+    _down_until: float = 0.0
+    _open: list[web.Request] = field(factory=list)
+
+    @contextmanager
+    def running(self, req: web.Request) -> Iterator[None]:
+        """Count a request as in progress; refuse it while the server is down."""
+        if time.monotonic() < self._down_until:
+            req.transport.abort()
+            raise web.HTTPServiceUnavailable()
+        self._open.append(req)
+        try:
+            yield
+        finally:
+            self._open = [other for other in self._open if other is not req]
+
+    def strike(self, body: bytes) -> None:
+        """Crash: break every request in progress, and be down for a while."""
+        self.bodies.append(body)
+        self._down_until = time.monotonic() + self.restart_seconds
+        for req in list(self._open):
+            if req.transport is not None:
+                req.transport.abort()
 
 
 @define
@@ -48,6 +86,8 @@
     history: list[int] = field(factory=list)
     mixed: int = 0
     cancelled: set[str] = field(factory=set)
+    stopped: int = 0
+    crashes: Crashes = field(factory=Crashes)
     _loads: list[tuple[float, float]] = field(factory=lambda: [(0.0, 0.0)])
 
     def routes(self) -> list[web.RouteDef]:
@@ -119,15 +159,19 @@
         body = await req.read()
         attempt = req.headers["x-attempt"]
         crash = self.faults.text("crash_on")
-        if crash and crash.encode() in body:
-            req.transport.abort()
-            return web.Response(status=500)
-        self.runs[attempt] += 1
-        self.running += 1
-        try:
-            return await self._stream(req, attempt, body)
-        finally:
-            self.running -= 1
+        with self.crashes.running(req):
+            if crash and crash.encode() in body:
+                self.crashes.strike(body)
+                return web.Response(status=500)
+            self.runs[attempt] += 1
+            self.running += 1
+            try:
+                return await self._stream(req, attempt, body)
+            except ConnectionError:
+                self.stopped += 1
+                raise
+            finally:
+                self.running -= 1
 
     async def _stream(
         self, req: web.Request, attempt: str, body: bytes
@@ -135,9 +179,11 @@
         version = self.loaded.version
         res = web.StreamResponse()
         await res.prepare(req)
-        subject = hashlib.sha256(body).hexdigest()[:6]
-        for index in range(self.tokens):
+        prompt = body[: int(req.headers.get("x-prompt-bytes", len(body)))]
+        subject = hashlib.sha256(prompt).hexdigest()[:6]
+        for index in range(int(req.headers.get("x-resume-from", 0)), self.tokens):
             if attempt in self.cancelled:
+                self.stopped += 1
                 break
             await asyncio.sleep(self.token_seconds)
             row = {"text": f"{subject}-{version}-{index} ", "version": version}
@@ -154,6 +200,7 @@
     seconds: float = 0.005
     runs: Counter = field(factory=Counter)
     attempts: Counter = field(factory=Counter)
+    crashes: Crashes = field(factory=Crashes)
 
     def routes(self) -> list[web.RouteDef]:
         """Routes that it serves."""
@@ -161,15 +208,18 @@
 
     async def _call(self, req: web.Request) -> web.Response:
         body = await req.read()
-        crash = self.faults.text("crash_on")
         key = req.headers.get("idempotency-key", "")
-        if crash and crash.encode() in body:
-            req.transport.abort()
-            return web.Response(status=500)
-        self.runs[key] += 1
-        self.attempts[req.headers["x-attempt"]] += 1
-        await asyncio.sleep(self.seconds)
-        if self.faults.value("silent"):
-            await asyncio.sleep(3600)
-        answer = {"key": key, "echo": hashlib.sha256(body).hexdigest()[:12]}
-        return web.json_response(answer)
+        with self.crashes.running(req):
+            self.runs[key] += 1
+            self.attempts[req.headers["x-attempt"]] += 1
+            crash = self.faults.text("crash_on")
+            if crash and crash.encode() in body:
+                self.crashes.strike(body)
+                return web.Response(status=500)
+            await asyncio.sleep(self.seconds)
+            if self.faults.value("silent"):
+                await asyncio.sleep(3600)
+            if self.faults.strikes("fail_after"):
+                return web.Response(status=500)
+            answer = {"key": key, "echo": hashlib.sha256(body).hexdigest()[:12]}
+            return web.json_response(answer)
--- a/packages/wasabideck_lab/wasabideck_lab/traffic.py
+++ b/packages/wasabideck_lab/wasabideck_lab/traffic.py
@@ -87,15 +87,19 @@
         route: str,
         body: str,
         key: str,
+        again: bool = False,
     ) -> Result:
-        """One request; a connection that breaks is tried again at another entry."""
+        """One request; a connection that breaks is tried again at another entry.
+
+        ``again`` says that the key was sent before, as an honest caller does.
+        """
         self.sent += 1
         begun = time.monotonic()
         reason, status, data, headers = "", 0, b"", {}
-        for _ in range(CONNECTION_TRIES):
+        for number in range(1 + again, CONNECTION_TRIES + 1 + again):
             try:
                 status, data, headers = await self._post(
-                    session, service, route, body, key
+                    session, service, route, body, key, number
                 )
                 break
             except (TimeoutError, aiohttp.ClientError, OSError) as exc:
@@ -126,6 +130,7 @@
         route: str,
         body: str,
         key: str,
+        number: int,
     ) -> tuple[int, bytes, dict]:
         address = self.rng.choice(self.entries())
         url = f"http://{address}/v1/services/{service}/{route}"
@@ -133,6 +138,7 @@
             "authorization": f"Bearer {CALLER_TOKEN}",
             "idempotency-key": key,
             "x-deadline-ms": str(self.deadline_ms),
+            "x-try": str(number),
         }
         limit = aiohttp.ClientTimeout(total=CALL_SECONDS)
         req = session.post(url, data=body.encode(), headers=headers, timeout=limit)
