--- a/packages/wasabideck_lab/wasabideck_lab/__main__.py
+++ b/packages/wasabideck_lab/wasabideck_lab/__main__.py
@@ -9,6 +9,7 @@
 import orjson
 
 from . import scenarios_answers, scenarios_tickets  # noqa: F401  (they register)
+from .capacity import MEASUREMENTS, measure_all
 from .demo import DemoFailed, run_demo
 from .faults import FAULTS
 from .faults_run import SCENARIOS, run_scenario
@@ -65,6 +66,20 @@
         if dirty:
             sys.exit(f"faults: {dirty} scenarios are not clean")
 
+    def capacity(self, only: str = "all", json: bool = False) -> None:
+        """Measure the slopes that docs/CAPACITY.md is worked out from.
+
+        Parameters
+        ----------
+        only : str
+            Name of one measurement, or ``all``.
+        json : bool
+            Print JSON.
+        """
+        names = list(MEASUREMENTS) if only == "all" else [only]
+        for row in asyncio.run(measure_all(names)):
+            print(orjson.dumps(row).decode() if json else row, flush=True)
+
 
 def main() -> None:
     """Run the lab's command line."""
