--- a/packages/wasabideck_lab/wasabideck_lab/__main__.py
+++ b/packages/wasabideck_lab/wasabideck_lab/__main__.py
@@ -13,6 +13,7 @@
 from .demo import DemoFailed, run_demo
 from .faults import FAULTS
 from .faults_run import SCENARIOS, run_scenario
+from .overhead import measure_overhead
 
 __all__ = ["main"]
 
@@ -80,6 +81,17 @@
         for row in asyncio.run(measure_all(names)):
             print(orjson.dumps(row).decode() if json else row, flush=True)
 
+    def overhead(self, json: bool = False) -> None:
+        """Measure start-up, idle memory and added latency of the path.
+
+        Parameters
+        ----------
+        json : bool
+            Print JSON.
+        """
+        row = asyncio.run(measure_overhead())
+        print(orjson.dumps(row).decode() if json else row)
+
 
 def main() -> None:
     """Run the lab's command line."""
--- a/packages/wasabideck_lab/wasabideck_lab/launcher.py
+++ b/packages/wasabideck_lab/wasabideck_lab/launcher.py
@@ -80,6 +80,7 @@
     members: MembersStandin = field(init=False)
     weights: WeightsStandin = field(init=False)
     addresses: dict[str, str] = field(factory=dict)
+    server_addresses: dict[str, str] = field(factory=dict)
     manifests: dict[str, Manifest] = field(factory=dict)
     engines: dict[str, EngineStandin] = field(factory=dict)
     plains: dict[str, PlainStandin] = field(factory=dict)
@@ -133,7 +134,7 @@
     async def _start_agent(
         self, vm: str, service: str, kind: str, standin: object, place: dict
     ) -> Process:
-        url = await self._serve(standin)
+        url = self.server_addresses[vm] = await self._serve(standin)
         server = {"service": service, "url": url, "kind": kind}
         settings = self._common(vm, **place) | {"server": server}
         process = await self._start(vm, "wasabideck-agent", settings)
