Show a whole session of answers as a golden file; ask twice before a server is out

Cause: the golden session showed that a replayed answer, which no engine began, made the entry fail (no Started to take the manifest from).

Change: no manifest without Started; a second question on a new connection; retries after refusals that put no work on a server are not paid from the budget.

--- a/packages/wasabideck_entry/wasabideck_entry/calls.py
+++ b/packages/wasabideck_entry/wasabideck_entry/calls.py
@@ -108,7 +108,7 @@
     @property
     def manifest(self) -> str:
         """Weights that the rest has to come from; empty while any will do."""
-        return self.started.manifest if self.pieces else ""
+        return self.started.manifest if self.pieces and self.started else ""
 
     @property
     def can_go_on(self) -> bool:
--- a/packages/wasabideck_entry/wasabideck_entry/fleet.py
+++ b/packages/wasabideck_entry/wasabideck_entry/fleet.py
@@ -58,15 +58,14 @@
         await asyncio.gather(*(self._ask(s) for s in self.servers.values()))
 
     async def _ask(self, server: Server) -> None:
-        channel = self.channels.get(server.address)
-        stub = PeersStub(channel)
         asked_at = time.monotonic()
-        try:
-            reply = await stub.Status(
-                pb.StatusRequest(vm=self.vm), timeout=STATUS_TIMEOUT
-            )
-        except LINK_FAILURES:
-            self.channels.drop(server.address, channel)
+        reply = await self._status(server)
+        if reply is None:
+            # A connection that went silent says nothing of the server: were it out
+            # at once, one such moment on all links would leave no server at all.
+            asked_at = time.monotonic()
+            reply = await self._status(server)
+        if reply is None:
             server.serving = False
             return
         self.statuses[server.vm] = reply
@@ -78,6 +77,16 @@
         server.incarnation = reply.incarnation
         server.clock_ahead = reply.clock_ms / 1000 - asked_at
 
+    async def _status(self, server: Server) -> pb.StatusReply | None:
+        """A server's status; None when its connection failed and was dropped."""
+        channel = self.channels.get(server.address)
+        req = pb.StatusRequest(vm=self.vm)
+        try:
+            return await PeersStub(channel).Status(req, timeout=STATUS_TIMEOUT)
+        except LINK_FAILURES:
+            self.channels.drop(server.address, channel)
+            return None
+
 
 def _server(member: Member) -> Server:
     return Server(
--- a/packages/wasabideck_policy/wasabideck_policy/retry.py
+++ b/packages/wasabideck_policy/wasabideck_policy/retry.py
@@ -12,7 +12,15 @@
 _FINAL = frozenset({"Cancelled", "DeadlinePassed", "KeyReused", "Quarantined"})
 # Refusals that put no work on any server: a try after one cannot feed a storm.
 _FREE = frozenset(
-    {"Leaving", "NotServing", "OtherIncarnation", "OtherManifest", "Unreachable"}
+    {
+        "ArrivedLate",
+        "Leaving",
+        "NeverArrived",
+        "NotServing",
+        "OtherIncarnation",
+        "OtherManifest",
+        "Unreachable",
+    }
 )
 
 
--- /dev/null
+++ b/tests/sessions/test_answers_session.py
@@ -0,0 +1,118 @@
+"""Golden file of one session of answers, refusals and a crash, on small fakes."""
+
+import asyncio
+import random
+
+from answers_fakes import FakeAgent, FakeEngine, FakeEvents, FakePlain, FakeTable, Now
+from wasabideck_entry.calls import Call, Caller, Ended, Part, Started
+from wasabideck_entry.suspects import Suspects
+from wasabideck_platform.channels import Channels
+from wasabideck_platform.events import Clock
+from wasabideck_platform.servers import ServerFailed
+from wasabideck_policy.quarantine import Quarantine
+from wasabideck_policy.routing import Server
+
+
+class Fleet:
+    """All servers, by service."""
+
+    def __init__(self, agents):
+        self.agents = agents
+
+    def candidates(self, service, without):
+        return [
+            Server(a.vm, service, a.address, manifest="m1", incarnation=a.incarnation)
+            for a in self.agents
+            if a.vm.startswith(service) and a.vm not in without
+        ]
+
+
+def test_answers_refusals_and_a_crash(data_regression, rng):
+    data_regression.check(asyncio.run(_session(rng)))
+
+
+async def _session(rng):
+    now, table = Now(), FakeTable()
+    drafts = [FakeAgent(f"drafting-{i}", table, now, engine=FakeEngine()) for i in "12"]
+    orders = [FakeAgent(f"orders-{i}", table, now, plain=FakePlain()) for i in "12"]
+    agents = [await agent.serve() for agent in drafts + orders]
+    events = FakeEvents()
+    caller = Caller(
+        Fleet(agents),
+        Channels(Clock()),
+        events,
+        lambda servers, now, rng: servers[0],
+        random.Random(rng.random()),
+        Suspects(Quarantine(), wall=events.wall),
+        clock=now,
+    )
+    steps = {}
+
+    async def step(name, *args, **kw):
+        now.at += 10
+        steps[name] = await _shown(caller, *args, **kw)
+
+    await step("a draft", "drafting", b"banner for the fair")
+    drafts[0].engine.dies_at = 2
+    await step("its server dies midway", "drafting", b"proof note")
+    drafts[0].engine.dies_at = None
+    await step("an order", "orders", b"20 banners", "k1")
+    while any(a.runner.once.unrecorded for a in orders):
+        await asyncio.sleep(0)
+    await step("the same order again", "orders", b"20 banners", "k1")
+    await step("its key with another body", "orders", b"30 banners", "k1")
+    table.plan = ["down", "down"]
+    await step("the store is down", "orders", b"5 flags", "k2")
+    await step("the same key, the store back", "orders", b"5 flags", "k2")
+    orders[0].plain.ends = [ServerFailed("fake", "status 500")]
+    await step("it ran and answered 500", "orders", b"1 sign", "k3")
+    await step("its key again", "orders", b"1 sign", "k3", again=True)
+    for agent in drafts:
+        agent.engine.dies_at = 0
+    await step("it crashes its servers", "drafting", b"boom")
+    await step("and is sent again", "drafting", b"boom")
+    for agent in agents:
+        agent.close()
+    caller.channels.close()
+    return {
+        "steps": steps,
+        "entry": [_event(e) for e in events.kept],
+        "agents": {a.vm: [_event(e) for e in a.events.kept] for a in agents},
+        "runs": {a.vm: a.plain.runs for a in orders},
+        "claims": {k: [r["vm"], r["state"]] for k, r in sorted(table.rows.items())},
+    }
+
+
+async def _shown(caller, service, body, key="", again=False):
+    route = "brief" if service == "drafting" else "print"
+    call = Call(
+        "r",
+        "org-1",
+        service,
+        route,
+        body,
+        key,
+        body.hex(),
+        service == "drafting",
+        1,
+        deadline=caller.clock() + 50,
+        again=again,
+    )
+    shown = {"text": ""}
+    async for item in caller.run(call):
+        if isinstance(item, Started):
+            shown["from"] = [item.ticket, item.version]
+        if isinstance(item, Part):
+            shown["text"] += item.data.decode()
+        if isinstance(item, Ended):
+            shown["outcome"] = type(item.outcome).__name__
+            failure = getattr(item.outcome, "failure", None)
+            shown["reason"] = failure.kind if failure else ""
+            shown["retry_after"] = getattr(item.outcome, "retry_after", 0.0)
+    return shown
+
+
+def _event(event):
+    kind, fields = event
+    kept = ("server", "outcome", "action", "crash")
+    return " ".join([kind, *(str(fields[k]) for k in kept if k in fields)])
