Settle an order whose agent is lost by its claim's row

The tests for it also showed that asyncio.wait_for swallows a cancel that comes together with the event it waits for: a stream told to stop went on for ever.

Change: the entry reads the row. Done: it gives the stored answer. Not claimed: it bars the attempt in the row itself, so that 'not run' is certain whatever the agent does when it wakes, and gives the call to another server.

Ruled out: entries that wait for the holder's VM to leave the list (it lags).

--- a/packages/wasabideck_agent/wasabideck_agent/attempts.py
+++ b/packages/wasabideck_agent/wasabideck_agent/attempts.py
@@ -153,8 +153,11 @@
             self.unread_since = clock()
 
     async def _change(self, timeout: float) -> bool:
+        # asyncio.wait_for swallows a cancel that comes together with the change: a
+        # stream that was told to stop would go on for ever.
         try:
-            await asyncio.wait_for(self._changed.wait(), timeout)
+            async with asyncio.timeout(timeout):
+                await self._changed.wait()
         except TimeoutError:
             return False
         return True
--- a/packages/wasabideck_agent/wasabideck_agent/claim_store.py
+++ b/packages/wasabideck_agent/wasabideck_agent/claim_store.py
@@ -6,6 +6,7 @@
 import base64
 
 from attrs import asdict, define, evolve, field
+from wasabideck_platform.claim_rows import CLAIMS, claim_write, read_claim
 from wasabideck_platform.events import Events
 from wasabideck_platform.http import PlatformUnavailable
 from wasabideck_platform.table import Check, CheckFailed, Table, Write
@@ -16,15 +17,15 @@
     Claim,
     Verdict,
     claim_key,
+    following,
     judge,
     released,
 )
 
 from .claim_batch import ClaimBatch
 
-__all__ = ["ClaimStore", "ClaimUnresolved", "stored_answer"]
+__all__ = ["ClaimStore", "ClaimUnresolved"]
 
-CLAIMS = "claims"
 MOST_TRIES = 5
 SETTLE_SECONDS = 0.5
 # A refusal waits so long for its claim to be given back, and goes out unsettled then.
@@ -115,8 +116,7 @@
 
     async def read(self, claim: Claim) -> Claim | None:
         """The row of a claim's key; raises ``PlatformUnavailable``."""
-        row = await self.table.get(CLAIMS, claim_key(claim.organisation, claim.key))
-        return None if row is None else Claim(**row)
+        return await read_claim(self.table, claim.organisation, claim.key)
 
     @property
     def unsettled(self) -> int:
@@ -144,7 +144,7 @@
                 # It did not take effect, but may yet: a row of our own in its place
                 # makes its check fail, and we go on from there.
                 barred = await self._put(found, released(claim))
-                now = evolve(released(claim), draw=_draw_after(found))
+                now = following(found, released(claim))
                 if barred is not None:
                     now = Claim(**barred.found)
         except PlatformUnavailable as exc:
@@ -170,18 +170,4 @@
         return True
 
     async def _put(self, found: Claim | None, row: Claim) -> CheckFailed | None:
-        key = claim_key(row.organisation, row.key)
-        held = None
-        if found is not None:
-            held = {"attempt": found.attempt, "state": found.state, "draw": found.draw}
-        write = Write(CLAIMS, key, asdict(evolve(row, draw=_draw_after(found))))
-        return await self.batch.put(Check(CLAIMS, key, held), write)
-
-
-def _draw_after(found: Claim | None) -> int:
-    return 1 if found is None else found.draw + 1
-
-
-def stored_answer(claim: Claim) -> bytes:
-    """Answer that a finished claim keeps."""
-    return base64.b64decode(claim.answer)
+        return await self.batch.put(*claim_write(found, row))
--- a/packages/wasabideck_agent/wasabideck_agent/once.py
+++ b/packages/wasabideck_agent/wasabideck_agent/once.py
@@ -8,6 +8,7 @@
 
 from attrs import define, field
 from wasabideck_platform.channels import LINK_FAILURES, Channels
+from wasabideck_platform.claim_rows import stored_answer
 from wasabideck_platform.events import Events
 from wasabideck_platform.http import PlatformRefused, PlatformUnavailable
 from wasabideck_policy.claims import Claim, Verdict
@@ -17,7 +18,7 @@
 from wasabideck_wire.inner_grpc import RunsStub
 
 from .attempts import Attempt
-from .claim_store import ClaimStore, ClaimUnresolved, stored_answer
+from .claim_store import ClaimStore, ClaimUnresolved
 
 __all__ = ["Holder", "Once"]
 
@@ -92,6 +93,8 @@
             return await self._run_held(claim, attempt, serve)
         if verdict.action == "refuse":
             return NotRun(Failure("KeyReused", "the key came with another body"))
+        if verdict.action == "give-up":
+            return NotRun(Failure("Cancelled", "barred by its entry"), settled=True)
         if verdict.action == "replay":
             attempt.add(piece=pb.Piece(data=stored_answer(verdict.claim)))
             return Answered(replayed=True)
@@ -151,9 +154,11 @@
     ) -> Outcome:
         pieces: list[bytes] = []
         async with stub.Resume.open() as stream:
-            await asyncio.wait_for(stream.send_message(req, end=True), self.silence)
+            async with asyncio.timeout(self.silence):
+                await stream.send_message(req, end=True)
             while self.clock() < attempt.deadline:
-                event = await asyncio.wait_for(stream.recv_message(), self.silence)
+                async with asyncio.timeout(self.silence):
+                    event = await stream.recv_message()
                 if event is None:
                     raise ConnectionResetError("it ended early")
                 if event.HasField("piece"):
--- a/packages/wasabideck_entry/wasabideck_entry/calls.py
+++ b/packages/wasabideck_entry/wasabideck_entry/calls.py
@@ -19,7 +19,8 @@
 from wasabideck_wire.convert import outcome_from
 
 from .fleet import Fleet
-from .streams import AttemptStream
+from .resolve import Resolver, barring
+from .streams import SILENCE_SECONDS, AttemptStream
 from .suspects import Suspects
 
 __all__ = ["Call", "Caller", "Ended", "Part", "Started"]
@@ -138,8 +139,10 @@
     choose: Choice
     rng: random.Random
     suspects: Suspects
+    resolver: Resolver
     budget: RetryBudget = field(factory=RetryBudget)
     clock: Callable[[], float] = time.monotonic
+    silence: float = SILENCE_SECONDS
     _cancels: set[asyncio.Task] = field(factory=set)
 
     async def run(self, call: Call) -> AsyncIterator[Answer]:
@@ -201,8 +204,22 @@
             req.only_manifest = progress.manifest
             req.resume_from = progress.pieces
             req.prefix = bytes(progress.text)
+        claim = barring(
+            call.organisation,
+            call.idempotency_key,
+            call.body_digest,
+            attempt,
+            server.vm,
+        )
         stream = AttemptStream(
-            server, req, call.deadline, self.channels, self.events, self.clock
+            server,
+            req,
+            call.deadline,
+            self.channels,
+            self.events,
+            lambda: self.resolver.resolve(claim),
+            self.clock,
+            self.silence,
         )
         server.in_progress += 1
         finished = False
--- a/packages/wasabideck_entry/wasabideck_entry/entry.py
+++ b/packages/wasabideck_entry/wasabideck_entry/entry.py
@@ -30,6 +30,7 @@
 from .fleet import Fleet
 from .front import Front, add_caller_routes, problem
 from .operators import Operators, add_operator_routes
+from .resolve import Resolver
 from .suspects import Suspects
 
 __all__ = ["serve_entry"]
@@ -130,14 +131,18 @@
     rng = random.Random(f"{cfg.seed}/{cfg.process.vm}/{time.time_ns()}")
     spread = Spread(cfg.process.vm, events)
     suspects = Suspects(spread.quarantine, wall=events.wall)
+    platform = connect_platform(cfg.platform, session)
+    resolver = Resolver(platform.table)
     entry = Entry(
         cfg,
         events,
         channels,
-        connect_platform(cfg.platform, session),
+        platform,
         spread,
         fleet,
-        Caller(fleet, channels, events, POLICIES[cfg.routing](), rng, suspects),
+        Caller(
+            fleet, channels, events, POLICIES[cfg.routing](), rng, suspects, resolver
+        ),
         Metrics(),
     )
     suspects.tell = entry.tell_entries
--- a/packages/wasabideck_entry/wasabideck_entry/streams.py
+++ b/packages/wasabideck_entry/wasabideck_entry/streams.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import time
-from collections.abc import AsyncIterator, Callable
+from collections.abc import AsyncIterator, Awaitable, Callable
 
 from attrs import define, field
 from grpclib.client import Channel
@@ -17,7 +17,9 @@
 from wasabideck_wire.convert import final_from
 from wasabideck_wire.inner_grpc import RunsStub
 
-__all__ = ["AttemptStream"]
+from .resolve import Resolved
+
+__all__ = ["SILENCE_SECONDS", "AttemptStream"]
 
 # An agent sends a heartbeat every half second: a connection without one for this
 # long has gone silent, whatever TCP thinks of it.
@@ -26,7 +28,8 @@
 RECONNECT_SECONDS = 0.05
 # Refused connections in a row after which the agent process is taken for dead.
 MOST_REFUSED = 2
-# Silent or broken connections in a row after which a repeatable call goes elsewhere.
+# Silent or broken connections in a row after which a call goes elsewhere, if it may
+# be repeated or certainly did not run.
 MOST_SILENT = 2
 # The agent itself ends an attempt at its deadline, and its word is the better one.
 GRACE_SECONDS = 1.0
@@ -40,6 +43,9 @@
     ----------
     deadline : float
         By this process's clock, seconds.
+    resolve : callable
+        Finds out what became of the attempt when its agent is lost; None while
+        nobody can know.
     """
 
     server: Server
@@ -47,12 +53,14 @@
     deadline: float
     channels: Channels
     events: Events
+    resolve: Callable[[], Awaitable[Resolved | None]]
     clock: Callable[[], float] = time.monotonic
     silence: float = SILENCE_SECONDS
     offset: int = 0
     sent: bool = False
     _silent: int = 0
     _refused: int = 0
+    _pieces: int = 0
     _not_after: float = field(init=False)
 
     def __attrs_post_init__(self) -> None:
@@ -67,6 +75,8 @@
         A connection that broke or went silent is replaced by another that goes on
         from the offset reached, so nothing is lost or doubled.
         """
+        outcome: Outcome | None = None
+        known: Resolved | None = None
         while self.clock() < self.deadline + GRACE_SECONDS:
             channel = self.channels.get(self.server.address)
             try:
@@ -76,19 +86,37 @@
                         return
             except ConnectionRefusedError as exc:
                 if outcome := self._refusal(exc):
-                    yield _final(self.offset, outcome)
-                    return
+                    break
             except LINK_FAILURES as exc:
                 self._note_break(channel, exc)
-                if self.req.repeatable and self._silent >= MOST_SILENT:
+                if self._silent >= MOST_SILENT and self.req.repeatable:
+                    break
+                if self._silent >= MOST_SILENT and (known := await self.resolve()):
                     break
             await asyncio.sleep(RECONNECT_SECONDS)
-        yield _final(self.offset, await self.give_up())
+        if outcome is None and known is None:
+            outcome = await self.give_up()
+        for event in await self._last(outcome, known):
+            yield event
+
+    async def _last(
+        self, outcome: Outcome | None, known: Resolved | None
+    ) -> list[pb.RunEvent]:
+        """The final event, and before it a stored answer that has yet to be given."""
+        if known is None and isinstance(outcome, Unknown) and not self.req.repeatable:
+            known = await self.resolve()
+        if known is None:
+            return [_final(self.offset, outcome)]
+        final = _final(self.offset, known.outcome)
+        if not known.answer or self._pieces:
+            return [final]
+        piece = pb.Piece(data=known.answer)
+        return [pb.RunEvent(offset=self.offset, piece=piece), final]
 
     async def give_up(self) -> Outcome:
         """Cancel the attempt; whether it certainly did not and will not run."""
         if not self.sent or await self.cancel():
-            return NotRun(Failure("DeadlinePassed", "it did not begin in time"), 1.0)
+            return NotRun(Failure("NotBegun", "given up before it ran"), 1.0)
         return Unknown(Failure("NoAnswer", f"none from {self.server.vm} in time"))
 
     async def cancel(self) -> bool:
@@ -113,18 +141,22 @@
         async with method.open() as stream:
             try:
                 # Until it is connected nothing can have been sent.
-                await asyncio.wait_for(stream.send_request(), self.silence)
+                async with asyncio.timeout(self.silence):
+                    await stream.send_request()
                 req = self._resume() if self.sent else self.req
                 self.sent = True
-                await asyncio.wait_for(stream.send_message(req, end=True), self.silence)
+                async with asyncio.timeout(self.silence):
+                    await stream.send_message(req, end=True)
                 while self.clock() < self.deadline + GRACE_SECONDS:
-                    event = await asyncio.wait_for(stream.recv_message(), self.silence)
+                    async with asyncio.timeout(self.silence):
+                        event = await stream.recv_message()
                     if event is None:
                         raise ConnectionResetError("the stream ended early")
                     self._silent = self._refused = 0
                     if event.HasField("beat"):
                         continue
                     self.offset = event.offset + 1
+                    self._pieces += event.HasField("piece")
                     yield event
                     if event.HasField("final"):
                         return
--- a/packages/wasabideck_entry/wasabideck_entry/suspects.py
+++ b/packages/wasabideck_entry/wasabideck_entry/suspects.py
@@ -69,7 +69,8 @@
             return
         self.quarantine.record(name, outcome.crash, self.wall())
         try:
-            await asyncio.wait_for(self.tell(), TELL_SECONDS)
+            async with asyncio.timeout(TELL_SECONDS):
+                await self.tell()
         except TimeoutError:
             # They hear of it with the next comparison of state.
             return
--- a/packages/wasabideck_policy/wasabideck_policy/claims.py
+++ b/packages/wasabideck_policy/wasabideck_policy/claims.py
@@ -8,7 +8,7 @@
 
 from __future__ import annotations
 
-from attrs import evolve, frozen
+from attrs import evolve, field, frozen
 
 __all__ = [
     "DONE",
@@ -17,6 +17,7 @@
     "Claim",
     "Verdict",
     "claim_key",
+    "following",
     "judge",
     "released",
 ]
@@ -38,6 +39,8 @@
         Stored answer of a run that is done, base64.
     address, incarnation : str
         Where the holder answers, and as which process.
+    barred : list of str
+        Attempts that may never take the claim: their entries gave them up.
     draw : int
         Writes of the row so far: a late one is told from the one that it repeats.
     """
@@ -51,6 +54,7 @@
     answer: str = ""
     address: str = ""
     incarnation: str = ""
+    barred: list[str] = field(factory=list)
     draw: int = 0
 
 
@@ -61,7 +65,7 @@
     Attributes
     ----------
     action : str
-        ``run``, ``retake``, ``replay``, ``ask-holder`` or ``refuse``.
+        ``run``, ``retake``, ``replay``, ``ask-holder``, ``refuse`` or ``give-up``.
     """
 
     action: str
@@ -82,8 +86,18 @@
     return evolve(claim, state=RELEASED, answer="")
 
 
+def following(found: Claim | None, row: Claim) -> Claim:
+    """The row to write over the one found, which it carries on."""
+    if found is None:
+        return evolve(row, draw=1)
+    barred = [*found.barred, *(name for name in row.barred if name not in found.barred)]
+    return evolve(row, draw=found.draw + 1, barred=barred)
+
+
 def judge(wanted: Claim, found: Claim) -> Verdict:
     """Compare the claim wanted with the one that stands in the table."""
+    if wanted.attempt in found.barred and found.state != DONE:
+        return Verdict("give-up", found)
     if found.state == RELEASED:
         return Verdict("retake", found)
     if found.body_digest != wanted.body_digest:
--- a/packages/wasabideck_policy/wasabideck_policy/retry.py
+++ b/packages/wasabideck_policy/wasabideck_policy/retry.py
@@ -14,6 +14,7 @@
 _FREE = frozenset(
     {
         "ArrivedLate",
+        "Barred",
         "Leaving",
         "NeverArrived",
         "NotServing",
--- a/tests/sessions/test_answers_session.py
+++ b/tests/sessions/test_answers_session.py
@@ -5,6 +5,7 @@
 
 from answers_fakes import FakeAgent, FakeEngine, FakeEvents, FakePlain, FakeTable, Now
 from wasabideck_entry.calls import Call, Caller, Ended, Part, Started
+from wasabideck_entry.resolve import Resolver
 from wasabideck_entry.suspects import Suspects
 from wasabideck_platform.channels import Channels
 from wasabideck_platform.events import Clock
@@ -44,6 +45,7 @@
         lambda servers, now, rng: servers[0],
         random.Random(rng.random()),
         Suspects(Quarantine(), wall=events.wall),
+        Resolver(table),
         clock=now,
     )
     steps = {}
--- a/tests/test_answers.py
+++ b/tests/test_answers.py
@@ -4,9 +4,18 @@
 import random
 
 import pytest
-from answers_fakes import FakeAgent, FakeEngine, FakeEvents, FakeTable, Now, draft
+from answers_fakes import (
+    FakeAgent,
+    FakeEngine,
+    FakeEvents,
+    FakePlain,
+    FakeTable,
+    Now,
+    draft,
+)
 from wasabideck_agent.attempts import UNSENT_BYTES
 from wasabideck_entry.calls import Call, Caller, Ended, Part
+from wasabideck_entry.resolve import Resolver
 from wasabideck_entry.streams import AttemptStream
 from wasabideck_entry.suspects import Suspects
 from wasabideck_lab.relay import Relay
@@ -46,9 +55,20 @@
     )
 
 
+async def nobody_knows():
+    return None
+
+
 def stream_to(server, req, now, silence=0.2):
     return AttemptStream(
-        server, req, now.at + 50, Channels(Clock()), FakeEvents(), now, silence
+        server,
+        req,
+        now.at + 50,
+        Channels(Clock()),
+        FakeEvents(),
+        nobody_knows,
+        now,
+        silence,
     )
 
 
@@ -62,7 +82,7 @@
         return [s for s in self.servers if s.vm not in without and s.serving]
 
 
-def caller_of(*servers, quarantine=None, now=None):
+def caller_of(*servers, quarantine=None, now=None, table=None):
     suspects = Suspects(quarantine or Quarantine(), wall=lambda: 1000.0)
     return Caller(
         FakeFleet(*servers),
@@ -71,18 +91,20 @@
         lambda servers, now, rng: servers[0],
         random.Random(7),
         suspects,
+        Resolver(table or FakeTable()),
         clock=now or Now(),
+        silence=0.2,
     )
 
 
-def call(repeatable=True, body=b"a brief", **kw):
+def call(repeatable=True, body=b"a brief", key="", **kw):
     return Call(
         "r1",
         "org-1",
         "drafting",
         "brief",
         body,
-        "",
+        key,
         "digest",
         repeatable,
         1,
@@ -372,6 +394,46 @@
     asyncio.run(body())
 
 
+@pytest.mark.parametrize("moment", ["before the claim", "in the run", "recorded"])
+def test_an_order_whose_agent_is_lost_is_settled_by_its_claim(moment):
+    """An agent is lost with an order on it, and perhaps only paused.
+
+    Not yet claimed: it is barred, and another server runs it; the first wakes up and
+    must not. Recorded: the caller gets the stored receipt. In between: nobody knows.
+    """
+
+    async def body():
+        hold = asyncio.Event()
+        held, table = FakeTable(), FakeTable()
+        one = FakeAgent("order-1", held, plain=FakePlain())
+        two = FakeAgent("order-2", table, plain=FakePlain(), incarnation="inc-2")
+        held.rows = table.rows
+        if moment == "before the claim":
+            held.hold = hold
+        else:
+            one.plain.hold = hold
+        await one.serve()
+        await two.serve()
+        servers = server_of(one), server_of(two)
+        caller = caller_of(*servers, table=table)
+        asked = asyncio.create_task(answer(caller, call(False, key="k1")))
+        await (held if moment == "before the claim" else one.plain).entered.wait()
+        one.server.close()
+        if moment == "recorded":
+            hold.set()
+        text, outcome = await asked
+        hold.set()
+        for attempt in one.runner.attempts.in_progress():
+            await one.final(attempt)
+        runs = one.plain.runs.get("k1", 0) + two.plain.runs.get("k1", 0)
+        assert runs == 1
+        assert isinstance(outcome, Unknown if moment == "in the run" else Answered)
+        assert text == (b"" if moment == "in the run" else b"receipt of k1")
+        one.close(), two.close(), caller.channels.close()
+
+    asyncio.run(body())
+
+
 def test_a_resent_order_is_not_refused_for_what_its_first_try_may_have_done():
     """An entry is killed with an order on it; the caller resends its key elsewhere.
 
--- a/tests/test_once.py
+++ b/tests/test_once.py
@@ -4,8 +4,8 @@
 
 import pytest
 from answers_fakes import FakeAgent, FakePlain, FakeTable, order
-from wasabideck_agent.claim_store import stored_answer
 from wasabideck_agent.runs_service import RunsService
+from wasabideck_platform.claim_rows import stored_answer
 from wasabideck_platform.servers import ServerDied, ServerFailed, ServerRefused
 from wasabideck_policy.claims import Claim, claim_key
 from wasabideck_wire import inner_pb2 as pb
