--- a/packages/wasabideck_lab/wasabideck_lab/capacity.py
+++ b/packages/wasabideck_lab/wasabideck_lab/capacity.py
@@ -229,6 +229,44 @@
     return lab, lambda: [entry.http]
 
 
+async def store_by_entries() -> list[dict]:
+    """Reads a second of the table and the list, by entries that really run."""
+    return await _store_rates(
+        "entries", ENTRIES, lambda lab, vm: lab.start_entry(vm, SERVICES)
+    )
+
+
+async def store_by_agents() -> list[dict]:
+    """Reads a second of the table and the list, by agents that really run."""
+    return await _store_rates(
+        "agents", SERVERS, lambda lab, vm: lab.start_plain_vm(vm, "orders")
+    )
+
+
+async def _store_rates(
+    name: str, target: float, start: Callable[[Lab, str], Awaitable[Process]]
+) -> list[dict]:
+    sizes, table, members = (2, 4, 8, 16), [], []
+    for size in sizes:
+        with tempfile.TemporaryDirectory() as folder:
+            lab = Lab(Path(folder))
+            await lab.start_platform()
+            try:
+                await lab.start_entry("entry-0", SERVICES)
+                await asyncio.gather(*(start(lab, f"vm-{i}") for i in range(size)))
+                await asyncio.sleep(SETTLE_SECONDS)
+                before = lab.table.reads, lab.members.reads
+                await asyncio.sleep(WATCH_SECONDS)
+                table.append((lab.table.reads - before[0]) / WATCH_SECONDS)
+                members.append((lab.members.reads - before[1]) / WATCH_SECONDS)
+            finally:
+                await lab.close()
+    return [
+        fit(f"table reads by {name}", "1/s", sizes, table).shown(target),
+        fit(f"list reads by {name}", "1/s", sizes, members).shown(target),
+    ]
+
+
 async def ticket_state() -> list[dict]:
     """Cost of the ticket state, by touched things (every VM, a few slots each)."""
     sizes = (1000, 2000, 4000, 8000)
@@ -268,6 +306,8 @@
     "agent-by-servers": agent_by_servers,
     "processes-by-requests": processes_by_requests,
     "processes-by-tokens": processes_by_tokens,
+    "store-by-entries": store_by_entries,
+    "store-by-agents": store_by_agents,
     "ticket-state": ticket_state,
 }
 
