Accept a ticket in one transaction, and settle lost answers

Cause: acceptance rested on reads (head, ticket row, holders) of which only the head was a condition of the write; a write whose answer was lost stayed "unknown", and `ticket status` said "not accepted" while that write could still take effect. After acceptance the entry read the table again before it told anybody, so a table that went down right then turned an accepted ticket into an error. Every entry read the head twice a second. One pushed change made a starting process believe that it knew the whole state.

Ruled out: a lease on the head (a paused holder), a second look after a delay (a late write has no bound).

Change: every row that the decision rests on is a condition. After a lost answer the head is moved; a late write then fails its condition for ever, so the next read is final. The same for the status of an absent ticket. The accepting entry merges what it accepted and answers when another entry has it. Three entries of a data centre (rendezvous rank) read the head; another reads for itself after 2 s without it, jittered. Changes are pushed to four entries and to the agents that watch. A starting process needs one peer with a fresh head, or two.

Conclusion: accepted, a typed refusal, or unknown until the table answers again.

--- a/packages/wasabideck_agent/wasabideck_agent/agent.py
+++ b/packages/wasabideck_agent/wasabideck_agent/agent.py
@@ -20,9 +20,8 @@
 from wasabideck_platform.settings import PLAIN, AgentSettings, split_address
 from wasabideck_platform.spread import PeersService, Spread
 from wasabideck_policy.admission import Gate
-from wasabideck_policy.distribution import rank
 from wasabideck_policy.manifests import Manifest
-from wasabideck_policy.membership import AGENT, ENTRY, Member
+from wasabideck_policy.membership import AGENT, Member, Watch, watched
 from wasabideck_wire import inner_pb2 as pb
 
 from .chunk_store import ChunkStore
@@ -34,8 +33,7 @@
 
 __all__ = ["serve_agent"]
 
-SYNC_SECONDS = 0.5
-WATCHED_ENTRIES = 3
+SYNC_SECONDS = 1.0
 LOAD_SECONDS = 0.5
 ROWS_SECONDS = 1.0
 FORGET_SECONDS = 5.0
@@ -56,6 +54,7 @@
     chunks: ChunksService
     metrics: Metrics
     members: list[Member] = field(factory=list)
+    watch: Watch = field(factory=Watch)
     load: float = 0.0
     load_at: float = 0.0
 
@@ -74,11 +73,6 @@
             and m.service == self.cfg.server.service
         ]
 
-    def entries(self) -> list[Member]:
-        """The few entries that this agent watches."""
-        found = {m.vm: m for m in self.members if m.kind == ENTRY and not m.leaving}
-        return [found[vm] for vm in rank(self.vm, found)[:WATCHED_ENTRIES]]
-
     def status(self) -> pb.StatusReply:
         """What this agent tells entries about its server."""
         gate = self.runner.gate
@@ -121,11 +115,8 @@
 
     async def hear_state(self) -> None:
         """Compare ticket state with the watched entries, else with the table."""
-        for member in self.entries():
-            try:
-                await self.spread.sync(self.channels.get(member.address))
-            except LINK_FAILURES:
-                self.channels.drop(member.address)
+        members = watched(self.vm, self.members, self.watch, time.monotonic())
+        await asyncio.gather(*(self._sync(m, len(members)) for m in members))
         if not self.spread.heard:
             try:
                 await self.spread.poll(self.platform.table)
@@ -134,6 +125,14 @@
         if self.cfg.server.kind == PLAIN:
             self.runner.gate.open = self.spread.heard
 
+    async def _sync(self, member: Member, listed: int) -> None:
+        channel = self.channels.get(member.address)
+        try:
+            await self.spread.sync(member.vm, channel, listed)
+        except LINK_FAILURES:
+            self.channels.drop(member.address)
+            self.watch.failed(member.vm, time.monotonic())
+
     async def read_load(self) -> None:
         """Read the engine's lagging load report."""
         if self.runner.engine is None or not self.cfg.server.reports_load:
--- a/packages/wasabideck_entry/wasabideck_entry/entry.py
+++ b/packages/wasabideck_entry/wasabideck_entry/entry.py
@@ -20,7 +20,7 @@
 from wasabideck_platform.process import announce_ready, every, first_of
 from wasabideck_platform.settings import EntrySettings, split_address
 from wasabideck_platform.spread import PeersService, Spread
-from wasabideck_policy.membership import ENTRY
+from wasabideck_policy.membership import ENTRY, Member, polls
 from wasabideck_policy.outcomes import WasabideckError
 from wasabideck_policy.routing import POLICIES
 from wasabideck_wire import inner_pb2 as pb
@@ -29,11 +29,14 @@
 from .fleet import Fleet
 from .front import Front, add_caller_routes, problem
 from .operators import Operators, add_operator_routes
+from .pushes import Pusher
 
 __all__ = ["serve_entry"]
 
 STATUS_SECONDS = 0.25
 HEAD_SECONDS = 0.5
+HEAD_PATIENCE = 2.0
+COMPARE_SECONDS = 1.0
 DRAIN_SECONDS = 60.0
 
 
@@ -46,10 +49,13 @@
     channels: Channels
     platform: Platform
     spread: Spread
+    peers: PeersService
+    pusher: Pusher
     fleet: Fleet
     caller: Caller
     metrics: Metrics
     leaving: bool = False
+    poll_at: float = 0.0
     in_progress: int = field(default=0)
 
     async def read_members(self) -> None:
@@ -59,20 +65,45 @@
         except PlatformUnavailable as exc:
             self.events.emit("members.unavailable", why=str(exc))
 
-    async def hear_state(self) -> None:
-        """Read the table's head; with the table down, compare with other entries."""
+    async def poll_head(self) -> None:
+        """Read the table's head, where this entry has to.
+
+        A few entries of each data centre do, and tell the others. One that heard
+        nothing of the head for a while reads for itself, at jittered times, so that
+        all together stay far below the table's limit on reads.
+        """
+        now = time.monotonic()
+        ranked = polls(self.cfg.process.vm, self._data_centre, self.fleet.members)
+        if all(member.vm != self.cfg.process.vm for member in ranked):
+            if self.spread.head_age() < HEAD_PATIENCE or now < self.poll_at:
+                return
+        self.poll_at = now + HEAD_PATIENCE * (1 + self.caller.rng.random())
         try:
             await self.spread.poll(self.platform.table)
         except PlatformUnavailable as exc:
             self.events.emit("table.unavailable", why=str(exc))
-            await self._sync_with_entries()
 
-    async def _sync_with_entries(self) -> None:
-        for member in self.fleet.entries():
-            try:
-                await self.spread.sync(self.channels.get(member.address))
-            except LINK_FAILURES:
-                self.channels.drop(member.address)
+    async def compare(self) -> None:
+        """Compare state with one entry that reads the head, and with any other."""
+        rng = self.caller.rng
+        me = self.cfg.process.vm
+        others = self.fleet.entries()
+        ranked = polls(me, self._data_centre, self.fleet.members)
+        near = [m for m in ranked if m.vm != me and m.address]
+        asked = {m.vm: m for m in (*rng.sample(near, min(1, len(near))),)}
+        asked |= {m.vm: m for m in rng.sample(others, min(1, len(others)))}
+        await asyncio.gather(*(self._sync(m, len(others)) for m in asked.values()))
+
+    async def _sync(self, member: Member, listed: int) -> None:
+        channel = self.channels.get(member.address)
+        try:
+            await self.spread.sync(member.vm, channel, listed)
+        except LINK_FAILURES:
+            self.channels.drop(member.address)
+
+    @property
+    def _data_centre(self) -> str:
+        return self.cfg.process.data_centre
 
     def status(self) -> pb.StatusReply:
         """What this entry tells other processes of itself."""
@@ -88,7 +119,7 @@
     events, _ = open_events(cfg.process.vm, cfg.process.events)
     async with aiohttp.ClientSession() as session:
         entry = _assemble(cfg, events, session)
-        server = Server([PeersService(entry.spread, entry.status)])
+        server = Server([entry.peers])
         observe_clock(server, events.clock)
         host, port = split_address(cfg.process.inner)
         await server.start(host, port)
@@ -114,22 +145,32 @@
     channels = Channels(events.clock)
     fleet = Fleet(cfg.process.vm, channels)
     rng = random.Random(f"{cfg.seed}/{cfg.process.vm}/{time.time_ns()}")
-    return Entry(
+    spread = Spread(cfg.process.vm, events)
+    entry: Entry
+    peers = PeersService(spread, lambda: entry.status())
+    pusher = Pusher(cfg.process.data_centre, spread, peers, fleet, channels, rng)
+    spread.listen(pusher.note)
+    entry = Entry(
         cfg,
         events,
         channels,
         connect_platform(cfg.platform, session),
-        Spread(cfg.process.vm, events),
+        spread,
+        peers,
+        pusher,
         fleet,
         Caller(fleet, channels, events, POLICIES[cfg.routing](), rng),
         Metrics(),
     )
+    return entry
 
 
 def _loops(entry: Entry) -> list:
     return [
         every(entry.cfg.platform.poll_seconds, entry.read_members),
-        every(HEAD_SECONDS, entry.hear_state),
+        every(HEAD_SECONDS, entry.poll_head),
+        every(COMPARE_SECONDS, entry.compare),
+        entry.pusher.run(),
         every(STATUS_SECONDS, entry.fleet.ask_all),
     ]
 
@@ -172,7 +213,7 @@
             entry.platform.table,
             entry.spread,
             entry.fleet,
-            entry.channels,
+            entry.pusher,
             entry.events,
         ),
     )
--- a/packages/wasabideck_entry/wasabideck_entry/operators.py
+++ b/packages/wasabideck_entry/wasabideck_entry/operators.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import asyncio
 import time
 import tomllib
 from collections.abc import Awaitable, Callable
@@ -10,7 +9,6 @@
 import orjson
 from attrs import asdict, define
 from sanic import HTTPResponse, Request, Sanic
-from wasabideck_platform.channels import LINK_FAILURES, Channels
 from wasabideck_platform.events import Events
 from wasabideck_platform.settings import EntrySettings
 from wasabideck_platform.spread import Spread
@@ -18,20 +16,22 @@
 from wasabideck_platform.ticket_store import (
     Accepted,
     accept_ticket,
+    assignments_of,
     list_tickets,
-    read_ticket,
+    settle_ticket,
 )
 from wasabideck_policy.outcomes import WasabideckError
 from wasabideck_policy.tickets import MAX_TICKET_BYTES, TicketError, parse_ticket
 
 from .fleet import Fleet
 from .identity import operator_of
+from .pushes import Pusher
 
 __all__ = ["Operators", "TicketUnheard", "add_operator_routes"]
 
 
 class TicketUnheard(WasabideckError):
-    """No ticket of this number is accepted."""
+    """Certain: no ticket of this number is accepted, or will be unless sent again."""
 
     status = 404
 
@@ -48,7 +48,7 @@
     table: Table
     spread: Spread
     fleet: Fleet
-    channels: Channels
+    pusher: Pusher
     events: Events
 
     async def submit(self, body: bytes, source: str, operator: str) -> dict:
@@ -62,25 +62,14 @@
         ticket = parse_ticket(table, source)
         accepted = await accept_ticket(self.table, ticket, operator, time.time())
         self.events.emit("ticket.accepted", ticket=ticket.number, operator=operator)
-        await self._spread()
+        changes = assignments_of(accepted)
+        self.spread.merge(changes)
+        await self.pusher.hand_on(changes)
         return _shown(accepted)
 
-    async def _spread(self) -> None:
-        since = self.spread.state.sequence
-        await self.spread.poll(self.table)
-        await asyncio.gather(
-            *(self._push(member.address, since) for member in self.fleet.entries())
-        )
-
-    async def _push(self, address: str, since: int) -> None:
-        try:
-            await self.spread.push(self.channels.get(address), since)
-        except LINK_FAILURES:
-            self.channels.drop(address)
-
     async def show(self, number: int) -> dict:
-        """An accepted ticket."""
-        accepted = await read_ticket(self.table, number)
+        """An accepted ticket; its absence is made certain first."""
+        accepted = await settle_ticket(self.table, number)
         if accepted is None:
             raise TicketUnheard(number)
         return _shown(accepted)
--- a/packages/wasabideck_platform/wasabideck_platform/spread.py
+++ b/packages/wasabideck_platform/wasabideck_platform/spread.py
@@ -3,11 +3,13 @@
 from __future__ import annotations
 
 import asyncio
+import time
 from collections.abc import Callable, Iterable
 
 from attrs import define, field
 from grpclib.client import Channel
 from grpclib.server import Stream
+from wasabideck_policy.membership import Heard
 from wasabideck_policy.tickets import Assignment, TicketState
 from wasabideck_wire import inner_pb2 as pb
 from wasabideck_wire.convert import assignments_from, entries_from
@@ -19,24 +21,38 @@
 
 __all__ = ["PeersService", "Spread"]
 
-SYNC_TIMEOUT = 2.0
+SYNC_TIMEOUT = 1.0
+WATCHER_SECONDS = 5.0
+OLDEST_SECONDS = 1e6
 
 
 @define
 class Spread:
     """A process's ticket state, and whoever waits for it to change.
 
+    Of a process whose ``state.sequence`` is S it holds: everything that was accepted
+    up to S is merged in. Pushed changes are merged without moving S, since earlier
+    ones may be missing still.
+
     Attributes
     ----------
-    heard : bool
-        Whether any state was heard yet; before that nothing may be served.
+    head_at : float
+        Time before which everything accepted is known here.
     """
 
     vm: str
     events: Events
     state: TicketState = field(factory=TicketState)
-    heard: bool = False
+    head_at: float = float("-inf")
+    clock: Callable[[], float] = time.monotonic
+    _heard: Heard = field(factory=Heard)
     _waiters: list[asyncio.Event] = field(factory=list)
+    _listeners: list[Callable[[list[Assignment]], None]] = field(factory=list)
+
+    @property
+    def heard(self) -> bool:
+        """Whether enough was heard; before that nothing may be served."""
+        return self._heard.done
 
     def subscribe(self) -> asyncio.Event:
         """An event that is set whenever the state changes."""
@@ -44,29 +60,39 @@
         self._waiters.append(changed)
         return changed
 
+    def listen(self, listener: Callable[[list[Assignment]], None]) -> None:
+        """Call a listener with all that becomes known from now on."""
+        self._listeners.append(listener)
+
     def merge(self, assignments: Iterable[Assignment], sequence: int = 0) -> bool:
         """Take changes in, and wake whoever waits if any of them is newer."""
-        assignments = list(assignments)
-        changed = self.state.merge(assignments, sequence)
-        first = not self.heard
-        self.heard = True
-        if changed:
-            newest = max(a.ticket for a in assignments)
+        newer = self.state.merge(assignments, sequence)
+        if newer:
+            newest = max(a.ticket for a in newer)
             self.events.emit("ticket.seen", ticket=newest, sequence=sequence)
-        if changed or first:
-            for waiter in self._waiters:
-                waiter.set()
-        return changed
-
-    async def poll(self, table: Table) -> bool:
-        """Read the head row, and what was accepted since; whether any was newer."""
+            for listener in self._listeners:
+                listener(newer)
+            self._wake()
+        return bool(newer)
+
+    async def poll(self, table: Table) -> None:
+        """Read the head row, and what was accepted since."""
+        begun = self.clock()
         head = await read_head(table)
-        if head <= self.state.sequence:
-            return self.merge((), head)
-        return self.merge(await read_changes(table, self.state.sequence), head)
-
-    async def sync(self, channel: Channel) -> None:
-        """Compare with another process, and take in what it has newer."""
+        if head.newest > self.state.sequence:
+            changes = await read_changes(table, self.state.sequence)
+            # The rows' own sequence counts, not the head's: a scan that lags
+            # behind the head would else leave out what it has not shown, for good.
+            self.merge(changes, max((a.sequence for a in changes), default=0))
+        if self.state.sequence >= head.newest:
+            self._heard_from(self.vm, begun, 1)
+
+    async def sync(self, vm: str, channel: Channel, listed: int) -> None:
+        """Compare with another process, and take in what it has newer.
+
+        ``listed`` is the number of entries that could be asked.
+        """
+        begun = self.clock()
         req = pb.SyncRequest(
             vm=self.vm,
             sequence=self.state.sequence,
@@ -75,17 +101,32 @@
         reply = await PeersStub(channel).Sync(req, timeout=SYNC_TIMEOUT)
         if reply.heard:
             self.merge(assignments_from(reply.entries), reply.sequence)
+            self._heard_from(vm, begun - reply.head_age_ms / 1000, listed)
 
-    async def push(self, channel: Channel, since: int) -> None:
-        """Tell another process what was accepted after a place in the order."""
+    async def push(self, channel: Channel, changes: Iterable[Assignment]) -> None:
+        """Tell another process of changes."""
         req = pb.SyncRequest(
             vm=self.vm,
             sequence=self.state.sequence,
             state_hash=self.state.state_hash(),
-            entries=entries_from(self.state.above(since)),
+            entries=entries_from(changes),
         )
         await PeersStub(channel).Sync(req, timeout=SYNC_TIMEOUT)
 
+    def head_age(self) -> float:
+        """Seconds since this state was known to be the table's."""
+        return self.clock() - self.head_at
+
+    def _heard_from(self, vm: str, head_at: float, listed: int) -> None:
+        self.head_at = max(self.head_at, head_at)
+        first = not self._heard.done
+        if self._heard.hear(vm, self.clock() - head_at, listed) and first:
+            self._wake()
+
+    def _wake(self) -> None:
+        for waiter in self._waiters:
+            waiter.set()
+
 
 @define
 class PeersService(PeersBase):
@@ -93,10 +134,18 @@
 
     spread: Spread
     status: Callable[[], pb.StatusReply]
+    asked_at: dict[str, float] = field(factory=dict)
+
+    def watchers(self) -> set[str]:
+        """VMs that compared their state with this one lately."""
+        limit = self.spread.clock() - WATCHER_SECONDS
+        self.asked_at = {vm: at for vm, at in self.asked_at.items() if at > limit}
+        return set(self.asked_at)
 
     async def Sync(self, stream: Stream[pb.SyncRequest, pb.SyncReply]) -> None:
         """Take in what the asker has newer; answer with what it lacks."""
         req = await stream.recv_message()
+        self.asked_at[req.vm] = self.spread.clock()
         if req.entries:
             self.spread.merge(assignments_from(req.entries))
         await stream.send_message(self._reply(req))
@@ -108,17 +157,15 @@
 
     def _reply(self, req: pb.SyncRequest) -> pb.SyncReply:
         state = self.spread.state
-        if not self.spread.heard or req.state_hash == state.state_hash():
-            missing = []
-        elif req.sequence < state.sequence:
-            missing = state.above(req.sequence)
-        else:
-            # Same place in the order and yet another state: something pushed got
-            # lost on one side, so the whole state goes over.
+        same = req.state_hash == state.state_hash()
+        missing = [] if same else state.above(req.sequence)
+        if not same and not missing and req.sequence == state.sequence:
+            # By the rule of ``Spread`` this cannot be; if it is, all goes over.
             missing = state.assignments()
         return pb.SyncReply(
             sequence=state.sequence,
             state_hash=state.state_hash(),
-            entries=entries_from(missing),
+            entries=entries_from(missing if self.spread.heard else []),
             heard=self.spread.heard,
+            head_age_ms=int(min(self.spread.head_age(), OLDEST_SECONDS) * 1000),
         )
--- a/packages/wasabideck_platform/wasabideck_platform/table.py
+++ b/packages/wasabideck_platform/wasabideck_platform/table.py
@@ -7,7 +7,7 @@
 import orjson
 from attrs import define, frozen
 
-from .http import HttpClient
+from .http import HttpClient, PlatformRefused, PlatformUnavailable
 
 __all__ = ["Check", "CheckFailed", "Table", "Write"]
 
@@ -72,9 +72,15 @@
             "checks": [[c.table, c.key, c.expected] for c in checks],
             "writes": [[w.table, w.key, w.row] for w in writes],
         }
-        status, data = await self.http.call(
-            "POST", "/v1/transact", orjson.dumps(body), accept=(200, 409)
-        )
+        try:
+            status, data = await self.http.call(
+                "POST", "/v1/transact", orjson.dumps(body), accept=(200, 409)
+            )
+        except PlatformRefused as exc:
+            if exc.answer_status < 500:
+                raise
+            # An error in front of the table says nothing of what happened behind.
+            raise PlatformUnavailable(exc.url, str(exc), maybe_applied=True) from exc
         if status == 200:
             return None
         answer = orjson.loads(data)
--- a/packages/wasabideck_policy/wasabideck_policy/tickets.py
+++ b/packages/wasabideck_policy/wasabideck_policy/tickets.py
@@ -273,26 +273,28 @@
         """The newest change of a touched thing, or None."""
         return self._newest.get(key)
 
-    def merge(self, assignments: Iterable[Assignment], sequence: int = 0) -> bool:
+    def merge(
+        self, assignments: Iterable[Assignment], sequence: int = 0
+    ) -> list[Assignment]:
         """Take in changes that are newer than the known ones.
 
         Returns
         -------
-        changed : bool
-            Whether any of them was newer.
+        newer : list of Assignment
+            Those that replaced what was known.
         """
-        changed = False
+        newer = []
         for assignment in assignments:
             known = self._newest.get(assignment.change.key)
             # A frozen process or a stale read brings old tickets back: a smaller
             # or equal number never replaces what is known, so nothing reverts.
             if known is None or assignment.ticket > known.ticket:
                 self._newest[assignment.change.key] = assignment
-                changed = True
+                newer.append(assignment)
         self.sequence = max(self.sequence, sequence)
-        if changed:
+        if newer:
             self._hash = ""
-        return changed
+        return newer
 
     def state_hash(self) -> str:
         """Hash of every key and number; equal hashes mean equal states."""
--- /dev/null
+++ b/tests/tickets/conftest.py
@@ -0,0 +1,32 @@
+"""Fixtures of the tests about tickets."""
+
+import asyncio
+
+import pytest
+from fake_table import FakeTable
+from wasabideck_platform.ticket_store import accept_ticket
+from wasabideck_policy.tickets import Change, Ticket
+
+NOW = 1_000.0
+
+
+@pytest.fixture
+def table():
+    return FakeTable()
+
+
+@pytest.fixture
+def make_ticket():
+    def make(number, *scopes, version="v1"):
+        changes = [Change(s, "model", "m", version, "d" * 64) for s in scopes]
+        return Ticket(number, tuple(changes))
+
+    return make
+
+
+@pytest.fixture
+def accept(table):
+    def run(ticket, operator="operator-1"):
+        return asyncio.run(accept_ticket(table, ticket, operator, NOW))
+
+    return run
