--- a/packages/wasabideck_lab/wasabideck_lab/capacity.py
+++ b/packages/wasabideck_lab/wasabideck_lab/capacity.py
@@ -21,7 +21,7 @@
 from grpclib.server import Server
 from wasabideck_platform.events import Clock, Events
 from wasabideck_platform.spread import PeersService, Spread
-from wasabideck_policy.membership import AGENT, ENTRY, Member
+from wasabideck_policy.membership import AGENT, ENTRY, Heard, Member
 from wasabideck_policy.tickets import Assignment, Change, TicketState
 from wasabideck_wire import inner_pb2 as pb
 from wasabideck_wire.convert import entries_from
@@ -74,8 +74,7 @@
 
 def _ports() -> _Ports:
     events = Events("ports", Clock(), time.time)
-    spread = Spread("ports", events)
-    spread.heard = True
+    spread = Spread("ports", events, heard=Heard(done=True))
     status = pb.StatusReply(serving=True, service="drafting", capacity=8)
     return _Ports(PeersService(spread, lambda: status))
 
