Send an engine one order at a time, and open the gate only by its read-back

Cause: a newer ticket cancelled the reconcile task with an order in flight; the next order was sent while the first could still take effect, and an engine that ignores fencing numbers would end at the older one. The same after an answer that was lost, and after an agent restarted with an order on its way. The gate stayed open on a change with an empty manifest, for what no ticket had loaded, and for what fell behind a newer version. A standby slot was fetched and its row written again at every change. Servers of a service swapped all at once.

Ruled out: sending the next order with a higher number and trusting it (some engines do not look); cancelling the order's request (the engine may have it).

Change: `Orders` holds one order in flight, which no newer ticket cancels; a lost one holds the next back until it is seen in force or ten seconds are over. The engine is read back every second, and the gate follows what is read. An agent that starts beside a running engine waits the same time before its first order, and never orders less than the engine has. A row is written for what a restarted agent finds in force. Servers swap in slots of time by rank, and look whether others serve. A leaving agent waits for its order in flight.

The former reconcile had no seam to drive these tests against; the faults were found by reading.

--- a/packages/wasabideck_agent/wasabideck_agent/agent.py
+++ b/packages/wasabideck_agent/wasabideck_agent/agent.py
@@ -22,13 +22,17 @@
 from wasabideck_policy.admission import Gate
 from wasabideck_policy.manifests import Manifest
 from wasabideck_policy.membership import AGENT, Member, Watch, watched
+from wasabideck_policy.orders import OrderBook
 from wasabideck_wire import inner_pb2 as pb
 
 from .chunk_store import ChunkStore
 from .chunks_service import ChunksService
 from .claim_store import ClaimStore
-from .reconcile import Reconciler
+from .delivery_rows import DeliveryRows
+from .orders import Orders
+from .reconcile import MODEL, Reconciler
 from .runs import Runner, RunsService
+from .swap_turns import SwapTurns
 from .transfer import Transfer
 
 __all__ = ["serve_agent"]
@@ -53,8 +57,10 @@
     store: ChunkStore
     chunks: ChunksService
     metrics: Metrics
+    rows: DeliveryRows
     members: list[Member] = field(factory=list)
     watch: Watch = field(factory=Watch)
+    orders: Orders | None = None
     load: float = 0.0
     load_at: float = 0.0
 
@@ -196,6 +202,7 @@
         store,
         ChunksService(store, cfg.uploads),
         Metrics(),
+        DeliveryRows(platform.table),
     )
 
 
@@ -212,24 +219,45 @@
         every(FORGET_SECONDS, agent.forget_old),
     ]
     if agent.runner.engine:
-        reconciler = Reconciler(
-            agent.vm,
-            agent.cfg.server.service,
-            agent.runner.engine,
-            agent.runner,
-            agent.spread,
-            agent.platform.origin,
-            agent.platform.table,
-            agent.store,
-            agent.events,
-            agent.metrics,
-            agent.make_transfer,
-        )
+        reconciler = _reconciler(agent)
         loops.append(reconciler.run())
-        loops.append(every(ROWS_SECONDS, reconciler.write_rows))
+        loops.append(every(ROWS_SECONDS, reconciler.rows.write))
     return loops
 
 
+def _reconciler(agent: Agent) -> Reconciler:
+    reconciler: Reconciler
+    orders = Orders(
+        agent.runner.engine,
+        agent.runner,
+        agent.events,
+        OrderBook(agent.cfg.server.checks_fencing),
+        lambda: reconciler.wanted(MODEL),
+    )
+    turns = SwapTurns(
+        agent.vm,
+        agent.channels,
+        agent.peers,
+        random.Random(f"{agent.cfg.seed}/{agent.vm}/turns"),
+    )
+    reconciler = Reconciler(
+        agent.vm,
+        agent.cfg.server.service,
+        agent.runner.engine,
+        orders,
+        agent.spread,
+        agent.platform.origin,
+        agent.rows,
+        agent.store,
+        agent.events,
+        agent.metrics,
+        agent.make_transfer,
+        lambda ticket: turns.wait(ticket, orders.swap_seconds),
+    )
+    agent.orders = orders
+    return reconciler
+
+
 async def _drain(agent: Agent) -> None:
     """Refuse new work, and finish what is in progress."""
     agent.runner.gate.leaving = True
@@ -237,6 +265,10 @@
     limit = time.monotonic() + DRAIN_SECONDS
     while agent.runner.attempts.in_progress() and time.monotonic() < limit:
         await asyncio.sleep(0.05)
+    if agent.orders:
+        # The next agent beside this engine could not know of an order in flight.
+        await agent.orders.finish()
+    await agent.rows.write()
 
 
 async def _serve_http(agent: Agent) -> str:
--- a/packages/wasabideck_agent/wasabideck_agent/reconcile.py
+++ b/packages/wasabideck_agent/wasabideck_agent/reconcile.py
@@ -1,51 +1,69 @@
-"""Brings the backend server to what its ticket names."""
+"""Brings the backend server to what its tickets name."""
 
 from __future__ import annotations
 
 import asyncio
 import time
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 
-from attrs import asdict, define, field
+from attrs import define, field
 from wasabideck_platform.events import Events
 from wasabideck_platform.http import PlatformRefused, PlatformUnavailable
 from wasabideck_platform.metrics import Metrics
-from wasabideck_platform.servers import Engine, Loaded
+from wasabideck_platform.servers import Engine
 from wasabideck_platform.spread import Spread
-from wasabideck_platform.table import Table, Write
 from wasabideck_platform.weights import Origin
-from wasabideck_policy.deliveries import Delivery, row_key
+from wasabideck_policy.deliveries import Delivery
 from wasabideck_policy.manifests import CorruptManifest, Manifest
+from wasabideck_policy.orders import matches
 from wasabideck_policy.tickets import Assignment, desired
 
 from .chunk_store import ChunkStore
-from .runs import Runner
+from .delivery_rows import DeliveryRows
+from .orders import Orders, OrderUnconfirmed, OrderWithheld
 from .transfer import Transfer
 
 __all__ = ["Reconciler"]
 
 RETRY_SECONDS = 0.5
+WATCH_SECONDS = 1.0
+MODEL = "model"
+SLOTS = (MODEL, "standby")
 
-_FAILURES = (PlatformUnavailable, PlatformRefused, CorruptManifest)
+_FAILURES = (
+    PlatformUnavailable,
+    PlatformRefused,
+    CorruptManifest,
+    OrderUnconfirmed,
+    OrderWithheld,
+)
 
 
 @define
 class Reconciler:
-    """Transfers, verifies, orders and reads back, until the engine is as wanted."""
+    """Transfers, verifies, orders and reads back, until the engine is as wanted.
+
+    Attributes
+    ----------
+    take_turn : callable
+        Awaited with the ticket before a serving engine is swapped.
+    """
 
     vm: str
     service: str
     engine: Engine
-    runner: Runner
+    orders: Orders
     spread: Spread
     origin: Origin
-    table: Table
+    rows: DeliveryRows
     store: ChunkStore
     events: Events
     metrics: Metrics
     make_transfer: Callable[[Manifest], Transfer]
-    unwritten: dict[str, Delivery] = field(factory=dict)
+    take_turn: Callable[[int], Awaitable[None]]
     wall: Callable[[], float] = time.time
+    _deliveries: dict[str, Delivery] = field(factory=dict)
+    _done: dict[str, int] = field(factory=dict)
 
     async def run(self) -> None:
         """Follow the ticket state for ever."""
@@ -59,56 +77,77 @@
                 step.result()
             await newer
             # A newer ticket supersedes a transfer in progress: chunks that both
-            # versions share stay in the store, nothing else of it is kept.
+            # versions share stay in the store, nothing else of it is kept. An
+            # order in flight is not cancelled by this.
             step.cancel()
             await asyncio.wait({step})
 
     async def _settle(self) -> None:
-        """Repeat until the engine serves what is wanted."""
-        while not await self._attempt_once():
-            await asyncio.sleep(RETRY_SECONDS)
+        """Bring the engine to what is wanted, and see that it stays there."""
+        while True:
+            done = await self._attempt_once()
+            await asyncio.sleep(WATCH_SECONDS if done else RETRY_SECONDS)
 
     async def _attempt_once(self) -> bool:
         try:
+            # Read back before anything is known too: a gate that is open by mistake
+            # of an engine's restart closes here.
+            await self.orders.read_back()
             if not self.spread.heard:
                 return False
-            await self._read_back()
-            for slot in ("model", "standby"):
-                wanted = desired(self.spread.state, self.service, self.vm, slot)
-                if wanted and wanted.change.manifest:
+            for slot in SLOTS:
+                if wanted := self.wanted(slot):
                     await self._bring(wanted)
             return True
         except _FAILURES as exc:
             self.events.emit("reconcile.failed", why=str(exc))
             return False
 
-    async def _read_back(self) -> None:
-        self.runner.in_force = await self.engine.loaded()
-        wanted = desired(self.spread.state, self.service, self.vm, "model")
-        serving = self.runner.in_force
-        if wanted is None or not serving.manifest:
-            return
-        self.runner.gate.open = _matches(serving, wanted) or _may_go_on(wanted)
+    def wanted(self, slot: str) -> Assignment | None:
+        """What a slot of this server is to hold by the tickets known now."""
+        return desired(self.spread.state, self.service, self.vm, slot)
 
     async def _bring(self, wanted: Assignment) -> None:
-        serves = wanted.change.slot == "model"
-        if serves and _matches(self.runner.in_force, wanted):
+        slot = wanted.change.slot
+        if slot == MODEL and matches(self.orders.serving, wanted):
+            self._found(wanted)
             return
-        delivery = self._begin(wanted)
-        manifest = await self._fetch(wanted, delivery)
-        await self._stage(manifest)
-        if serves:
-            await self._order(wanted, manifest)
+        if slot != MODEL and self._done.get(slot) == wanted.ticket:
+            return
+        delivery = self._delivery(wanted)
+        chunks = 0
+        if wanted.change.manifest:
+            manifest = await self._fetch(wanted, delivery)
+            await self._stage(manifest)
+            chunks = len(manifest.chunks)
+        if slot == MODEL:
+            await self.orders.bring(
+                wanted, chunks, lambda: self.take_turn(wanted.ticket)
+            )
             delivery.in_force = self.wall()
             self._in_force(wanted)
-        await self._write(delivery)
+        await self._finish(wanted, delivery)
 
-    def _begin(self, wanted: Assignment) -> Delivery:
+    def _found(self, wanted: Assignment) -> None:
+        """Note what was in force before this process had anything to do with it."""
+        if self._done.get(MODEL) == wanted.ticket:
+            return
+        delivery = self._delivery(wanted)
+        delivery.in_force = self.wall()
+        self.rows.add_found(delivery)
+        self._done[MODEL] = wanted.ticket
+        self._in_force(wanted)
+
+    def _delivery(self, wanted: Assignment) -> Delivery:
+        """The delivery of a ticket; the same one when it is tried again."""
         change = wanted.change
+        known = self._deliveries.get(change.slot)
+        if known and known.ticket == wanted.ticket:
+            return known
         self.events.emit(
             "transfer.begun", ticket=wanted.ticket, manifest=change.manifest
         )
-        return Delivery(
+        self._deliveries[change.slot] = delivery = Delivery(
             vm=self.vm,
             service=self.service,
             slot=change.slot,
@@ -118,18 +157,23 @@
             manifest=change.manifest,
             begun=self.wall(),
         )
+        return delivery
 
     async def _fetch(self, wanted: Assignment, delivery: Delivery) -> Manifest:
         digest = wanted.change.manifest
         manifest = self.store.manifest(digest) or await self.origin.manifest(digest)
         self.store.know(manifest)
         transfer = self.make_transfer(manifest)
-        await transfer.run()
-        delivery.verified = self.wall()
-        delivery.sources = dict(transfer.sources)
-        self.events.emit(
-            "transfer.verified", ticket=wanted.ticket, sources=transfer.sources
-        )
+        try:
+            await transfer.run()
+        finally:
+            for source, size in transfer.sources.items():
+                delivery.sources[source] = delivery.sources.get(source, 0) + size
+        if not delivery.verified:
+            delivery.verified = self.wall()
+            self.events.emit(
+                "transfer.verified", ticket=wanted.ticket, sources=delivery.sources
+            )
         return manifest
 
     async def _stage(self, manifest: Manifest) -> None:
@@ -139,55 +183,13 @@
                 data = self.store.get(digest)
                 await self.engine.stage(manifest.digest, index, data)
 
-    async def _order(self, wanted: Assignment, manifest: Manifest) -> None:
-        change = wanted.change
-        order = Loaded(
-            wanted.ticket,
-            change.model,
-            change.version,
-            change.manifest,
-            change.engine_role,
-        )
-        self.events.emit("order.sent", ticket=wanted.ticket, version=change.version)
-        # New requests wait while the engine swaps; those in progress go on on the
-        # version that they began with.
-        self.runner.gate.open = False
-        try:
-            await self.engine.order(order, len(manifest.chunks))
-        finally:
-            await self._read_back()
-
     def _in_force(self, wanted: Assignment) -> None:
         self.metrics.ticket.set({}, wanted.ticket)
         self.events.emit(
             "version.in-force", ticket=wanted.ticket, version=wanted.change.version
         )
 
-    async def _write(self, delivery: Delivery) -> None:
-        """Write the delivery's row; rows wait in memory while the table is down."""
-        self.unwritten[row_key(delivery)] = delivery
-        await self.write_rows()
-
-    async def write_rows(self) -> None:
-        """Write the rows that wait."""
-        writes = [
-            Write("deliveries", key, asdict(row)) for key, row in self.unwritten.items()
-        ]
-        if not writes:
-            return
-        try:
-            await self.table.transact([], writes)
-        except PlatformUnavailable:
-            return
-        for write in writes:
-            self.unwritten.pop(write.key, None)
-
-
-def _matches(serving: Loaded, wanted: Assignment) -> bool:
-    same = serving.manifest == wanted.change.manifest
-    return same and serving.fence == wanted.ticket
-
-
-def _may_go_on(wanted: Assignment) -> bool:
-    """Whether the former version is served until the new one is whole."""
-    return wanted.change.cutover == "keep"
+    async def _finish(self, wanted: Assignment, delivery: Delivery) -> None:
+        self._done[wanted.change.slot] = wanted.ticket
+        self.rows.add(delivery)
+        await self.rows.write()
--- a/packages/wasabideck_lab/wasabideck_lab/faults.py
+++ b/packages/wasabideck_lab/wasabideck_lab/faults.py
@@ -20,6 +20,7 @@
     "stall": "weights: share of chunk reads that never end",
     "crash_on": "engine, plain: a body that holds this text kills the server",
     "order_late": "engine: seconds after which an order takes effect, unanswered",
+    "lose_order": "engine: share of orders that take effect, then hang up",
     "ignore_fence": "engine: 1 carries out orders with old fencing numbers",
     "load_lag": "engine: seconds by which the load report is old",
     "silent": "engine, plain: requests run and are never answered",
--- a/packages/wasabideck_lab/wasabideck_lab/standin_servers.py
+++ b/packages/wasabideck_lab/wasabideck_lab/standin_servers.py
@@ -32,6 +32,10 @@
         Fencing number of each order that was carried out.
     mixed : int
         Orders that loaded a partial model or a mix of two.
+    pending : int
+        Orders that came and are not carried out yet, late ones too.
+    overlaps : int
+        Orders that came while another one was pending.
     """
 
     faults: Faults
@@ -47,6 +51,8 @@
     orders: list[dict] = field(factory=list)
     history: list[int] = field(factory=list)
     mixed: int = 0
+    pending: int = 0
+    overlaps: int = 0
     cancelled: set[str] = field(factory=set)
     _loads: list[tuple[float, float]] = field(factory=lambda: [(0.0, 0.0)])
 
@@ -77,6 +83,8 @@
     async def _order(self, req: web.Request) -> web.Response:
         order = await req.json()
         self.orders.append(order)
+        self.overlaps += self.pending > 0
+        self.pending += 1
         if self.faults.value("order_late"):
             asyncio.get_running_loop().call_later(
                 self.faults.value("order_late"), self._carry_out, order
@@ -84,19 +92,24 @@
             req.transport.abort()
             return web.Response(status=500)
         await asyncio.sleep(self.load_seconds)
-        if not self._carry_out(order):
+        done = self._carry_out(order)
+        if self.faults.strikes("lose_order"):
+            req.transport.abort()
+        if not done:
             return web.json_response(asdict(self.loaded), status=409)
         return web.json_response(asdict(self.loaded))
 
     def _carry_out(self, order: dict) -> bool:
         """Load what an order names; False when its fencing number is old."""
+        self.pending -= 1
         old = order["fence"] < self.loaded.fence
         if old and not self.faults.value("ignore_fence"):
             return False
         staged = self.staged.get(order["manifest"], {})
         whole = [staged.get(index, "") for index in range(order["chunks"])]
         # The books' own judgement, apart from the agent's: a partial or mixed model.
-        if tuple(whole) != self.manifests[order["manifest"]].chunks:
+        known = self.manifests.get(order["manifest"])
+        if tuple(whole) != (known.chunks if known else ()):
             self.mixed += 1
         order.pop("chunks")
         self.loaded = Loaded(**order)
--- a/packages/wasabideck_platform/wasabideck_platform/servers.py
+++ b/packages/wasabideck_platform/wasabideck_platform/servers.py
@@ -6,7 +6,8 @@
 
 import aiohttp
 import orjson
-from attrs import define, frozen
+from attrs import define
+from wasabideck_policy.orders import Serving
 from wasabideck_policy.outcomes import WasabideckError
 
 from .http import HttpClient
@@ -14,6 +15,7 @@
 __all__ = ["Engine", "Loaded", "PlainService", "ServerDied", "ServerRefused"]
 
 LINE_LIMIT = 1 << 16
+ORDER_TIMEOUT = 60.0
 
 
 class ServerDied(WasabideckError):
@@ -31,15 +33,8 @@
         self.answer_status = status
 
 
-@frozen
-class Loaded:
-    """What an engine says that it serves."""
-
-    fence: int = 0
-    model: str = ""
-    version: str = ""
-    manifest: str = ""
-    engine_role: str = "mixed"
+# What an engine says that it serves.
+Loaded = Serving
 
 
 @define
@@ -70,7 +65,8 @@
             "engine_role": wanted.engine_role,
             "chunks": chunks,
         }
-        return Loaded(**await self.http.json("POST", "/v1/orders", body))
+        answer = await self.http.json("POST", "/v1/orders", body, timeout=ORDER_TIMEOUT)
+        return Loaded(**answer)
 
     async def load(self) -> dict:
         """The engine's lagging report of its load."""
