--- a/packages/wasabideck_agent/wasabideck_agent/agent.py
+++ b/packages/wasabideck_agent/wasabideck_agent/agent.py
@@ -20,22 +20,24 @@
 from wasabideck_platform.settings import PLAIN, AgentSettings, split_address
 from wasabideck_platform.spread import PeersService, Spread
 from wasabideck_policy.admission import Gate
-from wasabideck_policy.distribution import rank
 from wasabideck_policy.manifests import Manifest
-from wasabideck_policy.membership import AGENT, ENTRY, Member
+from wasabideck_policy.membership import AGENT, Member, Watch, watched
+from wasabideck_policy.orders import OrderBook
 from wasabideck_wire import inner_pb2 as pb
 
 from .chunk_store import ChunkStore
 from .chunks_service import ChunksService
 from .claim_store import ClaimStore
-from .reconcile import Reconciler
+from .delivery_rows import DeliveryRows
+from .orders import Orders
+from .reconcile import MODEL, Reconciler
 from .runs import Runner, RunsService
+from .swap_turns import SwapTurns
 from .transfer import Transfer
 
 __all__ = ["serve_agent"]
 
-SYNC_SECONDS = 0.5
-WATCHED_ENTRIES = 3
+SYNC_SECONDS = 1.0
 LOAD_SECONDS = 0.5
 ROWS_SECONDS = 1.0
 FORGET_SECONDS = 5.0
@@ -55,7 +57,10 @@
     store: ChunkStore
     chunks: ChunksService
     metrics: Metrics
+    rows: DeliveryRows
     members: list[Member] = field(factory=list)
+    watch: Watch = field(factory=Watch)
+    orders: Orders | None = None
     load: float = 0.0
     load_at: float = 0.0
 
@@ -74,11 +79,6 @@
             and m.service == self.cfg.server.service
         ]
 
-    def entries(self) -> list[Member]:
-        """The few entries that this agent watches."""
-        found = {m.vm: m for m in self.members if m.kind == ENTRY and not m.leaving}
-        return [found[vm] for vm in rank(self.vm, found)[:WATCHED_ENTRIES]]
-
     def status(self) -> pb.StatusReply:
         """What this agent tells entries about its server."""
         gate = self.runner.gate
@@ -121,11 +121,8 @@
 
     async def hear_state(self) -> None:
         """Compare ticket state with the watched entries, else with the table."""
-        for member in self.entries():
-            try:
-                await self.spread.sync(self.channels.get(member.address))
-            except LINK_FAILURES:
-                self.channels.drop(member.address)
+        members = watched(self.vm, self.members, self.watch, time.monotonic())
+        await asyncio.gather(*(self._sync(m, len(members)) for m in members))
         if not self.spread.heard:
             try:
                 await self.spread.poll(self.platform.table)
@@ -134,6 +131,14 @@
         if self.cfg.server.kind == PLAIN:
             self.runner.gate.open = self.spread.heard
 
+    async def _sync(self, member: Member, listed: int) -> None:
+        channel = self.channels.get(member.address)
+        try:
+            await self.spread.sync(member.vm, channel, listed)
+        except LINK_FAILURES:
+            self.channels.drop(member.address)
+            self.watch.failed(member.vm, time.monotonic())
+
     async def read_load(self) -> None:
         """Read the engine's lagging load report."""
         if self.runner.engine is None or not self.cfg.server.reports_load:
@@ -197,6 +202,7 @@
         store,
         ChunksService(store, cfg.uploads),
         Metrics(),
+        DeliveryRows(platform.table),
     )
 
 
@@ -213,24 +219,45 @@
         every(FORGET_SECONDS, agent.forget_old),
     ]
     if agent.runner.engine:
-        reconciler = Reconciler(
-            agent.vm,
-            agent.cfg.server.service,
-            agent.runner.engine,
-            agent.runner,
-            agent.spread,
-            agent.platform.origin,
-            agent.platform.table,
-            agent.store,
-            agent.events,
-            agent.metrics,
-            agent.make_transfer,
-        )
+        reconciler = _reconciler(agent)
         loops.append(reconciler.run())
-        loops.append(every(ROWS_SECONDS, reconciler.write_rows))
+        loops.append(every(ROWS_SECONDS, reconciler.rows.write))
     return loops
 
 
+def _reconciler(agent: Agent) -> Reconciler:
+    reconciler: Reconciler
+    orders = Orders(
+        agent.runner.engine,
+        agent.runner,
+        agent.events,
+        OrderBook(agent.cfg.server.checks_fencing),
+        lambda: reconciler.wanted(MODEL),
+    )
+    turns = SwapTurns(
+        agent.vm,
+        agent.channels,
+        agent.peers,
+        random.Random(f"{agent.cfg.seed}/{agent.vm}/turns"),
+    )
+    reconciler = Reconciler(
+        agent.vm,
+        agent.cfg.server.service,
+        agent.runner.engine,
+        orders,
+        agent.spread,
+        agent.platform.origin,
+        agent.rows,
+        agent.store,
+        agent.events,
+        agent.metrics,
+        agent.make_transfer,
+        lambda ticket: turns.wait(ticket, orders.swap_seconds),
+    )
+    agent.orders = orders
+    return reconciler
+
+
 async def _drain(agent: Agent) -> None:
     """Refuse new work, and finish what is in progress."""
     agent.runner.gate.leaving = True
@@ -238,6 +265,10 @@
     limit = time.monotonic() + DRAIN_SECONDS
     while agent.runner.attempts.in_progress() and time.monotonic() < limit:
         await asyncio.sleep(0.05)
+    if agent.orders:
+        # The next agent beside this engine could not know of an order in flight.
+        await agent.orders.finish()
+    await agent.rows.write()
 
 
 async def _serve_http(agent: Agent) -> str:
