Give both commands help, filters, and one clear line when wrong

Cause: fire prints its usage over several lines on a wrong line, pages help through a process of its own on a terminal, and calls a command before it has looked at the rest of the line. Tokens stood in argv, which every user of a machine can read.

Ruled out: argparse (the house style names fire); parsing twice.

Change: commands return a plan, begun when the whole line was understood; arguments are read by their annotations; one line on stderr and exit 2 when wrong, 1 when refused, 3 when a ticket's acceptance is unknown. Credentials come from an access file (--access or WASABIDECK_ACCESS). Report filters by ticket, VM, manifest and time span; tickets and fleet are tables.

--- a/packages/wasabideck_agent/wasabideck_agent/__main__.py
+++ b/packages/wasabideck_agent/wasabideck_agent/__main__.py
@@ -2,18 +2,16 @@
 
 from __future__ import annotations
 
-import sys
-
-import fire
+from wasabideck_platform.command_line import commands, run_commands
 from wasabideck_platform.process import run_process
 from wasabideck_platform.settings import AgentSettings, load_settings
-from wasabideck_policy.outcomes import WasabideckError
 
 from .agent import serve_agent
 
 __all__ = ["main"]
 
 
+@commands
 class _Commands:
     """The process beside each backend server."""
 
@@ -29,7 +27,7 @@
         run_process(lambda stop: serve_agent(cfg, stop))
 
     def check_settings(self, settings: str) -> None:
-        """Check a TOML file of settings, and do nothing else.
+        """Check a TOML file of an agent's settings, and do nothing else.
 
         Parameters
         ----------
@@ -42,10 +40,7 @@
 
 def main() -> None:
     """Run the agent's command line."""
-    try:
-        fire.Fire(_Commands(), name="wasabideck-agent")
-    except WasabideckError as exc:
-        sys.exit(f"wasabideck-agent: {type(exc).__name__}: {exc}")
+    run_commands(_Commands(), "wasabideck-agent")
 
 
 if __name__ == "__main__":
--- a/packages/wasabideck_entry/wasabideck_entry/__main__.py
+++ b/packages/wasabideck_entry/wasabideck_entry/__main__.py
@@ -2,65 +2,101 @@
 
 from __future__ import annotations
 
-import sys
-
-import fire
+from wasabideck_platform.command_line import commands, run_commands
 from wasabideck_platform.process import run_process
-from wasabideck_platform.settings import EntrySettings, load_settings
-from wasabideck_policy.outcomes import WasabideckError
-from wasabideck_policy.routing import POLICIES
 
+from .access import operator_client
 from .entry import serve_entry
-from .operator_client import OperatorClient
-from .show import show_report, show_rows
+from .entry_settings import load_entry_settings
+from .report import ReportFilter, moment
+from .show import show_fleet, show_json, show_report, show_ticket, show_tickets
 from .timeline import show_timeline
 
 __all__ = ["main"]
 
 
-def _known_routing(cfg: EntrySettings) -> tuple[str, object, str] | None:
-    if cfg.routing not in POLICIES:
-        return "routing", cfg.routing, f"one of {sorted(POLICIES)} needed"
-    return None
-
-
-def _settings(path: str) -> EntrySettings:
-    return load_settings(path, EntrySettings, (_known_routing,))
-
-
+@commands
 class _Tickets:
     """Tickets: submit, show, list and status."""
 
-    def submit(self, file: str, entry: str, token: str, json: bool = False) -> None:
+    def submit(
+        self, file: str, access: str = "", entry: str = "", json: bool = False
+    ) -> None:
         """Submit a ticket from a TOML file; safe to repeat.
 
         Parameters
         ----------
         file : str
             The ticket.
+        access : str
+            TOML file with the entry's address and the operator's credential;
+            WASABIDECK_ACCESS when not given.
+        entry : str
+            Base address of another entry than the access file's.
+        json : bool
+            Print JSON.
+        """
+        ticket = operator_client(access, entry).submit(file)
+        show_json(ticket) if json else show_ticket(ticket)
+
+    def show(
+        self, number: int, access: str = "", entry: str = "", json: bool = False
+    ) -> None:
+        """Show an accepted ticket.
+
+        Parameters
+        ----------
+        number : int
+            The ticket's number.
+        access : str
+            TOML file with the entry's address and the operator's credential;
+            WASABIDECK_ACCESS when not given.
         entry : str
-            Base address of any entry, such as http://127.0.0.1:8080.
-        token : str
-            The operator's token.
+            Base address of another entry than the access file's.
         json : bool
             Print JSON.
         """
-        show_rows([OperatorClient(entry, token).submit(file)], json)
+        ticket = operator_client(access, entry).get(f"/v1/tickets/{number}")
+        show_json(ticket) if json else show_ticket(ticket)
 
-    def show(self, number: int, entry: str, token: str, json: bool = False) -> None:
-        """Show an accepted ticket."""
-        show_rows([OperatorClient(entry, token).get(f"/v1/tickets/{number}")], json)
+    def status(
+        self, number: int, access: str = "", entry: str = "", json: bool = False
+    ) -> None:
+        """Show whether a ticket is accepted, and where it is in force.
+
+        Parameters
+        ----------
+        number : int
+            The ticket's number.
+        access : str
+            TOML file with the entry's address and the operator's credential;
+            WASABIDECK_ACCESS when not given.
+        entry : str
+            Base address of another entry than the access file's.
+        json : bool
+            Print JSON.
+        """
+        ticket = operator_client(access, entry).get(f"/v1/tickets/{number}/status")
+        show_json(ticket) if json else show_ticket(ticket)
 
-    def status(self, number: int, entry: str, token: str, json: bool = False) -> None:
-        """Show whether a ticket is accepted, and where it is in force."""
-        path = f"/v1/tickets/{number}/status"
-        show_rows([OperatorClient(entry, token).get(path)], json)
+    def list(self, access: str = "", entry: str = "", json: bool = False) -> None:
+        """List the accepted tickets.
 
-    def list(self, entry: str, token: str, json: bool = False) -> None:
-        """List the accepted tickets."""
-        show_rows(OperatorClient(entry, token).get("/v1/tickets"), json)
+        Parameters
+        ----------
+        access : str
+            TOML file with the entry's address and the operator's credential;
+            WASABIDECK_ACCESS when not given.
+        entry : str
+            Base address of another entry than the access file's.
+        json : bool
+            Print JSON.
+        """
+        tickets = operator_client(access, entry).get("/v1/tickets")
+        show_json(tickets) if json else show_tickets(tickets)
 
 
+@commands
 class _Commands:
     """Weights to every VM by numbered tickets, and answers to every caller."""
 
@@ -75,27 +111,76 @@
         settings : str
             TOML file of settings.
         """
-        cfg = _settings(settings)
+        cfg = load_entry_settings(settings)
         run_process(lambda stop: serve_entry(cfg, stop))
 
     def check_settings(self, settings: str) -> None:
-        """Check a TOML file of settings, and do nothing else.
+        """Check a TOML file of an entry's settings, and do nothing else.
 
         Parameters
         ----------
         settings : str
             TOML file of settings.
         """
-        _settings(settings)
+        load_entry_settings(settings)
         print(f"{settings}: in order")
 
-    def report(self, entry: str, token: str, json: bool = False) -> None:
-        """Report who got which weights, when, and from where."""
-        show_report(OperatorClient(entry, token).get("/v1/report"), json)
+    def report(
+        self,
+        ticket: int = 0,
+        vm: str = "",
+        manifest: str = "",
+        since: str = "",
+        until: str = "",
+        access: str = "",
+        entry: str = "",
+        json: bool = False,
+    ) -> None:
+        """Report who got which weights, when, and from where.
+
+        Parameters
+        ----------
+        ticket : int
+            Only deliveries of this ticket.
+        vm : str
+            Only deliveries to this VM.
+        manifest : str
+            Only deliveries of the manifest whose digest begins so.
+        since : str
+            Only deliveries that were in progress after this time (ISO 8601; UTC
+            unless it names an offset).
+        until : str
+            Only deliveries that had begun by this time.
+        access : str
+            TOML file with the entry's address and the operator's credential;
+            WASABIDECK_ACCESS when not given.
+        entry : str
+            Base address of another entry than the access file's.
+        json : bool
+            Print JSON.
+        """
+        wanted = ReportFilter(
+            ticket, vm, manifest, moment("since", since), moment("until", until)
+        )
+        client = operator_client(access, entry)
+        rows = client.get("/v1/report", wanted.to_query())
+        show_json(rows) if json else show_report(rows)
+
+    def status(self, access: str = "", entry: str = "", json: bool = False) -> None:
+        """Show what an entry knows of every backend server.
 
-    def status(self, entry: str, token: str, json: bool = False) -> None:
-        """Show what an entry knows of every server."""
-        show_rows(OperatorClient(entry, token).get("/v1/fleet"), json)
+        Parameters
+        ----------
+        access : str
+            TOML file with the entry's address and the operator's credential;
+            WASABIDECK_ACCESS when not given.
+        entry : str
+            Base address of another entry than the access file's.
+        json : bool
+            Print JSON.
+        """
+        servers = operator_client(access, entry).get("/v1/fleet")
+        show_json(servers) if json else show_fleet(servers)
 
     def timeline(self, *files: str, json: bool = False) -> None:
         """Merge the processes' event files into one order of cause and effect.
@@ -112,10 +197,7 @@
 
 def main() -> None:
     """Run the command line."""
-    try:
-        fire.Fire(_Commands(), name="wasabideck")
-    except WasabideckError as exc:
-        sys.exit(f"wasabideck: {type(exc).__name__}: {exc}")
+    run_commands(_Commands(), "wasabideck")
 
 
 if __name__ == "__main__":
--- a/packages/wasabideck_entry/wasabideck_entry/operators.py
+++ b/packages/wasabideck_entry/wasabideck_entry/operators.py
@@ -26,6 +26,7 @@
 
 from .fleet import Fleet
 from .identity import operator_of
+from .report import ReportFilter
 
 __all__ = ["Operators", "TicketUnheard", "add_operator_routes"]
 
@@ -131,7 +132,8 @@
         return await operators.list()
 
     async def report(req: Request, operator: str) -> list[dict]:
-        return await operators.report()
+        wanted = ReportFilter.from_query(dict(req.query_args))
+        return wanted.keep(await operators.report(wanted.prefix))
 
     async def fleet(req: Request, operator: str) -> list[dict]:
         return operators.fleet_status()
--- a/packages/wasabideck_lab/wasabideck_lab/__main__.py
+++ b/packages/wasabideck_lab/wasabideck_lab/__main__.py
@@ -5,8 +5,8 @@
 import asyncio
 import sys
 
-import fire
 import orjson
+from wasabideck_platform.command_line import commands, run_commands
 
 from . import scenarios_answers, scenarios_tickets  # noqa: F401  (they register)
 from .demo import DemoFailed, run_demo
@@ -16,6 +16,7 @@
 __all__ = ["main"]
 
 
+@commands
 class _Commands:
     """Stand-ins, load generator and experiments; not shipped."""
 
@@ -30,8 +31,7 @@
 
     def list_faults(self) -> None:
         """List the faults that stand-ins can be switched to."""
-        for name, meaning in FAULTS.items():
-            print(f"{name:<14} {meaning}")
+        print(_faults_listed())
 
     def faults(
         self,
@@ -68,7 +68,13 @@
 
 def main() -> None:
     """Run the lab's command line."""
-    fire.Fire(_Commands(), name="python -m wasabideck_lab")
+    name = "python -m wasabideck_lab"
+    run_commands(_Commands(), name, more_help=_faults_listed())
+
+
+def _faults_listed() -> str:
+    lines = (f"    {name:<14} {meaning}" for name, meaning in FAULTS.items())
+    return "\n".join(["FAULTS", "    Switches of the stand-ins:", "", *lines])
 
 
 if __name__ == "__main__":
--- a/packages/wasabideck_lab/wasabideck_lab/demo.py
+++ b/packages/wasabideck_lab/wasabideck_lab/demo.py
@@ -147,7 +147,7 @@
     with tempfile.TemporaryDirectory() as folder:
         session = asyncio.run(run_session(Path(folder)))
         print("== report: who got which weights, when, and from where")
-        show_report(session.report, json=False)
+        show_report(session.report)
         print("== time line")
         show_timeline([str(path) for path in session.events], json=False)
     print("== answers")
--- a/packages/wasabideck_platform/wasabideck_platform/settings.py
+++ b/packages/wasabideck_platform/wasabideck_platform/settings.py
@@ -15,6 +15,7 @@
 from wasabideck_policy.outcomes import WasabideckError
 
 __all__ = [
+    "AccessSettings",
     "AgentSettings",
     "CallerSettings",
     "EntrySettings",
@@ -190,6 +191,20 @@
     seed: int = field(default=0, validator=instance_of(int))
 
 
+@frozen
+class AccessSettings:
+    """How an operator reaches an entry.
+
+    Attributes
+    ----------
+    entry : str
+        Base address of any entry, or of the balancer before them.
+    """
+
+    entry: str = field(validator=_url)
+    token: str = field(validator=min_len(8), repr=False)
+
+
 def load_settings(
     path: str | Path,
     cls: type[T],
--- /dev/null
+++ b/tests/product/test_commands.py
@@ -0,0 +1,148 @@
+"""Both commands: help on everything, one clear line and no effect when wrong."""
+
+import asyncio
+import inspect
+
+import pytest
+from wasabideck_agent import __main__ as agent_main
+from wasabideck_entry import __main__ as entry_main
+from wasabideck_entry.operator_client import AcceptanceUnknown, OperatorClient
+from wasabideck_entry.report import FilterError, ReportFilter, moment
+from wasabideck_platform.command_line import run_commands
+from wasabideck_platform.settings import AccessSettings
+
+TOKEN = "sample-operator-token"
+
+
+@pytest.fixture
+def access(tmp_path):
+    path = tmp_path / "access.toml"
+    path.write_text(f'entry = "http://127.0.0.1:9"\ntoken = "{TOKEN}"\n')
+    return str(path)
+
+
+def ended(capsys, *args, group=entry_main._Commands):
+    with pytest.raises(SystemExit) as caught:
+        run_commands(group(), "wasabideck", args)
+    out, err = capsys.readouterr()
+    return caught.value.code, out, err
+
+
+@pytest.mark.parametrize(
+    ("args", "named"),
+    [
+        ([], "a command is missing"),
+        (["ticket"], "a command is missing"),
+        (["nonsense"], "nonsense"),
+        (["ticket", "submit"], "file"),
+        (["ticket", "show", "one"], "'one'"),
+        (["report", "--tickets", "1"], "--tickets"),
+        (["report", "--json=maybe"], "'maybe'"),
+        (["report", "--since", "yesterday"], "'yesterday'"),
+    ],
+)
+def test_a_wrong_line_exits_2_with_one_line(capsys, monkeypatch, args, named):
+    monkeypatch.delenv("WASABIDECK_ACCESS", raising=False)
+    code, out, err = ended(capsys, *args)
+    assert (code, out, err.count("\n")) == (2, "", 1)
+    assert err.startswith("wasabideck: ") and named in err
+
+
+def test_a_misspelt_flag_submits_nothing(capsys, monkeypatch, access):
+    # An operator types --jsno after a ticket's file and sees an error. The command
+    # library had called the command before it looked at the rest of the line, so
+    # the ticket was accepted although the operator was told that the line is wrong.
+    submitted = []
+    monkeypatch.setattr(OperatorClient, "submit", lambda _, file: submitted.append(1))
+    code, _, err = ended(
+        capsys, "ticket", "submit", "t.toml", "--access", access, "--jsno"
+    )
+    assert code == 2 and "--jsno" in err
+    assert not submitted
+
+
+def _lines(group, path=()):
+    for name, member in inspect.getmembers(group):
+        if name.startswith("_"):
+            continue
+        if inspect.ismethod(member):
+            yield (*path, name), member
+        else:
+            yield from _lines(member, (*path, name))
+
+
+@pytest.mark.parametrize("group", [entry_main._Commands, agent_main._Commands])
+def test_each_command_and_flag_has_help(capsys, group):
+    for path, method in _lines(group()):
+        code, out, _ = ended(capsys, *path, "--help", group=group)
+        assert code == 0
+        assert method.__doc__.splitlines()[0] in out
+        assert "FIRE" not in out
+        for name in list(inspect.signature(method).parameters):
+            described = method.__doc__.split(f"\n        {name} : ")[1]
+            assert described.splitlines()[1].strip()[:30] in out
+            assert "token" not in name, "an argument is seen by every user"
+
+
+def test_a_lost_answer_to_a_submission_is_unknown_and_exits_3(tmp_path):
+    # An operator submits, and the connection breaks. The ticket may stand already;
+    # told "refused", the operator would number the change anew. The answer was lost
+    # after the write.
+    async def hang_up(reader, writer):
+        await reader.readuntil(b"\r\n\r\n")
+        writer.close()
+
+    async def body():
+        server = await asyncio.start_server(hang_up, "127.0.0.1", 0)
+        host, port = server.sockets[0].getsockname()
+        client = OperatorClient(AccessSettings(f"http://{host}:{port}", TOKEN))
+        file = tmp_path / "t.toml"
+        file.write_text("number = 1\n")
+        async with server:
+            with pytest.raises(AcceptanceUnknown) as caught:
+                await asyncio.to_thread(client.submit, str(file))
+        return caught.value
+
+    exc = asyncio.run(body())
+    assert exc.exit_code == 3
+    assert "submit the same file again" in str(exc)
+
+
+ROWS = [
+    {"ticket": 1, "vm": "a", "manifest": "f00", "begun": 10.0, "in_force": 20.0},
+    {"ticket": 1, "vm": "b", "manifest": "f00", "begun": 30.0, "in_force": 0.0},
+    {"ticket": 2, "vm": "a", "manifest": "baa", "begun": 40.0, "in_force": 50.0},
+]
+
+
+@pytest.mark.parametrize(
+    ("query", "kept"),
+    [
+        ({}, [0, 1, 2]),
+        ({"ticket": "1"}, [0, 1]),
+        ({"vm": "a"}, [0, 2]),
+        ({"manifest": "ba"}, [2]),
+        ({"since": "25"}, [1, 2]),
+        ({"until": "30"}, [0, 1]),
+        ({"since": "15", "until": "25", "vm": "a"}, [0]),
+    ],
+)
+def test_a_report_is_filtered(query, kept):
+    wanted = ReportFilter.from_query(query)
+    assert wanted.keep(ROWS) == [ROWS[i] for i in kept]
+    assert ReportFilter.from_query(wanted.to_query()) == wanted
+
+
+@pytest.mark.parametrize(
+    ("name", "value"),
+    [("ticket", "-1"), ("ticket", "9" * 30), ("since", "nan"), ("vms", "a")],
+)
+def test_a_wrong_filter_names_field_and_value(name, value):
+    with pytest.raises(FilterError) as caught:
+        ReportFilter.from_query({name: value})
+    assert caught.value.field == name
+
+
+def test_a_time_is_utc_unless_it_says_else():
+    assert moment("since", "1970-01-01T00:01:00") == 60
+    assert moment("since", "1970-01-01T02:01:00+02:00") == 60
