Check every setting at start, and add samples of both deployments

Cause: several wrong settings passed or were named badly. A text passed for a list of routes, infinite or NaN timeouts passed, names with a slash (which parts row keys) passed, validators' errors named the section and not the key, a wrong table was printed with the tokens in it, and a process without a [tls] section silently talked in plain text.

Ruled out: cattrs' strict conversions alone (they still iterate over a text given for a list); printing cattrs' chained errors (they hold the whole table).

Change: settings.py keeps the classes; settings_values, settings_checks and settings_file hold checks of single values, of combinations, and the reading. Plain text only by plain_text = true.

--- a/packages/wasabideck_agent/wasabideck_agent/__main__.py
+++ b/packages/wasabideck_agent/wasabideck_agent/__main__.py
@@ -4,7 +4,8 @@
 
 from wasabideck_platform.command_line import commands, run_commands
 from wasabideck_platform.process import run_process
-from wasabideck_platform.settings import AgentSettings, load_settings
+from wasabideck_platform.settings import AgentSettings
+from wasabideck_platform.settings_file import load_settings
 
 from .agent import serve_agent
 
--- a/packages/wasabideck_entry/wasabideck_entry/access.py
+++ b/packages/wasabideck_entry/wasabideck_entry/access.py
@@ -7,7 +7,10 @@
 
 from attrs import evolve
 from wasabideck_platform.command_line import CommandError
-from wasabideck_platform.settings import AccessSettings, load_settings
+from wasabideck_platform.settings import AccessSettings
+from wasabideck_platform.settings_checks import CHECKS
+from wasabideck_platform.settings_file import load_settings
+from wasabideck_platform.settings_values import WrongValue
 
 from .operator_client import OperatorClient
 
@@ -27,7 +30,7 @@
     Raises
     ------
     CommandError
-        No access file is named.
+        No access file is named, or the other address is wrong.
     SettingsError
         The access file is wrong.
     """
@@ -35,6 +38,16 @@
     if not path:
         raise CommandError(f"no access file: give --access FILE or set {ACCESS}")
     cfg = load_settings(path, AccessSettings)
-    if entry:
-        cfg = evolve(cfg, entry=entry)
-    return OperatorClient(cfg)
+    return OperatorClient(_at(cfg, entry) if entry else cfg)
+
+
+def _at(cfg: AccessSettings, entry: str) -> AccessSettings:
+    """Settings with another address, which is checked as the file's own is."""
+    try:
+        moved = evolve(cfg, entry=entry)
+    except WrongValue as exc:
+        raise CommandError(f"entry = {entry!r}: {exc}") from None
+    for check in CHECKS[AccessSettings]:
+        if wrong := check(moved):
+            raise CommandError(f"entry = {entry!r}: {wrong.why}")
+    return moved
--- a/packages/wasabideck_entry/wasabideck_entry/entry_settings.py
+++ b/packages/wasabideck_entry/wasabideck_entry/entry_settings.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
-from wasabideck_platform.settings import EntrySettings, load_settings
+from wasabideck_platform.settings import EntrySettings
+from wasabideck_platform.settings_checks import Wrong
+from wasabideck_platform.settings_file import load_settings
 from wasabideck_policy.routing import POLICIES
 
 __all__ = ["load_entry_settings"]
@@ -13,7 +15,7 @@
     return load_settings(path, EntrySettings, (_known_routing,))
 
 
-def _known_routing(cfg: EntrySettings) -> tuple[str, object, str] | None:
+def _known_routing(cfg: EntrySettings) -> Wrong | None:
     if cfg.routing not in POLICIES:
-        return "routing", cfg.routing, f"one of {sorted(POLICIES)} needed"
+        return Wrong(("routing",), f"must be one of {', '.join(sorted(POLICIES))}")
     return None
--- a/packages/wasabideck_entry/wasabideck_entry/front.py
+++ b/packages/wasabideck_entry/wasabideck_entry/front.py
@@ -60,6 +60,8 @@
         """The call that a request asks for."""
         organisation = caller_of(req.headers.get("authorization", ""), self.cfg.callers)
         known = self.service(service)
+        if known.routes and route not in known.routes:
+            raise BadRequest("route", route, "no such route")
         repeatable = known.repeatable or route in known.repeatable_routes
         key = req.headers.get("idempotency-key", "")
         if len(key) > MOST_KEY or (not repeatable and not key):
--- a/packages/wasabideck_lab/wasabideck_lab/__main__.py
+++ b/packages/wasabideck_lab/wasabideck_lab/__main__.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import sys
+from pathlib import Path
 
 import orjson
 from wasabideck_platform.command_line import commands, run_commands
@@ -12,6 +13,7 @@
 from .demo import DemoFailed, run_demo
 from .faults import FAULTS
 from .faults_run import SCENARIOS, run_scenario
+from .samples import write_samples
 
 __all__ = ["main"]
 
@@ -29,6 +31,16 @@
         if code:
             sys.exit(code)
 
+    def write_samples(self, folder: str = "samples") -> None:
+        """Write the sample settings of the two users' deployments.
+
+        Parameters
+        ----------
+        folder : str
+            Folder that gets one folder a deployment.
+        """
+        print(f"{write_samples(Path(folder))} files in {folder}")
+
     def list_faults(self) -> None:
         """List the faults that stand-ins can be switched to."""
         print(_faults_listed())
--- a/packages/wasabideck_lab/wasabideck_lab/launcher.py
+++ b/packages/wasabideck_lab/wasabideck_lab/launcher.py
@@ -158,6 +158,7 @@
         process = {"vm": vm, "events": str(self.folder / f"{vm}.events")}
         return {
             "seed": self.seed,
+            "plain_text": True,
             "process": process | _place(place),
             "platform": {k: self.addresses[k] for k in ("table", "members", "weights")},
         }
--- a/packages/wasabideck_platform/wasabideck_platform/settings.py
+++ b/packages/wasabideck_platform/wasabideck_platform/settings.py
@@ -1,20 +1,29 @@
-"""Settings in TOML, every value checked at start."""
+"""What settings hold; each value is checked when it is set.
 
-from __future__ import annotations
+Files are read by ``settings_file``; what several values must keep together is
+checked by ``settings_checks``.
+"""
 
-import tomllib
-from collections.abc import Callable, Mapping
-from pathlib import Path
-from typing import TypeVar
+from __future__ import annotations
 
-import attrs
 from attrs import field, frozen
-from attrs.validators import ge, gt, in_, instance_of, min_len
-from cattrs import ClassValidationError, Converter, ForbiddenExtraKeysError
-from cattrs.errors import IterableValidationError
-from wasabideck_policy.outcomes import WasabideckError
+from attrs.validators import deep_mapping, instance_of
+
+from .settings_values import (
+    at_least,
+    choice,
+    is_address,
+    is_name,
+    is_names,
+    is_present,
+    is_seconds,
+    is_secret,
+    is_url,
+)
 
 __all__ = [
+    "MODEL",
+    "PLAIN",
     "AccessSettings",
     "AgentSettings",
     "CallerSettings",
@@ -24,36 +33,13 @@
     "ProcessSettings",
     "ServerSettings",
     "ServiceSettings",
-    "SettingsError",
     "TlsSettings",
-    "load_settings",
     "split_address",
 ]
 
-T = TypeVar("T")
 MODEL = "model"
 PLAIN = "plain"
-
-
-class SettingsError(WasabideckError):
-    """A setting is wrong; names the file, the key and the value."""
-
-    def __init__(self, file: str, key: str, value: object, why: str):
-        super().__init__(f"{file}: {key} = {value!r}: {why}")
-        self.file = file
-        self.key = key
-        self.value = value
-
-
-def _address(instance: object, attribute: attrs.Attribute, value: str) -> None:
-    host, _, port = value.rpartition(":")
-    if not host or not port.isdigit() or int(port) > 65535:
-        raise ValueError("must be HOST:PORT")
-
-
-def _url(instance: object, attribute: attrs.Attribute, value: str) -> None:
-    if not value.startswith(("http://", "https://")):
-        raise ValueError("must be an http or https address")
+KINDS = (MODEL, PLAIN)
 
 
 @frozen
@@ -70,11 +56,11 @@
         File that events are appended to; empty for standard error.
     """
 
-    vm: str = field(validator=min_len(1))
-    region: str = field(validator=min_len(1))
-    data_centre: str = field(validator=min_len(1))
-    inner: str = field(default="127.0.0.1:0", validator=_address)
-    http: str = field(default="127.0.0.1:0", validator=_address)
+    vm: str = field(validator=is_name)
+    region: str = field(validator=is_name)
+    data_centre: str = field(validator=is_name)
+    inner: str = field(default="127.0.0.1:0", validator=is_address)
+    http: str = field(default="127.0.0.1:0", validator=is_address)
     events: str = ""
 
 
@@ -90,36 +76,43 @@
         Longest wait for one answer of the platform.
     """
 
-    table: str = field(validator=_url)
-    members: str = field(validator=_url)
-    weights: str = field(validator=_url)
-    poll_seconds: float = field(default=1.0, validator=gt(0))
-    timeout_seconds: float = field(default=2.0, validator=gt(0))
+    table: str = field(validator=is_url)
+    members: str = field(validator=is_url)
+    weights: str = field(validator=is_url)
+    poll_seconds: float = field(default=1.0, validator=is_seconds)
+    timeout_seconds: float = field(default=2.0, validator=is_seconds)
 
 
 @frozen
 class TlsSettings:
-    """Key files (PEM); a process without this section talks in plain text."""
+    """Key files (PEM) of a process.
 
-    certificate: str
-    key: str = field(repr=False)
-    authority: str
+    Attributes
+    ----------
+    authority : str
+        Certificates of the fleet's own authority: whoever shows a certificate of
+        it is taken for one of the system's processes.
+    """
+
+    certificate: str = field(validator=is_present)
+    key: str = field(validator=is_present, repr=False)
+    authority: str = field(validator=is_present)
 
 
 @frozen
 class OperatorSettings:
     """Someone who may submit tickets."""
 
-    name: str = field(validator=min_len(1))
-    token: str = field(validator=min_len(8), repr=False)
+    name: str = field(validator=is_name)
+    token: str = field(validator=is_secret, repr=False)
 
 
 @frozen
 class CallerSettings:
     """A caller's credential and the organisation that it stands for."""
 
-    organisation: str = field(validator=min_len(1))
-    token: str = field(validator=min_len(8), repr=False)
+    organisation: str = field(validator=is_name)
+    token: str = field(validator=is_secret, repr=False)
 
 
 @frozen
@@ -130,17 +123,24 @@
     ----------
     repeatable : bool
         Whether its calls may run more than once.
+    repeatable_routes : list of str
+        Routes whose calls may run more than once although the others may not.
     priorities : dict of str to int
         Class of each route that has one of its own; 0 is the most urgent.
+    routes : list of str
+        All routes that callers may ask for; empty for any.
     """
 
-    name: str = field(validator=min_len(1))
-    kind: str = field(default=MODEL, validator=in_((MODEL, PLAIN)))
+    name: str = field(validator=is_name)
+    kind: str = field(default=MODEL, validator=choice(KINDS))
     repeatable: bool = True
-    repeatable_routes: list[str] = field(factory=list)
-    priority: int = field(default=1, validator=ge(0))
-    priorities: dict[str, int] = field(factory=dict)
-    deadline_seconds: float = field(default=30.0, validator=gt(0))
+    repeatable_routes: list[str] = field(factory=list, validator=is_names)
+    priority: int = field(default=1, validator=at_least(0))
+    priorities: dict[str, int] = field(
+        factory=dict, validator=deep_mapping(is_name, at_least(0))
+    )
+    deadline_seconds: float = field(default=30.0, validator=is_seconds)
+    routes: list[str] = field(factory=list, validator=is_names)
 
 
 @frozen
@@ -155,17 +155,25 @@
         Whether it refuses orders that carry an old fencing number.
     """
 
-    service: str = field(validator=min_len(1))
-    url: str = field(validator=_url)
-    kind: str = field(default=MODEL, validator=in_((MODEL, PLAIN)))
-    capacity: int = field(default=8, validator=gt(0))
+    service: str = field(validator=is_name)
+    url: str = field(validator=is_url)
+    kind: str = field(default=MODEL, validator=choice(KINDS))
+    capacity: int = field(default=8, validator=at_least(1))
     checks_fencing: bool = False
     reports_load: bool = True
 
 
 @frozen
 class EntrySettings:
-    """All settings of an entry process."""
+    """All settings of an entry process.
+
+    Attributes
+    ----------
+    plain_text : bool
+        Talk without TLS; without this there must be keys.
+    body_bytes : int
+        Most bytes of one request's body.
+    """
 
     process: ProcessSettings
     platform: PlatformSettings
@@ -173,21 +181,31 @@
     operators: list[OperatorSettings] = field(factory=list)
     callers: list[CallerSettings] = field(factory=list)
     tls: TlsSettings | None = None
+    plain_text: bool = False
     routing: str = "two-choices"
-    body_bytes: int = field(default=1 << 20, validator=gt(0))
+    body_bytes: int = field(default=1 << 20, validator=at_least(1))
     seed: int = field(default=0, validator=instance_of(int))
 
 
 @frozen
 class AgentSettings:
-    """All settings of an agent process."""
+    """All settings of an agent process.
+
+    Attributes
+    ----------
+    plain_text : bool
+        Talk without TLS; without this there must be keys.
+    fetches, uploads : int
+        Most chunks that are received, and sent, at once.
+    """
 
     process: ProcessSettings
     platform: PlatformSettings
     server: ServerSettings
     tls: TlsSettings | None = None
-    fetches: int = field(default=4, validator=gt(0))
-    uploads: int = field(default=4, validator=gt(0))
+    plain_text: bool = False
+    fetches: int = field(default=4, validator=at_least(1))
+    uploads: int = field(default=4, validator=at_least(1))
     seed: int = field(default=0, validator=instance_of(int))
 
 
@@ -199,86 +217,19 @@
     ----------
     entry : str
         Base address of any entry, or of the balancer before them.
+    authority : str
+        Certificates (PEM) that the entry's certificate must come from.
+    plain_text : bool
+        Talk without TLS.
     """
 
-    entry: str = field(validator=_url)
-    token: str = field(validator=min_len(8), repr=False)
-
-
-def load_settings(
-    path: str | Path,
-    cls: type[T],
-    checks: tuple[Callable[[T], tuple[str, object, str] | None], ...] = (),
-) -> T:
-    """Settings of the given class from a TOML file.
-
-    Raises
-    ------
-    SettingsError
-        Names the file, the key and the value that is wrong.
-    """
-    file = str(path)
-    try:
-        table = tomllib.loads(Path(path).read_text())
-    except (OSError, UnicodeDecodeError) as exc:
-        raise SettingsError(file, "", "", f"cannot be read: {exc}") from exc
-    except tomllib.TOMLDecodeError as exc:
-        raise SettingsError(file, "", "", f"is no TOML: {exc}") from exc
-    settings = _structure(table, cls, file)
-    for check in checks:
-        if wrong := check(settings):
-            raise SettingsError(file, *wrong)
-    return settings
+    entry: str = field(validator=is_url)
+    token: str = field(validator=is_secret, repr=False)
+    authority: str = ""
+    plain_text: bool = False
 
 
 def split_address(address: str) -> tuple[str, int]:
     """Host and port of ``host:port``."""
     host, _, port = address.rpartition(":")
     return host, int(port)
-
-
-def _structure(table: Mapping, cls: type[T], file: str) -> T:
-    converter = Converter(forbid_extra_keys=True)
-    for exact in (str, int, float, bool):
-        converter.register_structure_hook(exact, _exactly)
-    try:
-        return converter.structure(table, cls)
-    except (ClassValidationError, IterableValidationError) as exc:
-        raise _first_error(exc, file, table) from exc
-
-
-def _exactly(value: object, cls: type) -> object:
-    allowed = (int, float) if cls is float else (cls,)
-    if type(value) not in allowed:
-        raise TypeError(f"must be a {cls.__name__}")
-    return value
-
-
-def _first_error(exc: BaseException, file: str, table: object) -> SettingsError:
-    """The first leaf of cattrs' tree of errors, as file, key and value."""
-    path: list[str | int] = []
-    while isinstance(exc, ExceptionGroup):
-        exc = exc.exceptions[0]
-        for note in getattr(exc, "__notes__", ()):
-            place = getattr(note, "name", None) or getattr(note, "index", None)
-            if place is not None:
-                path.append(place)
-    if isinstance(exc, ForbiddenExtraKeysError):
-        key = ".".join([*map(str, path), sorted(exc.extra_fields)[0]])
-        return SettingsError(file, key, "...", "unknown key")
-    if isinstance(exc, KeyError):
-        key = ".".join([*map(str, path), str(exc.args[0])])
-        return SettingsError(file, key, None, "missing key")
-    return SettingsError(file, ".".join(map(str, path)), _value(table, path), str(exc))
-
-
-def _value(table: object, path: list[str | int]) -> object:
-    # Keys and tokens are never printed, also when they are what is wrong.
-    if path and path[-1] in ("token", "key"):
-        return "..."
-    for place in path:
-        try:
-            table = table[place]  # type: ignore[index]
-        except (KeyError, IndexError, TypeError):
-            return None
-    return table
--- a/tests/product/test_commands.py
+++ b/tests/product/test_commands.py
@@ -17,7 +17,8 @@
 @pytest.fixture
 def access(tmp_path):
     path = tmp_path / "access.toml"
-    path.write_text(f'entry = "http://127.0.0.1:9"\ntoken = "{TOKEN}"\n')
+    lines = ['entry = "http://127.0.0.1:9"', f'token = "{TOKEN}"', "plain_text = true"]
+    path.write_text("\n".join(lines))
     return str(path)
 
 
