Take only the fleet's certificates, and refuse a credential before the body

Cause: the tls section of the settings was read and never used, so both inner ports took whoever reached them. Credentials were looked at after the whole body was in memory, token by token until the first match. sanic ends a handler after 60 s, also in the middle of an answer; and a second SIGTERM after the loop gave its signals back ends the process by signal.

Ruled out: comparing host names between processes (VMs are replaced and reached by number; the fleet's own authority is the guard); a new context for each change of keys (open listeners keep the old one).

Change: mutual TLS 1.3 on the inner ports, TLS towards operators, callers and scrapers; replaced key files are taken in each second, wrong ones leave the former in use. Credentials are checked when the head is read, in constant time against every token; x-organisation must be the credential's own. The entry's HTTP server is in listener.py and closes each connection when its request has ended. SIGTERM and SIGINT are ignored once the stop is over.

--- a/packages/wasabideck_agent/wasabideck_agent/agent.py
+++ b/packages/wasabideck_agent/wasabideck_agent/agent.py
@@ -15,10 +15,16 @@
 from wasabideck_platform.events import Events, open_events
 from wasabideck_platform.http import HttpClient, PlatformUnavailable
 from wasabideck_platform.metrics import Metrics, render_metrics
-from wasabideck_platform.process import announce_ready, every, first_of
+from wasabideck_platform.process import (
+    announce_ready,
+    every,
+    first_of,
+    reread_keys,
+)
 from wasabideck_platform.servers import Engine, PlainService
 from wasabideck_platform.settings import PLAIN, AgentSettings, split_address
 from wasabideck_platform.spread import PeersService, Spread
+from wasabideck_platform.tls import Keys
 from wasabideck_policy.admission import Gate
 from wasabideck_policy.distribution import rank
 from wasabideck_policy.manifests import Manifest
@@ -152,17 +158,19 @@
 async def serve_agent(cfg: AgentSettings, stop: asyncio.Event) -> None:
     """Serve until ``stop`` is set, then finish what is in progress."""
     events, _ = open_events(cfg.process.vm, cfg.process.events)
+    keys = Keys(cfg.tls) if cfg.tls else None
     async with aiohttp.ClientSession() as session:
-        agent = _assemble(cfg, events, session)
+        agent = _assemble(cfg, events, session, keys)
         server = Server(_services(agent))
         observe_clock(server, events.clock)
         host, port = split_address(cfg.process.inner)
-        await server.start(host, port)
-        http = await _serve_http(agent)
+        await server.start(host, port, ssl=keys and keys.inner_server)
+        http = await _serve_http(agent, keys)
         inner = server._server.sockets[0].getsockname()
         events.emit("process.ready", kind=AGENT)
         announce_ready(vm=agent.vm, inner=f"{inner[0]}:{inner[1]}", http=http)
-        tasks = [asyncio.create_task(loop) for loop in _loops(agent)]
+        loops = [*_loops(agent), *reread_keys(keys, events)]
+        tasks = [asyncio.create_task(loop) for loop in loops]
         await first_of(stop, tasks)
         await _drain(agent)
         for task in tasks:
@@ -173,7 +181,10 @@
 
 
 def _assemble(
-    cfg: AgentSettings, events: Events, session: aiohttp.ClientSession
+    cfg: AgentSettings,
+    events: Events,
+    session: aiohttp.ClientSession,
+    keys: Keys | None,
 ) -> Agent:
     platform = connect_platform(cfg.platform, session)
     http = HttpClient(cfg.server.url, cfg.platform.timeout_seconds, session)
@@ -190,7 +201,7 @@
     return Agent(
         cfg,
         events,
-        Channels(events.clock),
+        Channels(events.clock, keys and keys.inner_client),
         platform,
         Spread(cfg.process.vm, events),
         runner,
@@ -240,7 +251,7 @@
         await asyncio.sleep(0.05)
 
 
-async def _serve_http(agent: Agent) -> str:
+async def _serve_http(agent: Agent, keys: Keys | None) -> str:
     """Serve /metrics and /ready; the bound address."""
 
     async def metrics(req: web.Request) -> web.Response:
@@ -255,7 +266,7 @@
     runner = web.AppRunner(app, access_log=None)
     await runner.setup()
     host, port = split_address(agent.cfg.process.http)
-    site = web.TCPSite(runner, host, port)
+    site = web.TCPSite(runner, host, port, ssl_context=keys and keys.http)
     await site.start()
     bound = runner.addresses[0]
     return f"{bound[0]}:{bound[1]}"
--- a/packages/wasabideck_entry/wasabideck_entry/entry.py
+++ b/packages/wasabideck_entry/wasabideck_entry/entry.py
@@ -4,30 +4,34 @@
 
 import asyncio
 import random
-import socket
 import time
 
 import aiohttp
 from attrs import define, field
 from grpclib.server import Server
 from sanic import HTTPResponse, Request, Sanic
-from sanic.server import AsyncioServer
 from wasabideck_platform.channels import LINK_FAILURES, Channels, observe_clock
 from wasabideck_platform.clients import Platform, connect_platform
 from wasabideck_platform.events import Events, open_events
 from wasabideck_platform.http import PlatformUnavailable
-from wasabideck_platform.metrics import Metrics, render_metrics
-from wasabideck_platform.process import announce_ready, every, first_of
+from wasabideck_platform.metrics import Metrics
+from wasabideck_platform.process import (
+    announce_ready,
+    every,
+    first_of,
+    reread_keys,
+)
 from wasabideck_platform.settings import EntrySettings, split_address
 from wasabideck_platform.spread import PeersService, Spread
+from wasabideck_platform.tls import Keys
 from wasabideck_policy.membership import ENTRY
-from wasabideck_policy.outcomes import WasabideckError
 from wasabideck_policy.routing import POLICIES
 from wasabideck_wire import inner_pb2 as pb
 
 from .calls import Caller
 from .fleet import Fleet
-from .front import Front, add_caller_routes, problem
+from .front import Front, add_caller_routes
+from .listener import Listener, close_http, make_app, serve_http
 from .operators import Operators, add_operator_routes
 
 __all__ = ["serve_entry"]
@@ -74,6 +78,10 @@
             except LINK_FAILURES:
                 self.channels.drop(member.address)
 
+    def ready(self) -> bool:
+        """Whether new requests may come here."""
+        return self.spread.heard and not self.leaving
+
     def status(self) -> pb.StatusReply:
         """What this entry tells other processes of itself."""
         return pb.StatusReply(
@@ -86,32 +94,38 @@
 async def serve_entry(cfg: EntrySettings, stop: asyncio.Event) -> None:
     """Serve until ``stop`` is set, then finish what is in progress."""
     events, _ = open_events(cfg.process.vm, cfg.process.events)
+    keys = Keys(cfg.tls) if cfg.tls else None
     async with aiohttp.ClientSession() as session:
-        entry = _assemble(cfg, events, session)
+        entry = _assemble(cfg, events, session, keys)
         server = Server([PeersService(entry.spread, entry.status)])
         observe_clock(server, events.clock)
         host, port = split_address(cfg.process.inner)
-        await server.start(host, port)
+        await server.start(host, port, ssl=keys and keys.inner_server)
         inner = server._server.sockets[0].getsockname()
         await entry.read_members()
-        http, address = await _serve_http(entry)
+        listener = Listener(cfg, entry.metrics, entry.ready, keys)
+        http, address = await serve_http(_app(entry, listener), listener)
         events.emit("process.ready", kind=ENTRY)
         announce_ready(vm=cfg.process.vm, inner=f"{inner[0]}:{inner[1]}", http=address)
-        tasks = [asyncio.create_task(loop) for loop in _loops(entry)]
+        loops = [*_loops(entry), *reread_keys(keys, events)]
+        tasks = [asyncio.create_task(loop) for loop in loops]
         await first_of(stop, tasks)
         await _drain(entry)
         for task in tasks:
             task.cancel()
-        await http.close()
+        await close_http(http, DRAIN_SECONDS)
         server.close()
         entry.channels.close()
         events.emit("process.stopped", kind=ENTRY)
 
 
 def _assemble(
-    cfg: EntrySettings, events: Events, session: aiohttp.ClientSession
+    cfg: EntrySettings,
+    events: Events,
+    session: aiohttp.ClientSession,
+    keys: Keys | None,
 ) -> Entry:
-    channels = Channels(events.clock)
+    channels = Channels(events.clock, keys and keys.inner_client)
     fleet = Fleet(cfg.process.vm, channels)
     rng = random.Random(f"{cfg.seed}/{cfg.process.vm}/{time.time_ns()}")
     return Entry(
@@ -143,26 +157,8 @@
         await asyncio.sleep(0.05)
 
 
-async def _serve_http(entry: Entry) -> tuple[AsyncioServer, str]:
-    """Serve callers and operators; the server and its bound address.
-
-    sanic runs inside this loop: its worker manager would start processes.
-    """
-    sock = socket.create_server(split_address(entry.cfg.process.http))
-    server = await _app(entry).create_server(
-        sock=sock, return_asyncio_server=True, access_log=False
-    )
-    await server.startup()
-    await server.before_start()
-    await server.after_start()
-    host, port = sock.getsockname()[:2]
-    return server, f"{host}:{port}"
-
-
-def _app(entry: Entry) -> Sanic:
-    app = Sanic(f"wasabideck-{entry.cfg.process.vm}", configure_logging=False)
-    app.config.REQUEST_MAX_SIZE = entry.cfg.body_bytes
-    app.config.MOTD = False
+def _app(entry: Entry, listener: Listener) -> Sanic:
+    app = make_app(listener)
     front = Front(entry.cfg, entry.caller, entry.metrics)
     add_caller_routes(app, front)
     add_operator_routes(
@@ -176,11 +172,11 @@
             entry.events,
         ),
     )
-    _add_process_routes(app, entry)
+    _count_requests(app, entry)
     return app
 
 
-def _add_process_routes(app: Sanic, entry: Entry) -> None:
+def _count_requests(app: Sanic, entry: Entry) -> None:
     @app.on_request
     async def count(req: Request) -> None:
         entry.in_progress += 1
@@ -188,21 +184,3 @@
     @app.on_response
     async def uncount(req: Request, res: HTTPResponse) -> None:
         entry.in_progress -= 1
-
-    @app.exception(WasabideckError)
-    async def refuse(req: Request, exc: WasabideckError) -> HTTPResponse:
-        body = {"title": type(exc).__name__, "status": exc.status, "detail": str(exc)}
-        if req.path.startswith("/v1/services"):
-            body["outcome"] = "not-run"
-        return problem(exc.status, body, exc.retry_after)
-
-    @app.get("/ready")
-    async def ready(req: Request) -> HTTPResponse:
-        usable = entry.spread.heard and not entry.leaving
-        return HTTPResponse(status=200 if usable else 503)
-
-    @app.get("/metrics")
-    async def metrics(req: Request) -> HTTPResponse:
-        accept = req.headers.get("accept", "")
-        body, headers = render_metrics(entry.metrics, accept)
-        return HTTPResponse(body, headers=headers)
--- a/packages/wasabideck_entry/wasabideck_entry/operator_client.py
+++ b/packages/wasabideck_entry/wasabideck_entry/operator_client.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import ssl
 from collections.abc import Mapping
 from pathlib import Path
 
@@ -10,6 +11,7 @@
 import orjson
 from attrs import define
 from wasabideck_platform.settings import AccessSettings
+from wasabideck_platform.tls import client_context
 from wasabideck_policy.outcomes import WasabideckError
 from wasabideck_policy.tickets import MAX_TICKET_BYTES, TicketError
 
@@ -87,6 +89,15 @@
             headers["x-source"] = source.encode("ascii", "replace").decode()
         return asyncio.run(self._ask(method, path, body, query, headers))
 
+    def _ssl(self) -> ssl.SSLContext | bool:
+        if self.cfg.plain_text:
+            return True
+        try:
+            return client_context(self.cfg.authority)
+        except OSError as exc:
+            why = f"{self.cfg.authority}: {exc}; nothing was sent"
+            raise EntryRefused(why) from exc
+
     async def _ask(
         self,
         method: str,
@@ -100,7 +111,12 @@
         try:
             async with aiohttp.ClientSession(timeout=limit) as session:
                 req = session.request(
-                    method, url, data=body, params=query, headers=headers
+                    method,
+                    url,
+                    data=body,
+                    params=query,
+                    headers=headers,
+                    ssl=self._ssl(),
                 )
                 async with req as answer:
                     data = await answer.read()
--- a/packages/wasabideck_lab/wasabideck_lab/launcher.py
+++ b/packages/wasabideck_lab/wasabideck_lab/launcher.py
@@ -76,6 +76,7 @@
     folder: Path
     seed: int = 0
     origin_rate: float = 0.0
+    tls: dict[str, str] | None = None
     table: TableStandin = field(init=False)
     members: MembersStandin = field(init=False)
     weights: WeightsStandin = field(init=False)
@@ -158,7 +159,7 @@
         process = {"vm": vm, "events": str(self.folder / f"{vm}.events")}
         return {
             "seed": self.seed,
-            "plain_text": True,
+            **({"tls": self.tls} if self.tls else {"plain_text": True}),
             "process": process | _place(place),
             "platform": {k: self.addresses[k] for k in ("table", "members", "weights")},
         }
--- a/packages/wasabideck_platform/wasabideck_platform/process.py
+++ b/packages/wasabideck_platform/wasabideck_platform/process.py
@@ -5,12 +5,18 @@
 import asyncio
 import signal
 import sys
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Coroutine
 
 import orjson
 import uvloop
 
-__all__ = ["announce_ready", "every", "first_of", "run_process"]
+from .events import Events
+from .tls import Keys, KeysUnusable
+
+__all__ = ["announce_ready", "every", "first_of", "reread_keys", "run_process"]
+
+STOPS = (signal.SIGTERM, signal.SIGINT)
+KEYS_SECONDS = 1.0
 
 
 def run_process(main: Callable[[asyncio.Event], Awaitable[None]]) -> None:
@@ -23,13 +29,44 @@
     async def body() -> None:
         stop = asyncio.Event()
         loop = asyncio.get_running_loop()
-        for signum in (signal.SIGTERM, signal.SIGINT):
+        for signum in STOPS:
             loop.add_signal_handler(signum, stop.set)
-        await main(stop)
+        try:
+            await main(stop)
+        finally:
+            _ignore_stops(loop)
 
     uvloop.run(body())
 
 
+def _ignore_stops(loop: asyncio.AbstractEventLoop) -> None:
+    """Leave a second SIGTERM without effect.
+
+    The loop gives the signals back as it closes: one that came between that and the
+    end of the process would turn a graceful stop into a death by signal, which
+    whoever rolls the fleet reads as a crash. They are blocked while the handlers
+    change hands.
+    """
+    signal.pthread_sigmask(signal.SIG_BLOCK, STOPS)
+    for signum in STOPS:
+        loop.remove_signal_handler(signum)
+        signal.signal(signum, signal.SIG_IGN)
+    signal.pthread_sigmask(signal.SIG_UNBLOCK, STOPS)
+
+
+def reread_keys(keys: Keys | None, events: Events) -> list[Coroutine]:
+    """The loop that takes replaced key files in, if there are any keys."""
+
+    async def step() -> None:
+        try:
+            if keys.refresh():
+                events.emit("keys.reread", certificate=keys.files.certificate)
+        except KeysUnusable as exc:
+            events.emit("keys.unusable", why=str(exc))
+
+    return [every(KEYS_SECONDS, step)] if keys else []
+
+
 def announce_ready(**fields: object) -> None:
     """Print the one line that says which addresses were bound."""
     sys.stdout.write(orjson.dumps({"ready": fields}).decode() + "\n")
--- /dev/null
+++ b/tests/product/test_identity.py
@@ -0,0 +1,71 @@
+"""A request goes no further than its credential allows."""
+
+import asyncio
+
+import orjson
+import pytest
+from wasabideck_entry.identity import NotAuthorised, caller_of, check
+from wasabideck_platform.settings import CallerSettings
+
+OPERATOR = "sample-operator-token"
+CALLER = "sample-caller-token"
+OTHER_CALLER = "sample-other-caller-token"
+
+
+def head(path, method="POST", length=1_000_000, **headers):
+    lines = [f"{method} {path} HTTP/1.1", "host: x", f"content-length: {length}"]
+    lines += [f"{name}: {value}" for name, value in headers.items()]
+    return "\r\n".join([*lines, "", ""]).encode()
+
+
+@pytest.mark.parametrize(
+    ("path", "headers", "status", "title"),
+    [
+        ("/v1/services/drafting/brief", {}, 401, "NotAuthorised"),
+        (
+            "/v1/services/drafting/brief",
+            {"authorization": f"Bearer {OPERATOR}"},
+            401,
+            "NotAuthorised",
+        ),
+        (
+            "/v1/services/drafting/brief",
+            {"authorization": f"Bearer {CALLER}", "x-organisation": "org-2"},
+            403,
+            "OtherOrganisation",
+        ),
+        ("/v1/tickets", {"authorization": f"Bearer {CALLER}"}, 401, "NotAuthorised"),
+        ("/v1/tickets", {"authorization": "Bearer \xff"}, 401, "NotAuthorised"),
+    ],
+)
+def test_a_wrong_credential_is_refused_before_the_body(
+    entry_settings, run_entry, talk, path, headers, status, title
+):
+    # Whoever has no credential fills an entry's memory with bodies that are refused
+    # only when they are whole. The body is never sent here: only a refusal made
+    # from the head alone can come.
+    async def body():
+        async with run_entry(entry_settings()) as entry:
+            return await talk(entry.http, head(path, **headers))
+
+    found, data = asyncio.run(body())
+    problem = orjson.loads(data)
+    assert (found, problem["title"]) == (status, title)
+    if path.startswith("/v1/services"):
+        assert problem["outcome"] == "not-run"
+
+
+def test_a_right_credential_is_its_organisations(entry_settings):
+    cfg = entry_settings()
+    path = "/v1/services/drafting/brief"
+    header = {"authorization": f"Bearer {OTHER_CALLER}"}
+    assert check(cfg, path, header) == "org-2"
+    assert check(cfg, path, header | {"x-organisation": "org-2"}) == "org-2"
+    assert check(cfg, "/v1/report", {"authorization": f"Bearer {OPERATOR}"}) == "one"
+    assert check(cfg, "/ready", {}) == ""
+
+
+@pytest.mark.parametrize("header", ["", "Bearer ", CALLER, f"bearer {CALLER}"])
+def test_no_other_form_of_a_credential_is_taken(header):
+    with pytest.raises(NotAuthorised):
+        caller_of(header, [CallerSettings("org", CALLER)])
