--- a/packages/wasabideck_agent/wasabideck_agent/__main__.py
+++ b/packages/wasabideck_agent/wasabideck_agent/__main__.py
@@ -2,18 +2,17 @@
 
 from __future__ import annotations
 
-import sys
-
-import fire
+from wasabideck_platform.command_line import commands, run_commands
 from wasabideck_platform.process import run_process
-from wasabideck_platform.settings import AgentSettings, load_settings
-from wasabideck_policy.outcomes import WasabideckError
+from wasabideck_platform.settings import AgentSettings
+from wasabideck_platform.settings_file import load_settings
 
 from .agent import serve_agent
 
 __all__ = ["main"]
 
 
+@commands
 class _Commands:
     """The process beside each backend server."""
 
@@ -29,7 +28,7 @@
         run_process(lambda stop: serve_agent(cfg, stop))
 
     def check_settings(self, settings: str) -> None:
-        """Check a TOML file of settings, and do nothing else.
+        """Check a TOML file of an agent's settings, and do nothing else.
 
         Parameters
         ----------
@@ -42,10 +41,7 @@
 
 def main() -> None:
     """Run the agent's command line."""
-    try:
-        fire.Fire(_Commands(), name="wasabideck-agent")
-    except WasabideckError as exc:
-        sys.exit(f"wasabideck-agent: {type(exc).__name__}: {exc}")
+    run_commands(_Commands(), "wasabideck-agent")
 
 
 if __name__ == "__main__":
