Measure a rollout to N replicas over real agents and paced links

Cause: nothing said how fast weights reach N VMs, nor what a live request notices.

Agents pace their weight traffic: a link is passed in turn, live requests and answers never wait and push the weights back. Settings of a new [weights] section: profile, policy, rates; fetches and uploads moved there. launcher.py got start_agent for servers that are served elsewhere; metrics.py the weight bytes by direction. The policy is still the first one.

--- a/packages/wasabideck_agent/wasabideck_agent/agent.py
+++ b/packages/wasabideck_agent/wasabideck_agent/agent.py
@@ -28,6 +28,7 @@
 from .chunk_store import ChunkStore
 from .chunks_service import ChunksService
 from .claim_store import ClaimStore
+from .links import Link, Links, give_way_to_live
 from .reconcile import Reconciler
 from .runs import Runner, RunsService
 from .transfer import Transfer
@@ -54,6 +55,7 @@
     runner: Runner
     store: ChunkStore
     chunks: ChunksService
+    links: Links
     metrics: Metrics
     members: list[Member] = field(factory=list)
     load: float = 0.0
@@ -106,9 +108,10 @@
             self.chunks,
             self.platform.origin,
             self.channels,
+            self.links,
             self.events,
             self.peers,
-            self.cfg.fetches,
+            self.cfg.weights.fetches,
             random.Random(f"{self.cfg.seed}/{self.vm}"),
         )
 
@@ -144,6 +147,12 @@
             return
         self.load, self.load_at = report["load"], report["at"]
 
+    def count_links(self) -> None:
+        """Bring the links' metrics up to date."""
+        for name in ("up", "down", "region"):
+            passed = getattr(self.links, name).passed
+            self.metrics.link.set({"direction": name}, passed)
+
     async def forget_old(self) -> None:
         """Forget attempts that ended long ago."""
         self.runner.attempts.forget_old(time.monotonic())
@@ -156,6 +165,7 @@
         agent = _assemble(cfg, events, session)
         server = Server(_services(agent))
         observe_clock(server, events.clock)
+        give_way_to_live(server, agent.links)
         host, port = split_address(cfg.process.inner)
         await server.start(host, port)
         http = await _serve_http(agent)
@@ -187,6 +197,8 @@
         claims=ClaimStore(platform.table),
     )
     store = ChunkStore()
+    rate = cfg.weights.link_rate
+    links = Links(Link(rate), Link(rate), Link(cfg.weights.region_rate))
     return Agent(
         cfg,
         events,
@@ -195,7 +207,8 @@
         Spread(cfg.process.vm, events),
         runner,
         store,
-        ChunksService(store, cfg.uploads),
+        ChunksService(store, links, cfg.weights.uploads),
+        links,
         Metrics(),
     )
 
@@ -244,6 +257,7 @@
     """Serve /metrics and /ready; the bound address."""
 
     async def metrics(req: web.Request) -> web.Response:
+        agent.count_links()
         body, headers = render_metrics(agent.metrics, req.headers.get("accept", ""))
         return web.Response(body=body, headers=headers)
 
--- a/packages/wasabideck_agent/wasabideck_agent/chunks_service.py
+++ b/packages/wasabideck_agent/wasabideck_agent/chunks_service.py
@@ -9,6 +9,7 @@
 
 from .bitmaps import to_bitmap
 from .chunk_store import ChunkStore
+from .links import Links
 
 __all__ = ["ChunksService"]
 
@@ -20,6 +21,7 @@
     """Answers what is held here, and uploads it, a few chunks at a time."""
 
     store: ChunkStore
+    links: Links
     most_uploads: int
     reading: dict[str, set[int]] = field(factory=dict)
     uploads: int = 0
@@ -49,6 +51,7 @@
         try:
             for begin in range(0, len(data), PART_BYTES):
                 part = data[begin : begin + PART_BYTES]
+                await self.links.up.send(len(part))
                 await stream.send_message(pb.FetchPart(data=part))
         finally:
             self.uploads -= 1
--- a/packages/wasabideck_agent/wasabideck_agent/transfer.py
+++ b/packages/wasabideck_agent/wasabideck_agent/transfer.py
@@ -21,6 +21,7 @@
 from .bitmaps import from_bitmap
 from .chunk_store import ChunkStore
 from .chunks_service import ChunksService
+from .links import Links
 
 __all__ = ["Transfer"]
 
@@ -50,6 +51,7 @@
     service: ChunksService
     origin: Origin
     channels: Channels
+    links: Links
     events: Events
     peers_of: Callable[[], list[Member]]
     fetches: int
@@ -143,7 +145,9 @@
         reading = self.service.reading.setdefault(self.manifest.digest, set())
         reading.add(fetch.index)
         try:
-            return await self.origin.chunk(digest, self.vm)
+            data = await self.origin.chunk(digest, self.vm)
+            await self.links.down.receive(len(data))
+            return data
         finally:
             reading.discard(fetch.index)
 
@@ -159,6 +163,7 @@
             async for part in stream:
                 if part.refused:
                     raise ConnectionRefusedError(fetch.source)
+                await self.links.down.receive(len(part.data))
                 parts.append(part.data)
         return b"".join(parts)
 
--- /dev/null
+++ b/packages/wasabideck_lab/wasabideck_lab/engine_host.py
@@ -0,0 +1,61 @@
+"""Serves the engines' stand-ins of many VMs in one process, on one port."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import sys
+
+import orjson
+from aiohttp import web
+from attrs import asdict
+from wasabideck_platform.process import announce_ready, run_process
+from wasabideck_policy.manifests import manifest_from_json
+
+from .faults import Faults
+from .standin_servers import EngineStandin
+
+__all__ = ["main"]
+
+BODY_BYTES = 64 << 20
+
+
+async def _serve(cfg: dict, stop: asyncio.Event) -> None:
+    manifests = {
+        digest: manifest_from_json(text.encode(), digest)
+        for digest, text in cfg["manifests"].items()
+    }
+    engines = {
+        vm: EngineStandin(Faults(random.Random(vm)), manifests) for vm in cfg["vms"]
+    }
+    app = web.Application(client_max_size=BODY_BYTES)
+    for vm, engine in engines.items():
+        sub = web.Application(client_max_size=BODY_BYTES)
+        sub.add_routes(engine.routes())
+        app.add_subapp(f"/{vm}", sub)
+
+    async def books(req: web.Request) -> web.Response:
+        rows = {
+            vm: {"mixed": engine.mixed, "loaded": asdict(engine.loaded)}
+            for vm, engine in engines.items()
+        }
+        return web.json_response(rows)
+
+    app.add_routes([web.get("/books", books)])
+    runner = web.AppRunner(app, access_log=None, shutdown_timeout=0.1)
+    await runner.setup()
+    await web.TCPSite(runner, "127.0.0.1", 0, backlog=1024).start()
+    host, port = runner.addresses[0]
+    announce_ready(url=f"http://{host}:{port}")
+    await stop.wait()
+    await runner.cleanup()
+
+
+def main() -> None:
+    """Serve what one line of JSON on standard input names."""
+    cfg = orjson.loads(sys.stdin.readline())
+    run_process(lambda stop: _serve(cfg, stop))
+
+
+if __name__ == "__main__":
+    main()
--- a/packages/wasabideck_lab/wasabideck_lab/launcher.py
+++ b/packages/wasabideck_lab/wasabideck_lab/launcher.py
@@ -135,7 +135,20 @@
     ) -> Process:
         url = await self._serve(standin)
         server = {"service": service, "url": url, "kind": kind}
-        settings = self._common(vm, **place) | {"server": server}
+        return await self.start_agent(vm, {"server": server}, **place)
+
+    async def start_agent(self, vm: str, extra: dict, **place: str) -> Process:
+        """Start the agent of a server that is served already.
+
+        Parameters
+        ----------
+        extra : dict
+            Settings besides the common ones; ``server`` at least.
+        """
+        settings = self._common(vm, **place)
+        settings["platform"] |= extra.get("platform", {})
+        settings |= {k: v for k, v in extra.items() if k != "platform"}
+        service = extra["server"]["service"]
         process = await self._start(vm, "wasabideck-agent", settings)
         member = Member(vm, AGENT, process.inner, service=service, **_place(place))
         self.members.put(member)
--- a/packages/wasabideck_platform/wasabideck_platform/metrics.py
+++ b/packages/wasabideck_platform/wasabideck_platform/metrics.py
@@ -16,6 +16,7 @@
     requests: Counter = field(init=False)
     retries: Counter = field(init=False)
     transferred: Counter = field(init=False)
+    link: Counter = field(init=False)
     ticket: Gauge = field(init=False)
     in_progress: Gauge = field(init=False)
 
@@ -31,6 +32,9 @@
         self.transferred = Counter(
             "wasabideck_transferred_bytes_total", "Weight bytes, by source.", **reg
         )
+        self.link = Counter(
+            "wasabideck_weight_link_bytes_total", "Weight bytes, by direction.", **reg
+        )
         self.ticket = Gauge(
             "wasabideck_ticket_in_force", "Newest ticket in force here.", **reg
         )
--- a/packages/wasabideck_platform/wasabideck_platform/settings.py
+++ b/packages/wasabideck_platform/wasabideck_platform/settings.py
@@ -25,6 +25,7 @@
     "ServiceSettings",
     "SettingsError",
     "TlsSettings",
+    "WeightsSettings",
     "load_settings",
     "split_address",
 ]
@@ -162,6 +163,38 @@
     reports_load: bool = True
 
 
+@frozen
+class WeightsSettings:
+    """How an agent takes part in the distribution of weights.
+
+    Attributes
+    ----------
+    profile : str
+        ``time``: a reader of the origin that seems lost is replaced soon;
+        ``origin-bytes``: late, so that hardly any chunk is read twice.
+    policy : str
+        ``swarm``, or a baseline that experiments compare with.
+    fetches, uploads : int
+        Chunks fetched at once, and uploads taken on at once.
+    link_rate : float
+        Bytes per second of the VM's link, each way; 0 is no limit.
+    region_rate : float
+        Bytes per second that weights may take of the link into this region.
+    origin_region : str
+        Region that the origin stands in; empty when it is near to all.
+    """
+
+    profile: str = field(default="time", validator=in_(("time", "origin-bytes")))
+    policy: str = field(
+        default="swarm", validator=in_(("swarm", "origin", "tree", "random"))
+    )
+    fetches: int = field(default=3, validator=gt(0))
+    uploads: int = field(default=3, validator=gt(0))
+    link_rate: float = field(default=0.0, validator=ge(0))
+    region_rate: float = field(default=0.0, validator=ge(0))
+    origin_region: str = ""
+
+
 @frozen
 class EntrySettings:
     """All settings of an entry process."""
@@ -185,8 +218,7 @@
     platform: PlatformSettings
     server: ServerSettings
     tls: TlsSettings | None = None
-    fetches: int = field(default=4, validator=gt(0))
-    uploads: int = field(default=4, validator=gt(0))
+    weights: WeightsSettings = field(factory=WeightsSettings)
     seed: int = field(default=0, validator=instance_of(int))
 
 
