Draw partners afresh from all, and read each chunk from the origin once

Cause: the first policy asked every peer before each fetch, read a chunk from the origin whenever no view showed it yet, and let everyone fetch everything over the links between regions.

Change: sets of chunks are integers, so a decision costs the same for 16 VMs as for 2,100. Every chunk message carries what both sides hold, and a few peers drawn from all are asked once a slot. Each chunk has ranked owners (rendezvous over the VMs of the origin's region) and, in each region, ranked gateways that share the region's link evenly; the next in rank steps in when those before it are lost, or after a growing delay without progress (longer with profile origin-bytes). A VM that has sent its share refuses all but those who find nobody else. A sender of corrupt chunks is set back, twice as long each time. Manifests come from peers first, and weights that no ticket names leave memory (two small edits in reconcile.py).

--- a/packages/wasabideck_agent/wasabideck_agent/agent.py
+++ b/packages/wasabideck_agent/wasabideck_agent/agent.py
@@ -29,6 +29,7 @@
 from .chunks_service import ChunksService
 from .claim_store import ClaimStore
 from .links import Link, Links, give_way_to_live
+from .manifest_reader import ManifestReader
 from .reconcile import Reconciler
 from .runs import Runner, RunsService
 from .transfer import Transfer
@@ -101,8 +102,9 @@
 
     def make_transfer(self, manifest: Manifest) -> Transfer:
         """A transfer of a manifest into this agent's store."""
+        place = self.cfg.process
         return Transfer(
-            self.vm,
+            Member(self.vm, AGENT, "", place.region, place.data_centre),
             manifest,
             self.store,
             self.chunks,
@@ -111,10 +113,20 @@
             self.links,
             self.events,
             self.peers,
-            self.cfg.weights.fetches,
+            self.cfg.weights,
             random.Random(f"{self.cfg.seed}/{self.vm}"),
         )
 
+    def manifests(self) -> ManifestReader:
+        """Reads manifests from peers or from the origin."""
+        return ManifestReader(
+            self.vm,
+            self.platform.origin,
+            self.channels,
+            self.peers,
+            random.Random(f"{self.cfg.seed}/{self.vm}/manifests"),
+        )
+
     async def read_members(self) -> None:
         """Read the platform's list; keep the last one when it is down."""
         try:
@@ -232,7 +244,7 @@
             agent.runner.engine,
             agent.runner,
             agent.spread,
-            agent.platform.origin,
+            agent.manifests().read,
             agent.platform.table,
             agent.store,
             agent.events,
--- a/packages/wasabideck_agent/wasabideck_agent/reconcile.py
+++ b/packages/wasabideck_agent/wasabideck_agent/reconcile.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import time
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 
 from attrs import asdict, define, field
 from wasabideck_platform.events import Events
@@ -13,7 +13,6 @@
 from wasabideck_platform.servers import Engine, Loaded
 from wasabideck_platform.spread import Spread
 from wasabideck_platform.table import Table, Write
-from wasabideck_platform.weights import Origin
 from wasabideck_policy.deliveries import Delivery, row_key
 from wasabideck_policy.manifests import CorruptManifest, Manifest
 from wasabideck_policy.tickets import Assignment, desired
@@ -25,6 +24,7 @@
 __all__ = ["Reconciler"]
 
 RETRY_SECONDS = 0.5
+SLOTS = ("model", "standby")
 
 _FAILURES = (PlatformUnavailable, PlatformRefused, CorruptManifest)
 
@@ -38,7 +38,7 @@
     engine: Engine
     runner: Runner
     spread: Spread
-    origin: Origin
+    read_manifest: Callable[[str], Awaitable[Manifest]]
     table: Table
     store: ChunkStore
     events: Events
@@ -73,10 +73,11 @@
             if not self.spread.heard:
                 return False
             await self._read_back()
-            for slot in ("model", "standby"):
+            for slot in SLOTS:
                 wanted = desired(self.spread.state, self.service, self.vm, slot)
                 if wanted and wanted.change.manifest:
                     await self._bring(wanted)
+            self._forget_superseded()
             return True
         except _FAILURES as exc:
             self.events.emit("reconcile.failed", why=str(exc))
@@ -103,6 +104,16 @@
             self._in_force(wanted)
         await self._write(delivery)
 
+    def _forget_superseded(self) -> None:
+        """Drop the chunks of weights that no ticket names any more.
+
+        Only once all that is wanted is whole and in force: until then the chunks of
+        the version in force may be shared by the next one, and peers may want them.
+        """
+        wanted = (desired(self.spread.state, self.service, self.vm, s) for s in SLOTS)
+        kept = {w.change.manifest for w in wanted if w and w.change.manifest}
+        self.store.keep_only({*kept, self.runner.in_force.manifest})
+
     def _begin(self, wanted: Assignment) -> Delivery:
         change = wanted.change
         self.events.emit(
@@ -121,7 +132,7 @@
 
     async def _fetch(self, wanted: Assignment, delivery: Delivery) -> Manifest:
         digest = wanted.change.manifest
-        manifest = self.store.manifest(digest) or await self.origin.manifest(digest)
+        manifest = self.store.manifest(digest) or await self.read_manifest(digest)
         self.store.know(manifest)
         transfer = self.make_transfer(manifest)
         await transfer.run()
--- a/packages/wasabideck_agent/wasabideck_agent/transfer.py
+++ b/packages/wasabideck_agent/wasabideck_agent/transfer.py
@@ -11,41 +11,83 @@
 from wasabideck_platform.channels import LINK_FAILURES, Channels
 from wasabideck_platform.events import Events
 from wasabideck_platform.http import PlatformRefused, PlatformUnavailable
+from wasabideck_platform.settings import WeightsSettings
 from wasabideck_platform.weights import Origin
-from wasabideck_policy.distribution import Fetch, Peer, next_fetch
+from wasabideck_policy.baselines import POLICIES
 from wasabideck_policy.manifests import CorruptChunk, Manifest
 from wasabideck_policy.membership import Member
+from wasabideck_policy.outcomes import WasabideckError
+from wasabideck_policy.views import (
+    ORIGIN,
+    Fetch,
+    Limits,
+    View,
+    begin,
+    end,
+    gateways,
+    got,
+    got_corrupt,
+    hear,
+    lose,
+    origin_failed,
+    refused,
+    set_members,
+)
 from wasabideck_wire import inner_pb2 as pb
 from wasabideck_wire.inner_grpc import ChunksStub
 
-from .bitmaps import from_bitmap
+from .bitmaps import from_bitmap, to_bitmap
 from .chunk_store import ChunkStore
 from .chunks_service import ChunksService
 from .links import Links
 
-__all__ = ["Transfer"]
+__all__ = ["Transfer", "limits_of"]
 
 CALL_TIMEOUT = 2.0
-FETCH_TIMEOUT = 30.0
-IDLE_SECONDS = 0.05
-SET_BACK_SECONDS = 0.2
-CORRUPT_SET_BACK_SECONDS = 10.0
+# A fetch waits behind a few others at its sender; one that takes this many slots has
+# stalled. The floor keeps small chunks on fast links from being given up early.
+FETCH_SLOTS = 24.0
+FETCH_FLOOR_SECONDS = 3.0
+MIN_SLOT_SECONDS = 0.02
+MAX_ASK_SECONDS = 1.0
+STARVING_SLOTS = 4.0
+PATIENCE_SLOTS = 16.0
+PATIENCE_FLOOR_SECONDS = 2.0
+# With this profile the origin's bytes weigh more than time.
+PATIENT_PROFILE = "origin-bytes"
+PATIENT_FACTOR = 4.0
 ORIGIN_NAME = "origin"
 
 
+class _Refused(WasabideckError):
+    """A peer does not send the chunk now."""
+
+
+def limits_of(cfg: WeightsSettings, chunk_bytes: int) -> Limits:
+    """A transfer's limits, worked out from the settings."""
+    slot = chunk_bytes / cfg.link_rate if cfg.link_rate else 0.0
+    slot = max(slot, MIN_SLOT_SECONDS)
+    patience = max(PATIENCE_SLOTS * slot, PATIENCE_FLOOR_SECONDS)
+    if cfg.profile == PATIENT_PROFILE:
+        patience *= PATIENT_FACTOR
+    return Limits(near=cfg.fetches, slot=slot, patience=patience)
+
+
 @define
 class Transfer:
     """One transfer of a manifest's chunks into this agent's store.
 
     Attributes
     ----------
+    me : Member
+        This agent's VM and place.
     peers_of : callable
         The agents that want or hold the same manifest, this one left out.
     sources : dict of str to int
         Bytes received per source.
     """
 
-    vm: str
+    me: Member
     manifest: Manifest
     store: ChunkStore
     service: ChunksService
@@ -54,74 +96,79 @@
     links: Links
     events: Events
     peers_of: Callable[[], list[Member]]
-    fetches: int
+    cfg: WeightsSettings
     rng: random.Random
     clock: Callable[[], float] = time.monotonic
     sources: dict[str, int] = field(factory=dict)
-    _peers: dict[str, Peer] = field(factory=dict)
-    _active: dict[int, asyncio.Task] = field(factory=dict)
+    view: View = field(init=False)
+    _digest: str = field(init=False)
+    _members: list[Member] = field(factory=list)
+    _tasks: set[asyncio.Task] = field(factory=set)
+    _news: asyncio.Event = field(factory=asyncio.Event)
+
+    def __attrs_post_init__(self) -> None:
+        """Begin with what the store holds."""
+        self._digest = self.manifest.digest
+        self.view = View(
+            self.me.vm,
+            self.manifest.chunks,
+            self.clock(),
+            self.me.region,
+            self.me.data_centre,
+            self.cfg.origin_region,
+            limits_of(self.cfg, self.manifest.chunk_bytes),
+            held=self.store.held(self.manifest),
+        )
+        self.view.fed_at = self.view.begun
 
     async def run(self) -> None:
         """Fetch until every chunk is held and verified."""
-        begun = self.clock()
+        self.service.listeners[self._digest] = self._heard
+        self._follow_members()
+        asking = asyncio.create_task(self._keep_asking())
         try:
-            while self.store.missing(self.manifest):
-                await self._look()
-                self._start_fetches(begun)
+            while not self.store.whole(self.manifest):
+                if asking.done():
+                    asking.result()
+                self._start_fetches()
                 await self._wait()
         finally:
-            for task in self._active.values():
+            del self.service.listeners[self._digest]
+            self.service.reading.pop(self._digest, None)
+            tasks = [asking, *self._tasks]
+            for task in tasks:
                 task.cancel()
-            self.service.reading.pop(self.manifest.digest, None)
+            await asyncio.gather(*tasks, return_exceptions=True)
 
-    def _start_fetches(self, begun: float) -> None:
-        while len(self._active) < self.fetches:
-            fetch = self._next(begun)
+    async def _wait(self) -> None:
+        """Wait for news, or for a set-back peer to be worth another try."""
+        self._news.clear()
+        try:
+            await asyncio.wait_for(self._news.wait(), self.view.limits.slot)
+        except TimeoutError:
+            return
+
+    def _start_fetches(self) -> None:
+        policy = POLICIES[self.cfg.policy]
+        while self.view.wanted:
+            fetch = policy.fetch(self.view, self.clock(), self.rng)
             if fetch is None:
                 return
+            self._begin(fetch)
             task = asyncio.create_task(self._fetch(fetch))
-            self._active[fetch.index] = task
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
 
-    def _next(self, begun: float) -> Fetch | None:
-        missing = self.store.missing(self.manifest) - self._active.keys()
-        wanting = sorted([self.vm, *self._peers])
-        return next_fetch(
-            self.vm,
-            self.manifest.chunks,
-            missing,
-            self._peers,
-            wanting,
-            begun,
-            self.clock(),
-            self.rng,
-        )
+    def _begin(self, fetch: Fetch) -> None:
+        begin(self.view, fetch)
+        if fetch.far or fetch.source == ORIGIN:
+            self.service.reading[self._digest] |= 1 << fetch.index
 
-    async def _wait(self) -> None:
-        await asyncio.sleep(0 if self._active else IDLE_SECONDS)
-        if self._active:
-            await asyncio.wait(
-                self._active.values(),
-                timeout=IDLE_SECONDS,
-                return_when=asyncio.FIRST_COMPLETED,
-            )
-
-    async def _look(self) -> None:
-        """Ask the peers what they hold now."""
-        members = self.peers_of()
-        await asyncio.gather(*(self._look_at(member) for member in members))
-        known = {member.vm for member in members}
-        self._peers = {vm: peer for vm, peer in self._peers.items() if vm in known}
-
-    async def _look_at(self, member: Member) -> None:
-        stub = ChunksStub(self.channels.get(member.address))
-        req = pb.HoldingsRequest(manifest=self.manifest.digest, vm=self.vm)
-        peer = self._peers.setdefault(member.vm, Peer(member.vm, set()))
-        try:
-            reply = await stub.Holdings(req, timeout=CALL_TIMEOUT)
-        except LINK_FAILURES:
-            peer.held = set()
-            return
-        peer.held = from_bitmap(reply.bitmap)
+    def _end(self, fetch: Fetch) -> None:
+        end(self.view, fetch)
+        if fetch.far or fetch.source == ORIGIN:
+            self.service.reading[self._digest] &= ~(1 << fetch.index)
+        self._news.set()
 
     async def _fetch(self, fetch: Fetch) -> None:
         digest = self.manifest.chunks[fetch.index]
@@ -129,44 +176,107 @@
             data = await self._read(fetch, digest)
             self.store.add(digest, data, fetch.source)
         except CorruptChunk as exc:
-            self._set_back(fetch.source, CORRUPT_SET_BACK_SECONDS)
+            got_corrupt(self.view, fetch, self.clock())
             self.events.emit("transfer.corrupt", source=fetch.source, why=str(exc))
-        except (*LINK_FAILURES, PlatformUnavailable, PlatformRefused):
-            self._set_back(fetch.source, SET_BACK_SECONDS)
+        except _Refused:
+            refused(self.view, fetch, self.clock(), self.rng)
+        except LINK_FAILURES:
+            self._lose(fetch.source)
+        except (PlatformUnavailable, PlatformRefused):
+            origin_failed(self.view, self.clock())
         else:
-            source = fetch.source or ORIGIN_NAME
-            self.sources[source] = self.sources.get(source, 0) + len(data)
+            self._got(fetch, len(data))
         finally:
-            del self._active[fetch.index]
+            self._end(fetch)
+
+    def _got(self, fetch: Fetch, size: int) -> None:
+        got(self.view, fetch, self.clock())
+        source = fetch.source or ORIGIN_NAME
+        self.sources[source] = self.sources.get(source, 0) + size
 
     async def _read(self, fetch: Fetch, digest: str) -> bytes:
-        if fetch.source:
+        if fetch.far:
+            await self.links.region.send(self.manifest.chunk_bytes)
+        if fetch.source != ORIGIN:
             return await self._read_peer(fetch)
-        reading = self.service.reading.setdefault(self.manifest.digest, set())
-        reading.add(fetch.index)
-        try:
-            data = await self.origin.chunk(digest, self.vm)
-            await self.links.down.receive(len(data))
-            return data
-        finally:
-            reading.discard(fetch.index)
+        data = await self.origin.chunk(digest, self.me.vm)
+        await self.links.down.receive(len(data))
+        return data
 
     async def _read_peer(self, fetch: Fetch) -> bytes:
-        member = next(m for m in self.peers_of() if m.vm == fetch.source)
-        stub = ChunksStub(self.channels.get(member.address))
+        stub = ChunksStub(self.channels.get(self._address(fetch.source)))
+        view = self.view
+        starving = self.clock() - view.fed_at > STARVING_SLOTS * view.limits.slot
         req = pb.FetchRequest(
-            manifest=self.manifest.digest, index=fetch.index, vm=self.vm
+            manifest=self._digest,
+            index=fetch.index,
+            vm=self.me.vm,
+            have=to_bitmap(view.held),
+            urgent=starving or not POLICIES[self.cfg.policy].shares,
         )
+        limit = max(FETCH_SLOTS * view.limits.slot, FETCH_FLOOR_SECONDS)
         parts: list[bytes] = []
-        async with stub.Fetch.open(timeout=FETCH_TIMEOUT) as stream:
+        async with stub.Fetch.open(timeout=limit) as stream:
             await stream.send_message(req, end=True)
             async for part in stream:
+                if part.holdings:
+                    self._heard(fetch.source, from_bitmap(part.holdings), part.sent)
                 if part.refused:
-                    raise ConnectionRefusedError(fetch.source)
+                    raise _Refused(fetch.source)
                 await self.links.down.receive(len(part.data))
                 parts.append(part.data)
         return b"".join(parts)
 
-    def _set_back(self, source: str, seconds: float) -> None:
-        if peer := self._peers.get(source):
-            peer.busy_until = self.clock() + seconds
+    async def _keep_asking(self) -> None:
+        """Ask a few peers for their holdings, once a slot, or twice when starving."""
+        slot = min(self.view.limits.slot, MAX_ASK_SECONDS)
+        while True:
+            self._follow_members()
+            policy = POLICIES[self.cfg.policy]
+            vms = policy.ask(self.view, self.clock(), self.rng)
+            await asyncio.gather(*(self._ask(vm) for vm in vms))
+            await asyncio.sleep(slot if self.view.active else slot / 2)
+
+    def _follow_members(self) -> None:
+        members = self.peers_of()
+        if members == self._members and self.view.owners:
+            return
+        self._members = members
+        set_members(self.view, self._digest, members)
+        near = [m.vm for m in members if m.region == self.me.region]
+        if POLICIES[self.cfg.policy].shares:
+            sharing = len(gateways(self._digest, self.me.region, [self.me.vm, *near]))
+        else:
+            sharing = 1 + len(near)
+        self.links.region.rate = self.cfg.region_rate / sharing
+
+    async def _ask(self, vm: str) -> None:
+        stub = ChunksStub(self.channels.get(self._address(vm)))
+        req = pb.HoldingsRequest(
+            manifest=self._digest, vm=self.me.vm, have=to_bitmap(self.view.held)
+        )
+        try:
+            reply = await stub.Holdings(req, timeout=CALL_TIMEOUT)
+        except LINK_FAILURES:
+            self._lose(vm)
+            return
+        held, reading = from_bitmap(reply.bitmap), from_bitmap(reply.reading)
+        self._heard(vm, held, reply.sent, reading)
+
+    def _address(self, vm: str) -> str:
+        for member in self._members:
+            if member.vm == vm:
+                return member.address
+        raise ConnectionRefusedError(vm)
+
+    def _heard(self, vm: str, held: int, sent: int = 0, reading: int = 0) -> None:
+        hear(self.view, vm, held, self.clock(), sent, reading)
+        if held & self.view.wanted:
+            self._news.set()
+
+    def _lose(self, vm: str) -> None:
+        """Take a peer for lost, and the connection to it for silent."""
+        lose(self.view, vm, self.clock())
+        for member in self._members:
+            if member.vm == vm:
+                self.channels.drop(member.address)
--- a/packages/wasabideck_lab/wasabideck_lab/distribute.py
+++ b/packages/wasabideck_lab/wasabideck_lab/distribute.py
@@ -4,11 +4,12 @@
 
 import asyncio
 import math
+import os
 import random
 import sys
 import tempfile
 import time
-from collections import defaultdict
+from collections import Counter, defaultdict
 from pathlib import Path
 
 import aiohttp
@@ -16,7 +17,7 @@
 from attrs import define, field, frozen
 from wasabideck_policy.manifests import Manifest, manifest_to_json
 
-from .demo import submit
+from .demo import submit, wait_serving
 from .launcher import Lab
 from .toml import to_toml
 from .traffic import Traffic
@@ -221,9 +222,14 @@
 
 
 async def _measure(run: Run) -> dict:
+    for vm in [vm for vm in run.lab.processes if vm.startswith("entry")]:
+        address = f"http://{run.lab.processes[vm].http}"
+        async with aiohttp.ClientSession(address) as session:
+            await wait_serving(session, run.plan.replicas)
     live = asyncio.create_task(_live(run))
     await asyncio.sleep(LIVE_BEFORE_SECONDS)
     before = await _link_bytes(run)
+    cpu = _cpu_seconds(run)
     # Wall and monotonic time of one moment: events carry the one, requests the other.
     accepted, accepted_monotonic = time.time(), time.monotonic()
     await _submit(run, 2, "v2", run.manifest.digest)
@@ -237,6 +243,7 @@
     await faults
     times = _verified(run)
     last = max(times.values(), default=math.nan)
+    cpu = (_cpu_seconds(run) - cpu) / (time.time() - accepted)
     after = await _link_bytes(run)
     in_force = await _wait_in_force(run)
     begun = min(row["begun"] for row in _rows(run, 2).values())
@@ -267,8 +274,11 @@
             max(row["up"] for row in links.values()) / run.plan.total, 3
         ),
         "live_p99_ratio": _p99_ratio(run, window),
-        "live_not_answered": sum(r.outcome != "answered" for r in run.traffic.results),
+        "live_refused": dict(
+            Counter(r.reason for r in run.traffic.results if r.outcome != "answered")
+        ),
         "live": len(run.traffic.results),
+        "agents_cores": round(cpu, 2),
         "mixed": await _mixed(run),
         "curve": sorted(round(at - begun, 3) for at in times.values()),
     }
@@ -381,6 +391,17 @@
     return found
 
 
+def _cpu_seconds(run: Run) -> float:
+    """Processor time that the living agents have used."""
+    ticks = 0
+    for vm in set(run.vms) - run.killed:
+        pid = run.lab.processes[vm].process.pid
+        # Fields 14 and 15, user and system time, counted behind the name's bracket.
+        stat = Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
+        ticks += int(stat[11]) + int(stat[12])
+    return ticks / os.sysconf("SC_CLK_TCK")
+
+
 def _grown(before: dict | None, after: dict) -> dict:
     before = before or defaultdict(float)
     return {name: after[name] - before[name] for name in ("up", "down", "region")}
--- a/packages/wasabideck_policy/wasabideck_policy/distribution.py
+++ b/packages/wasabideck_policy/wasabideck_policy/distribution.py
@@ -1,83 +1,231 @@
-"""Which chunk to fetch next, and from whom."""
+"""Which chunk a VM fetches next, from whom, and whose holdings it asks for."""
 
 from __future__ import annotations
 
 import random
-from collections.abc import Iterable, Mapping, Sequence
+from collections.abc import Callable, Iterable, Iterator, Sequence
 
-import xxhash
-from attrs import define, frozen
+from attrs import frozen
 
-__all__ = ["Fetch", "Peer", "next_fetch", "owner_rank", "rank"]
+from .views import GATEWAYS, ORIGIN, Fetch, Peer, View, bits, pick_bit, rank
 
-ORIGIN = ""
-RESCUE_STEP = 2.0
+__all__ = ["SWARM", "Policy", "may_reach_out", "next_fetch", "rank", "whom_to_ask"]
 
-
-@define
-class Peer:
-    """What an agent knows of another agent's holdings."""
-
-    vm: str
-    held: set[int]
-    region: str = ""
-    data_centre: str = ""
-    busy_until: float = 0.0
+# A view counts at most so many holders at a time, so that a decision's cost does not
+# grow with the fleet.
+WEIGHED_HOLDERS = 64
+ASKS_STARVING = 4
+ASKS_FED = 1
+CHECKS = 2
+# A VM asks those before it in rank again after so many seconds without word.
+CHECK_SECONDS = 1.0
 
 
 @frozen
-class Fetch:
-    """One fetch to start.
+class Policy:
+    """A way to distribute weights.
 
     Attributes
     ----------
-    source : str
-        The peer's VM; empty for the origin.
+    fetch : callable
+        The next fetch for a view, ``now`` and ``rng``; None to wait.
+    ask : callable
+        The VMs to ask for their holdings now.
+    shares : bool
+        Whether a VM that has sent its share refuses those who are not in need.
     """
 
-    index: int
-    source: str = ORIGIN
-
+    fetch: Callable[[View, float, random.Random], Fetch | None]
+    ask: Callable[[View, float, random.Random], list[str]]
+    shares: bool = False
 
-def rank(item: str, vms: Iterable[str]) -> list[str]:
-    """VMs in rendezvous order for an item: all callers agree without talking."""
 
-    def score(vm: str) -> int:
-        return xxhash.xxh64_intdigest(f"{item}|{vm}".encode())
-
-    return sorted(vms, key=score, reverse=True)
+def next_fetch(view: View, now: float, rng: random.Random) -> Fetch | None:
+    """The next fetch of a VM, or None when it has to wait.
 
+    Duties go first, as everyone waits for them: reads from the origin of the chunks
+    that this VM owns, then chunks that it brings into its region. All else comes
+    from the data centre, then the region, rarest first with random ties.
+    """
+    wanted = view.wanted
+    if not wanted:
+        return None
+    return (
+        _read_origin(view, wanted, now)
+        or _bring_far(view, wanted, now, rng)
+        or _fetch_near(view, wanted, now, rng)
+    )
+
+
+def whom_to_ask(view: View, now: float, rng: random.Random) -> list[str]:
+    """Peers whose holdings to ask for now: a few, however large the fleet is."""
+    if not view.wanted:
+        return []
+    useful = any(p.held & view.wanted for p in view.holders.values())
+    near = [p for p in view.peers.values() if p.region == view.region]
+    asked = _draw(view, near, ASKS_FED if useful else ASKS_STARVING, now, rng)
+    if any(view.vm in ranks for ranks in view.bringers[:GATEWAYS]):
+        far = [p for p in view.peers.values() if p.region != view.region]
+        asked += _draw(view, far, CHECKS, now, rng)
+    return list(dict.fromkeys([*_checks(view, now), *asked]))
+
+
+def may_reach_out(view: View, ranks: Sequence[str], now: float) -> bool:
+    """Whether a chunk's ranks let this VM fetch it from outside its region.
+
+    The first in rank may at once. Another may when all before it are lost, or after
+    a delay without any progress that doubles with each rank.
+    """
+    if view.vm not in ranks:
+        return False
+    place = ranks.index(view.vm)
+    if all(view.peers[vm].lost for vm in ranks[:place] if vm in view.peers):
+        return True
+    waited = now - max(view.begun, view.progress_at)
+    return waited >= view.limits.patience * (2**place - 1)
+
+
+def _read_origin(view: View, wanted: int, now: float) -> Fetch | None:
+    busy = view.sources[ORIGIN] >= view.limits.reads or now < view.origin_busy_until
+    unseen = wanted & ~view.seen
+    if busy or not unseen:
+        return None
+    for index in bits(unseen):
+        ranks = view.owners[index]
+        if may_reach_out(view, ranks, now) and _checked(view, index, ranks, now):
+            far = bool(view.origin_region) and view.region != view.origin_region
+            return Fetch(index, ORIGIN, far)
+    return None
 
-def owner_rank(digest: str, vm: str, wanting: Iterable[str]) -> int:
-    """Place of a VM among those that may read a chunk from the origin."""
-    return rank(digest, wanting).index(vm)
 
+def _checked(view: View, index: int, ranks: Sequence[str], now: float) -> bool:
+    """Whether the next in rank does not have the chunk already.
 
-def next_fetch(
-    vm: str,
-    digests: Sequence[str],
-    missing: set[int],
-    peers: Mapping[str, Peer],
-    wanting: Sequence[str],
-    begun: float,
-    now: float,
-    rng: random.Random,
+    A VM that joins late may come first in rank for a chunk that the one after it has
+    read long ago; reading it again would cost the origin a copy.
+    """
+    after = next((p for p in _after(view, ranks) if not p.lost), None)
+    if after is None or now - view.begun >= CHECK_SECONDS:
+        return after is None or not after.reading >> index & 1
+    return after.heard_at >= view.begun and not after.reading >> index & 1
+
+
+def _after(view: View, ranks: Sequence[str]) -> Iterator[Peer]:
+    place = ranks.index(view.vm)
+    return (view.peers[vm] for vm in ranks[place + 1 :] if vm in view.peers)
+
+
+def _bring_far(view: View, wanted: int, now: float, rng: random.Random) -> Fetch | None:
+    lacking = wanted & ~view.seen_near
+    if view.far_active >= view.limits.far or not lacking:
+        return None
+    far = [p for p in view.holders.values() if p.region != view.region]
+    free = [p for p in far if p.busy_until <= now and p.held & lacking]
+    there = 0
+    for peer in free:
+        there |= peer.held & lacking
+    mine = 0
+    for index in bits(there):
+        if may_reach_out(view, view.bringers[index], now):
+            mine |= 1 << index
+    if not mine:
+        return None
+    index = pick_bit(mine, rng)
+    holders = [p for p in free if p.held >> index & 1]
+    return Fetch(index, _least_sent(holders, rng).vm, far=True)
+
+
+def _fetch_near(
+    view: View, wanted: int, now: float, rng: random.Random
 ) -> Fetch | None:
-    """The next fetch of a VM, or None when it has to wait.
-
-    A chunk held by a peer is fetched there, rarest first with random ties. A chunk
-    that no peer holds is read from the origin by its first-ranked owner; the others
-    wait ``RESCUE_STEP`` seconds per rank, so that an owner that stalls is rescued.
+    near = sum(view.sources.values()) - view.sources[ORIGIN] - view.far_active
+    if near >= view.limits.near:
+        return None
+    known = list(view.holders.values())
+    if len(known) > WEIGHED_HOLDERS:
+        known = rng.sample(known, WEIGHED_HOLDERS)
+    known = [p for p in known if p.region == view.region]
+    free = [
+        p
+        for p in known
+        if p.busy_until <= now and p.held & wanted and not view.sources[p.vm]
+    ]
+    same = [p for p in free if p.data_centre == view.data_centre]
+    free = same or free
+    if not free:
+        return None
+    index = _rarest(wanted, free, known, rng)
+    holders = [p for p in free if p.held >> index & 1]
+    return Fetch(index, _least_sent(holders, rng).vm)
+
+
+def _rarest(
+    wanted: int, free: Sequence[Peer], known: Sequence[Peer], rng: random.Random
+) -> int:
+    """The wanted chunk that fewest of the known hold; ties are broken at random."""
+    there = 0
+    for peer in free:
+        there |= peer.held
+    there &= wanted
+    # Bit by bit counting, saturated at four: at least one, two, three holders.
+    one = two = three = 0
+    for peer in known:
+        three |= two & peer.held
+        two |= one & peer.held
+        one |= peer.held
+    for level in (~two, ~three):
+        if there & level:
+            return pick_bit(there & level, rng)
+    return pick_bit(there, rng)
+
+
+def _least_sent(holders: Sequence[Peer], rng: random.Random) -> Peer:
+    """Of two drawn at random the one that has sent less.
+
+    The least of all would be drawn by everyone at once, as views are alike.
     """
-    free = [peer for peer in peers.values() if peer.busy_until <= now]
-    holders = {i: [p.vm for p in free if i in p.held] for i in missing}
-    useful = [i for i in missing if holders[i]]
-    if useful:
-        index = min(useful, key=lambda i: (len(holders[i]), rng.random()))
-        return Fetch(index, rng.choice(holders[index]))
-    unheld = [i for i in missing if not any(i in p.held for p in peers.values())]
-    for index in sorted(unheld):
-        patience = owner_rank(digests[index], vm, wanting) * RESCUE_STEP
-        if now - begun >= patience:
-            return Fetch(index)
-    return None
+    drawn = rng.sample(holders, min(2, len(holders)))
+    return min(drawn, key=lambda peer: peer.sent)
+
+
+def _draw(
+    view: View, peers: Iterable[Peer], count: int, now: float, rng: random.Random
+) -> list[str]:
+    """Some peers that may have news, drawn afresh from all."""
+    whole = view.whole
+    open_ones = [
+        p.vm for p in peers if p.held != whole and (not p.lost or p.busy_until <= now)
+    ]
+    return rng.sample(open_ones, min(count, len(open_ones)))
+
+
+def _checks(view: View, now: float) -> list[str]:
+    """Neighbours in rank, for duties that nobody is known to have done."""
+    checks: dict[str, None] = {}
+    for missing, table in (
+        (view.wanted & ~view.seen, view.owners),
+        (view.wanted & ~view.seen_near, view.bringers),
+    ):
+        for index in bits(missing):
+            if len(checks) >= CHECKS:
+                break
+            checks.update(dict.fromkeys(_neighbours(view, table[index], now)))
+    return list(checks)[:CHECKS]
+
+
+def _neighbours(view: View, ranks: Sequence[str], now: float) -> list[str]:
+    """The last before this VM that is not lost, and the first after it at first."""
+    if view.vm not in ranks:
+        return []
+    place = ranks.index(view.vm)
+    before = (view.peers[vm] for vm in reversed(ranks[:place]) if vm in view.peers)
+    found = []
+    if place <= CHECKS:
+        found = [p for p in before if not p.lost][:1]
+    after = next((p for p in _after(view, ranks) if not p.lost), None)
+    if place == 0 and after is not None and after.heard_at < view.begun:
+        found.append(after)
+    return [p.vm for p in found if now - p.heard_at >= CHECK_SECONDS]
+
+
+SWARM = Policy(next_fetch, whom_to_ask, shares=True)
--- a/packages/wasabideck_policy/wasabideck_policy/manifests.py
+++ b/packages/wasabideck_policy/wasabideck_policy/manifests.py
@@ -5,6 +5,7 @@
 import hashlib
 import json
 from collections.abc import Mapping
+from functools import cached_property
 
 from attrs import frozen
 
@@ -50,11 +51,19 @@
     total_bytes: int
     chunks: tuple[str, ...]
 
-    @property
+    @cached_property
     def digest(self) -> str:
         """SHA-256 of the manifest's canonical JSON."""
         return hashlib.sha256(manifest_to_json(self)).hexdigest()
 
+    @cached_property
+    def places(self) -> dict[str, list[int]]:
+        """Indices at which each chunk stands; equal chunks stand at several."""
+        places: dict[str, list[int]] = {}
+        for index, digest in enumerate(self.chunks):
+            places.setdefault(digest, []).append(index)
+        return places
+
 
 def manifest_to_json(manifest: Manifest) -> bytes:
     """Canonical JSON, which the manifest's digest is taken over."""
--- /dev/null
+++ b/tests/weights/conftest.py
@@ -0,0 +1,38 @@
+import random
+
+import pytest
+from driver import FakePeer, Session, manifest_of
+from wasabideck_agent.chunk_store import ChunkStore
+
+CHUNKS = 8
+TEXTS = [f"chunk {i}" for i in range(CHUNKS)]
+ALL = (1 << CHUNKS) - 1
+
+
+@pytest.fixture
+def session():
+    """Make a session of VM a with the given fake peers."""
+
+    def make(*peers, texts=TEXTS, version="v1", store=None, **fields):
+        return Session(
+            fields.pop("vm", "a"),
+            manifest_of(version, texts),
+            texts,
+            store or ChunkStore(),
+            {peer.vm: peer for peer in peers},
+            random.Random(11),
+            **fields,
+        )
+
+    return make
+
+
+@pytest.fixture
+def gaining():
+    """A peer that gains its chunks one after the other."""
+
+    def make(vm, begin=0.2, step=0.15, first=0, **fields):
+        holds = {begin + step * i: 1 << (first + i) % CHUNKS for i in range(CHUNKS)}
+        return FakePeer(vm, holds=holds, **fields)
+
+    return make
