--- a/packages/wasabideck_lab/wasabideck_lab/distribute.py
+++ b/packages/wasabideck_lab/wasabideck_lab/distribute.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import math
-import os
 import random
 import sys
 import tempfile
@@ -19,6 +18,7 @@
 
 from .demo import submit, wait_serving
 from .launcher import Lab
+from .process_usage import cpu_seconds
 from .toml import to_toml
 from .traffic import Traffic
 from .weights import make_weights
@@ -393,13 +393,8 @@
 
 def _cpu_seconds(run: Run) -> float:
     """Processor time that the living agents have used."""
-    ticks = 0
-    for vm in set(run.vms) - run.killed:
-        pid = run.lab.processes[vm].process.pid
-        # Fields 14 and 15, user and system time, counted behind the name's bracket.
-        stat = Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
-        ticks += int(stat[11]) + int(stat[12])
-    return ticks / os.sysconf("SC_CLK_TCK")
+    alive = set(run.vms) - run.killed
+    return sum(cpu_seconds(run.lab.processes[vm].process.pid) for vm in alive)
 
 
 def _grown(before: dict | None, after: dict) -> dict:
