--- a/packages/wasabideck_lab/wasabideck_lab/__main__.py
+++ b/packages/wasabideck_lab/wasabideck_lab/__main__.py
@@ -12,6 +12,7 @@
 from . import scenarios_answers, scenarios_tickets  # noqa: F401  (they register)
 from .capacity import MEASUREMENTS, measure_all
 from .demo import DemoFailed, run_demo
+from .distribute_command import distribute
 from .faults import FAULTS
 from .faults_run import SCENARIOS, run_scenario
 from .overhead import measure_overhead
@@ -79,6 +80,8 @@
         if dirty:
             sys.exit(f"faults: {dirty} scenarios are not clean")
 
+    distribute = staticmethod(distribute)
+
     def capacity(self, only: str = "all", json: bool = False) -> None:
         """Measure the slopes that docs/CAPACITY.md is worked out from.
 
--- a/packages/wasabideck_policy/wasabideck_policy/turns.py
+++ b/packages/wasabideck_policy/wasabideck_policy/turns.py
@@ -8,7 +8,7 @@
 
 from collections.abc import Collection
 
-from .distribution import rank
+from .rendezvous import rank
 
 __all__ = ["may_swap", "own_turn", "patience"]
 
