--- a/packages/wasabideck_agent/wasabideck_agent/agent.py
+++ b/packages/wasabideck_agent/wasabideck_agent/agent.py
@@ -16,31 +16,41 @@
 from wasabideck_platform.events import Events, open_events
 from wasabideck_platform.http import HttpClient, PlatformUnavailable
 from wasabideck_platform.metrics import Metrics, render_metrics
-from wasabideck_platform.process import announce_ready, every, first_of
+from wasabideck_platform.process import (
+    announce_ready,
+    every,
+    first_of,
+    reread_keys,
+)
 from wasabideck_platform.servers import Engine, PlainService
 from wasabideck_platform.settings import PLAIN, AgentSettings, split_address
 from wasabideck_platform.spread import PeersService, Spread
+from wasabideck_platform.tls import Keys
 from wasabideck_policy.admission import Gate
 from wasabideck_policy.arrivals import Arrivals
-from wasabideck_policy.distribution import rank
 from wasabideck_policy.manifests import Manifest
-from wasabideck_policy.membership import AGENT, ENTRY, Member
+from wasabideck_policy.membership import AGENT, Member, Watch, watched
+from wasabideck_policy.orders import OrderBook
 from wasabideck_wire import inner_pb2 as pb
 
 from .attempts import Attempts
 from .chunk_store import ChunkStore
 from .chunks_service import ChunksService
 from .claim_store import ClaimStore
+from .delivery_rows import DeliveryRows
+from .links import Link, Links, give_way_to_live
+from .manifest_reader import ManifestReader
 from .once import Holder, Once
-from .reconcile import Reconciler
+from .orders import Orders
+from .reconcile import MODEL, Reconciler
 from .runs import Runner
 from .runs_service import RunsService
+from .swap_turns import SwapTurns
 from .transfer import Transfer
 
 __all__ = ["serve_agent"]
 
-SYNC_SECONDS = 0.5
-WATCHED_ENTRIES = 3
+SYNC_SECONDS = 1.0
 LOAD_SECONDS = 0.5
 ROWS_SECONDS = 1.0
 FORGET_SECONDS = 5.0
@@ -63,8 +73,12 @@
     runner: Runner
     store: ChunkStore
     chunks: ChunksService
+    links: Links
     metrics: Metrics
+    rows: DeliveryRows
     members: list[Member] = field(factory=list)
+    watch: Watch = field(factory=Watch)
+    orders: Orders | None = None
     load: float = 0.0
     load_at: float = 0.0
 
@@ -83,11 +97,6 @@
             and m.service == self.cfg.server.service
         ]
 
-    def entries(self) -> list[Member]:
-        """The few entries that this agent watches."""
-        found = {m.vm: m for m in self.members if m.kind == ENTRY and not m.leaving}
-        return [found[vm] for vm in rank(self.vm, found)[:WATCHED_ENTRIES]]
-
     def status(self) -> pb.StatusReply:
         """What this agent tells entries about its server."""
         gate = self.runner.gate
@@ -110,19 +119,31 @@
 
     def make_transfer(self, manifest: Manifest) -> Transfer:
         """A transfer of a manifest into this agent's store."""
+        place = self.cfg.process
         return Transfer(
-            self.vm,
+            Member(self.vm, AGENT, "", place.region, place.data_centre),
             manifest,
             self.store,
             self.chunks,
             self.platform.origin,
             self.channels,
+            self.links,
             self.events,
             self.peers,
-            self.cfg.fetches,
+            self.cfg.weights,
             random.Random(f"{self.cfg.seed}/{self.vm}"),
         )
 
+    def manifests(self) -> ManifestReader:
+        """Reads manifests from peers or from the origin."""
+        return ManifestReader(
+            self.vm,
+            self.platform.origin,
+            self.channels,
+            self.peers,
+            random.Random(f"{self.cfg.seed}/{self.vm}/manifests"),
+        )
+
     async def read_members(self) -> None:
         """Read the platform's list; keep the last one when it is down."""
         try:
@@ -132,11 +153,8 @@
 
     async def hear_state(self) -> None:
         """Compare ticket state with the watched entries, else with the table."""
-        for member in self.entries():
-            try:
-                await self.spread.sync(self.channels.get(member.address))
-            except LINK_FAILURES:
-                self.channels.drop(member.address)
+        members = watched(self.vm, self.members, self.watch, time.monotonic())
+        await asyncio.gather(*(self._sync(m, len(members)) for m in members))
         if not self.spread.heard:
             try:
                 await self.spread.poll(self.platform.table)
@@ -145,6 +163,14 @@
         if self.cfg.server.kind == PLAIN:
             self.runner.gate.open = self.spread.heard
 
+    async def _sync(self, member: Member, listed: int) -> None:
+        channel = self.channels.get(member.address)
+        try:
+            await self.spread.sync(member.vm, channel, listed)
+        except LINK_FAILURES:
+            self.channels.drop(member.address, channel)
+            self.watch.failed(member.vm, time.monotonic())
+
     async def read_load(self) -> None:
         """Read the engine's lagging load report."""
         if self.runner.engine is None or not self.cfg.server.reports_load:
@@ -155,6 +181,12 @@
             return
         self.load, self.load_at = report["load"], report["at"]
 
+    def count_links(self) -> None:
+        """Bring the links' metrics up to date."""
+        for name in ("up", "down", "region"):
+            passed = getattr(self.links, name).passed
+            self.metrics.link.set({"direction": name}, passed)
+
     async def forget_old(self) -> None:
         """Forget attempts that ended long ago."""
         self.runner.attempts.forget_old(time.monotonic())
@@ -164,18 +196,21 @@
 async def serve_agent(cfg: AgentSettings, stop: asyncio.Event) -> None:
     """Serve until ``stop`` is set, then finish what is in progress."""
     events, _ = open_events(cfg.process.vm, cfg.process.events)
+    keys = Keys(cfg.tls) if cfg.tls else None
     async with aiohttp.ClientSession() as session:
-        agent = _assemble(cfg, events, session)
+        agent = _assemble(cfg, events, session, keys)
         server = Server(_services(agent))
         observe_clock(server, events.clock)
+        give_way_to_live(server, agent.links)
         host, port = split_address(cfg.process.inner)
-        await server.start(host, port)
-        http = await _serve_http(agent)
+        await server.start(host, port, ssl=keys and keys.inner_server)
+        http = await _serve_http(agent, keys)
         inner = server._server.sockets[0].getsockname()
         events.emit("process.ready", kind=AGENT)
         agent.runner.once.holder.address = f"{inner[0]}:{inner[1]}"
         announce_ready(vm=agent.vm, inner=f"{inner[0]}:{inner[1]}", http=http)
-        tasks = [asyncio.create_task(loop) for loop in _loops(agent)]
+        loops = [*_loops(agent), *reread_keys(keys, events)]
+        tasks = [asyncio.create_task(loop) for loop in loops]
         await first_of(stop, tasks)
         await _drain(agent)
         for task in tasks:
@@ -186,17 +221,20 @@
 
 
 def _assemble(
-    cfg: AgentSettings, events: Events, session: aiohttp.ClientSession
+    cfg: AgentSettings,
+    events: Events,
+    session: aiohttp.ClientSession,
+    keys: Keys | None,
 ) -> Agent:
     platform = connect_platform(cfg.platform, session)
     http = HttpClient(cfg.server.url, cfg.platform.timeout_seconds, session)
     plain = cfg.server.kind == PLAIN
-    channels = Channels(events.clock)
+    channels = Channels(events.clock, keys and keys.inner_client)
+    spread = Spread(cfg.process.vm, events)
     # Never drawn from the seed: a process that starts again with the same settings
     # must not pass for the one that died.
     incarnation = uuid.uuid4().hex
     holder = Holder(cfg.process.vm, "", incarnation)
-    spread = Spread(cfg.process.vm, events)
     runner = Runner(
         vm=cfg.process.vm,
         gate=Gate(cfg.server.capacity),
@@ -208,6 +246,8 @@
         quarantine=spread.quarantine,
     )
     store = ChunkStore()
+    rate = cfg.weights.link_rate
+    links = Links(Link(rate), Link(rate), Link(cfg.weights.region_rate))
     return Agent(
         cfg,
         events,
@@ -216,8 +256,10 @@
         spread,
         runner,
         store,
-        ChunksService(store, cfg.uploads),
+        ChunksService(store, links, cfg.weights.uploads),
+        links,
         Metrics(),
+        DeliveryRows(platform.table),
     )
 
 
@@ -234,24 +276,45 @@
         every(FORGET_SECONDS, agent.forget_old),
     ]
     if agent.runner.engine:
-        reconciler = Reconciler(
-            agent.vm,
-            agent.cfg.server.service,
-            agent.runner.engine,
-            agent.runner,
-            agent.spread,
-            agent.platform.origin,
-            agent.platform.table,
-            agent.store,
-            agent.events,
-            agent.metrics,
-            agent.make_transfer,
-        )
+        reconciler = _reconciler(agent)
         loops.append(reconciler.run())
-        loops.append(every(ROWS_SECONDS, reconciler.write_rows))
+        loops.append(every(ROWS_SECONDS, reconciler.rows.write))
     return loops
 
 
+def _reconciler(agent: Agent) -> Reconciler:
+    reconciler: Reconciler
+    orders = Orders(
+        agent.runner.engine,
+        agent.runner,
+        agent.events,
+        OrderBook(agent.cfg.server.checks_fencing),
+        lambda: reconciler.wanted(MODEL),
+    )
+    turns = SwapTurns(
+        agent.vm,
+        agent.channels,
+        agent.peers,
+        random.Random(f"{agent.cfg.seed}/{agent.vm}/turns"),
+    )
+    reconciler = Reconciler(
+        agent.vm,
+        agent.cfg.server.service,
+        agent.runner.engine,
+        orders,
+        agent.spread,
+        agent.manifests().read,
+        agent.rows,
+        agent.store,
+        agent.events,
+        agent.metrics,
+        agent.make_transfer,
+        lambda ticket: turns.wait(ticket, orders.swap_seconds),
+    )
+    agent.orders = orders
+    return reconciler
+
+
 async def _drain(agent: Agent) -> None:
     """Refuse new work, and finish what is in progress.
 
@@ -265,12 +328,17 @@
     await asyncio.sleep(LEAVING_SECONDS)
     while not agent.runner.idle(QUIET_SECONDS) and time.monotonic() < limit:
         await asyncio.sleep(DRAIN_PAUSE)
+    if agent.orders:
+        # The next agent beside this engine could not know of an order in flight.
+        await agent.orders.finish()
+    await agent.rows.write()
 
 
-async def _serve_http(agent: Agent) -> str:
+async def _serve_http(agent: Agent, keys: Keys | None) -> str:
     """Serve /metrics and /ready; the bound address."""
 
     async def metrics(req: web.Request) -> web.Response:
+        agent.count_links()
         body, headers = render_metrics(agent.metrics, req.headers.get("accept", ""))
         return web.Response(body=body, headers=headers)
 
@@ -282,7 +350,7 @@
     runner = web.AppRunner(app, access_log=None)
     await runner.setup()
     host, port = split_address(agent.cfg.process.http)
-    site = web.TCPSite(runner, host, port)
+    site = web.TCPSite(runner, host, port, ssl_context=keys and keys.http)
     await site.start()
     bound = runner.addresses[0]
     return f"{bound[0]}:{bound[1]}"
--- a/packages/wasabideck_entry/wasabideck_entry/suspects.py
+++ b/packages/wasabideck_entry/wasabideck_entry/suspects.py
@@ -8,9 +8,9 @@
 from typing import TYPE_CHECKING
 
 from attrs import define, field
-from wasabideck_policy.distribution import rank
 from wasabideck_policy.outcomes import Outcome, Unknown
 from wasabideck_policy.quarantine import Quarantine, fingerprint
+from wasabideck_policy.rendezvous import rank
 from wasabideck_policy.routing import Server
 
 if TYPE_CHECKING:
--- a/packages/wasabideck_lab/wasabideck_lab/launcher.py
+++ b/packages/wasabideck_lab/wasabideck_lab/launcher.py
@@ -80,6 +80,7 @@
     origin_rate: float = 0.0
     token_seconds: float = 0.005
     plain_seconds: float = 0.005
+    tls: dict[str, str] | None = None
     table: TableStandin = field(init=False)
     members: MembersStandin = field(init=False)
     weights: WeightsStandin = field(init=False)
@@ -144,7 +145,20 @@
     ) -> Process:
         url = self.server_addresses[vm] = await self._serve(standin)
         server = {"service": service, "url": url, "kind": kind}
-        settings = self._common(vm, **place) | {"server": server}
+        return await self.start_agent(vm, {"server": server}, **place)
+
+    async def start_agent(self, vm: str, extra: dict, **place: str) -> Process:
+        """Start the agent of a server that is served already.
+
+        Parameters
+        ----------
+        extra : dict
+            Settings besides the common ones; ``server`` at least.
+        """
+        settings = self._common(vm, **place)
+        settings["platform"] |= extra.get("platform", {})
+        settings |= {k: v for k, v in extra.items() if k != "platform"}
+        service = extra["server"]["service"]
         process = await self._start(vm, "wasabideck-agent", settings)
         member = Member(vm, AGENT, process.inner, service=service, **_place(place))
         self.members.put(member)
@@ -174,6 +188,7 @@
         process = {"vm": vm, "events": str(self.folder / f"{vm}.events")}
         return {
             "seed": self.seed,
+            **({"tls": self.tls} if self.tls else {"plain_text": True}),
             "process": process | _place(place),
             "platform": {k: self.addresses[k] for k in ("table", "members", "weights")},
         }
--- a/packages/wasabideck_lab/wasabideck_lab/process_usage.py
+++ b/packages/wasabideck_lab/wasabideck_lab/process_usage.py
@@ -9,7 +9,7 @@
 
 from attrs import frozen
 
-__all__ = ["Usage", "resident_bytes", "usage_over"]
+__all__ = ["Usage", "cpu_seconds", "resident_bytes", "usage_over"]
 
 _TICK = os.sysconf("SC_CLK_TCK")
 _PAGE = os.sysconf("SC_PAGE_SIZE")
@@ -41,7 +41,8 @@
     return int(Path(f"/proc/{pid}/statm").read_text().split()[1]) * _PAGE
 
 
-def _cpu_seconds(pid: int) -> float:
+def cpu_seconds(pid: int) -> float:
+    """Processor time that a process has used."""
     # The second field is the program's name in parentheses and may hold spaces.
     fields = Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
     return (int(fields[11]) + int(fields[12])) / _TICK
@@ -56,13 +57,13 @@
 
 async def usage_over(pid: int, seconds: float) -> Usage:
     """Watch a process for some seconds."""
-    begun, cpu = time.monotonic(), _cpu_seconds(pid)
+    begun, cpu = time.monotonic(), cpu_seconds(pid)
     received, sent = _transferred(pid)
     await asyncio.sleep(seconds)
     took = time.monotonic() - begun
     received_now, sent_now = _transferred(pid)
     return Usage(
-        (_cpu_seconds(pid) - cpu) / took,
+        (cpu_seconds(pid) - cpu) / took,
         resident_bytes(pid),
         (received_now - received) / took,
         (sent_now - sent) / took,
--- a/packages/wasabideck_platform/wasabideck_platform/servers.py
+++ b/packages/wasabideck_platform/wasabideck_platform/servers.py
@@ -8,6 +8,7 @@
 import aiohttp
 import orjson
 from attrs import define, frozen
+from wasabideck_policy.orders import Serving
 from wasabideck_policy.outcomes import WasabideckError
 
 from .http import HttpClient
@@ -29,6 +30,7 @@
 # service that had already recorded the order was told as "not run" before.
 _REFUSALS = frozenset({400, 401, 403, 404, 405, 413, 414, 415, 422, 429, 431})
 _LATER = frozenset({429})
+ORDER_TIMEOUT = 60.0
 
 
 class ServerDied(WasabideckError):
@@ -60,15 +62,8 @@
         self.retry_after = retry_after
 
 
-@frozen
-class Loaded:
-    """What an engine says that it serves."""
-
-    fence: int = 0
-    model: str = ""
-    version: str = ""
-    manifest: str = ""
-    engine_role: str = "mixed"
+# What an engine says that it serves.
+Loaded = Serving
 
 
 @frozen
@@ -120,7 +115,8 @@
             "engine_role": wanted.engine_role,
             "chunks": chunks,
         }
-        return Loaded(**await self.http.json("POST", "/v1/orders", body))
+        answer = await self.http.json("POST", "/v1/orders", body, timeout=ORDER_TIMEOUT)
+        return Loaded(**answer)
 
     async def load(self) -> dict:
         """The engine's lagging report of its load."""
