--- a/packages/wasabideck_agent/wasabideck_agent/attempts.py
+++ b/packages/wasabideck_agent/wasabideck_agent/attempts.py
@@ -21,6 +21,8 @@
 # than the flow-control window of one stream (4 MiB, grpclib's default), so whatever
 # lies further back than this has been consumed and is never asked for again.
 SENT_BYTES = 5 << 20
+# Events of all attempts that ended; beyond it the oldest are dropped first.
+ENDED_BYTES = 16 << 20
 
 
 class EventsForgotten(Exception):
@@ -87,6 +89,21 @@
             self.ended_at = now
             self.final = final_from(outcome)
             self.add(final=self.final)
+            # It is remembered for a minute yet, and bodies are the bulk of it.
+            self.req.ClearField("body")
+            self.req.ClearField("prefix")
+
+    @property
+    def size(self) -> int:
+        """Bytes of the events that are kept."""
+        return self._sent_bytes + self._unsent_bytes
+
+    def drop_events(self) -> None:
+        """Keep no event; whoever still asks for one is told so."""
+        self._first += len(self._events)
+        self._events.clear()
+        self._sent = self._first
+        self._sent_bytes = self._unsent_bytes = 0
 
     def answer(self) -> bytes:
         """All pieces so far, joined."""
@@ -209,3 +226,14 @@
                 self.arrivals.end(name, attempt.ended_at)
         for name in self.arrivals.forget_old(now):
             self._known.pop(name, None)
+        self._drop_oldest_events()
+
+    def _drop_oldest_events(self) -> None:
+        ended = [a for a in self._known.values() if a.ended_at is not None]
+        total = sum(attempt.size for attempt in ended)
+        for attempt in sorted(ended, key=lambda a: a.ended_at):
+            if total <= ENDED_BYTES:
+                return
+            if not attempt.unrecorded and not attempt.readers:
+                total -= attempt.size
+                attempt.drop_events()
--- a/packages/wasabideck_agent/wasabideck_agent/claim_batch.py
+++ b/packages/wasabideck_agent/wasabideck_agent/claim_batch.py
@@ -12,6 +12,7 @@
 __all__ = ["ClaimBatch"]
 
 MOST_TOGETHER = 64
+MOST_SENDERS = 2
 
 
 @define(eq=False)
@@ -25,11 +26,15 @@
 class ClaimBatch:
     """Carries out conditional writes of single rows, many in one transaction.
 
-    Nothing waits for company: a write goes out at once when no transaction is under
-    way, and whatever arrives meanwhile goes out together with the next.
+    Nothing waits for company: a write goes out at once while few transactions are
+    under way, and whatever arrives meanwhile goes out together with the next.
 
     Attributes
     ----------
+    together : int
+        Rows of one transaction at the most.
+    senders : int
+        Transactions under way at the most.
     transactions, rows : int
         How many of each were sent.
     """
@@ -38,8 +43,9 @@
     transactions: int = 0
     rows: int = 0
     together: int = MOST_TOGETHER
+    senders: int = MOST_SENDERS
     _jobs: list[_Job] = field(factory=list)
-    _sender: asyncio.Task | None = None
+    _sending: set[asyncio.Task] = field(factory=set)
 
     async def put(self, check: Check, write: Write) -> CheckFailed | None:
         """Write a row if its check holds; None when done.
@@ -51,8 +57,10 @@
         """
         job = _Job(check, write, asyncio.get_running_loop().create_future())
         self._jobs.append(job)
-        if self._sender is None or self._sender.done():
-            self._sender = asyncio.create_task(self._send_all())
+        if len(self._sending) < self.senders:
+            sender = asyncio.create_task(self._send_all())
+            self._sending.add(sender)
+            sender.add_done_callback(self._sending.discard)
         # The write goes on when whoever asked for it is cancelled.
         return await asyncio.shield(job.done)
 
--- a/packages/wasabideck_agent/wasabideck_agent/runs.py
+++ b/packages/wasabideck_agent/wasabideck_agent/runs.py
@@ -215,8 +215,10 @@
                 break
             if line["version"] != serving.version:
                 # The engine swapped without our order: whatever it says now would
-                # mix two versions' weights in one answer.
-                self.gate.open = False
+                # mix two versions' weights in one answer. With our order, the gate is
+                # closed and opened by what the engine is read back to serve.
+                if line["version"] != self.in_force.version:
+                    self.gate.open = False
                 return Unknown(Failure("MixedVersion", line["version"]), 1.0)
             attempt.add(piece=pb.Piece(data=line["text"].encode()))
             await attempt.room()
--- a/packages/wasabideck_lab/wasabideck_lab/__main__.py
+++ b/packages/wasabideck_lab/wasabideck_lab/__main__.py
@@ -11,6 +11,7 @@
 
 from . import scenarios_answers, scenarios_tickets  # noqa: F401  (they register)
 from .capacity import MEASUREMENTS, measure_all
+from .claims_run import run_claims
 from .demo import DemoFailed, run_demo
 from .distribute_command import distribute
 from .faults import FAULTS
@@ -48,6 +49,24 @@
         """List the faults that stand-ins can be switched to."""
         print(_faults_listed())
 
+    def claims(
+        self, rate: float = 300.0, seconds: float = 3.0, table_seconds: float = 0.02
+    ) -> None:
+        """Take claims with few or many transactions under way; their number and waits.
+
+        Parameters
+        ----------
+        rate : float
+            Claims a second at one agent.
+        seconds : float
+            How long.
+        table_seconds : float
+            What the table takes for one transaction.
+        """
+        for senders in (1, 2, 4, 1000):
+            row = asyncio.run(run_claims(rate, seconds, table_seconds, senders))
+            print(orjson.dumps(row).decode(), flush=True)
+
     def faults(
         self,
         scenario: str = "all",
--- a/tests/test_answers.py
+++ b/tests/test_answers.py
@@ -13,6 +13,7 @@
     Now,
     draft,
 )
+from wasabideck_agent import attempts
 from wasabideck_agent.attempts import UNSENT_BYTES
 from wasabideck_entry.calls import Call, Caller, Ended, Part
 from wasabideck_entry.resolve import Resolver
@@ -299,6 +300,31 @@
     asyncio.run(body())
 
 
+def test_ended_answers_are_kept_within_a_bound(monkeypatch):
+    """Long answers end fast, and each is kept for a minute in case it is asked for.
+
+    Beyond the bound the oldest go; whoever asks for one hears "unknown", never less
+    than the whole answer called whole.
+    """
+    monkeypatch.setattr(attempts, "ENDED_BYTES", 2000)
+
+    async def body():
+        one = engine_agent(engine=FakeEngine(word="x" * 200))
+        for number in range(4):
+            await one.run(draft(f"d{number}"))
+            one.now.at += 1
+        one.runner.attempts.forget_old(one.now.at)
+        kept = [one.runner.attempts.get(f"d{n}").size > 0 for n in range(4)]
+        assert kept == [False, False, True, True]
+        server = server_of(await one.serve())
+        stream = stream_to(server, draft("d0"), one.now)
+        events = [event async for event in stream.run()]
+        assert events[-1].final.reason == "EventsForgotten"
+        one.close()
+
+    asyncio.run(body())
+
+
 def test_a_caller_that_goes_away_cancels_the_engines_work():
     async def body():
         one = await engine_agent(engine=Gated()).serve()
