--- a/packages/wasabideck_lab/wasabideck_lab/faults.py
+++ b/packages/wasabideck_lab/wasabideck_lab/faults.py
@@ -11,7 +11,7 @@
 __all__ = ["FAULTS", "Faults"]
 
 FAULTS = {
-    "down": "table, members, weights: every request is answered 503",
+    "down": "any but plain: every request is answered 503",
     "slow": "any: seconds added before every answer",
     "lose_answer": "table: share of writes that take effect, then hang up",
     "apply_late": "table: seconds after which a hung-up write takes effect",
@@ -22,6 +22,7 @@
     "order_late": "engine: seconds after which an order takes effect, unanswered",
     "ignore_fence": "engine: 1 carries out orders with old fencing numbers",
     "load_lag": "engine: seconds by which the load report is old",
+    "cache_gaps": "engine: share of cache events that are never told",
     "silent": "engine, plain: requests run and are never answered",
 }
 
--- a/packages/wasabideck_lab/wasabideck_lab/launcher.py
+++ b/packages/wasabideck_lab/wasabideck_lab/launcher.py
@@ -79,6 +79,8 @@
     table: TableStandin = field(init=False)
     members: MembersStandin = field(init=False)
     weights: WeightsStandin = field(init=False)
+    entry_settings: dict = field(factory=dict)
+    server_settings: dict[str, dict] = field(factory=dict)
     addresses: dict[str, str] = field(factory=dict)
     manifests: dict[str, Manifest] = field(factory=dict)
     engines: dict[str, EngineStandin] = field(factory=dict)
@@ -114,6 +116,7 @@
             "operators": [{"name": "operator-1", "token": OPERATOR_TOKEN}],
             "callers": [{"organisation": "org-1", "token": CALLER_TOKEN}],
         }
+        settings |= self.entry_settings
         process = await self._start(vm, "wasabideck", settings)
         self.members.put(Member(vm, ENTRY, process.inner, **_place(place)))
         return process
@@ -135,6 +138,7 @@
     ) -> Process:
         url = await self._serve(standin)
         server = {"service": service, "url": url, "kind": kind}
+        server |= self.server_settings.get(service, {})
         settings = self._common(vm, **place) | {"server": server}
         process = await self._start(vm, "wasabideck-agent", settings)
         member = Member(vm, AGENT, process.inner, service=service, **_place(place))
--- a/packages/wasabideck_lab/wasabideck_lab/standin_servers.py
+++ b/packages/wasabideck_lab/wasabideck_lab/standin_servers.py
@@ -3,9 +3,12 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
+import functools
 import hashlib
 import time
 from collections import Counter
+from collections.abc import Awaitable, Callable
 
 import orjson
 from aiohttp import web
@@ -14,6 +17,7 @@
 from wasabideck_policy.manifests import Manifest
 
 from .faults import Faults
+from .standin_batch import PREFIX_BYTES, Batch
 
 __all__ = ["EngineStandin", "PlainStandin"]
 
@@ -25,7 +29,9 @@
     Attributes
     ----------
     token_seconds : float
-        Time between two tokens of one request.
+        Time between two tokens of one request, unless there is a batch.
+    batch : Batch or None
+        What requests cost when they share the engine.
     runs : Counter
         Attempts that ran, by attempt: the lab's books.
     history : list of int
@@ -48,6 +54,7 @@
     history: list[int] = field(factory=list)
     mixed: int = 0
     cancelled: set[str] = field(factory=set)
+    batch: Batch | None = None
     _loads: list[tuple[float, float]] = field(factory=lambda: [(0.0, 0.0)])
 
     def routes(self) -> list[web.RouteDef]:
@@ -58,6 +65,7 @@
             web.put("/v1/weights/{manifest}/{index}", self._stage),
             web.post("/v1/orders", self._order),
             web.get("/v1/load", self._load),
+            web.get("/v1/cache", self._cache),
             web.post("/v1/generate/{route}", self._generate),
             web.post("/v1/cancel/{attempt}", self._cancel),
         ]
@@ -105,12 +113,22 @@
 
     async def _load(self, req: web.Request) -> web.Response:
         now = time.time()
-        self._loads.append((now, self.running / self.capacity))
+        load = self.batch.load if self.batch else self.running / self.capacity
+        self._loads.append((now, load))
         self._loads = self._loads[-1000:]
         seen = now - self.faults.value("load_lag")
         at, load = max((row for row in self._loads if row[0] <= seen), default=(0, 0))
         return web.json_response({"load": load, "at": at})
 
+    async def _cache(self, req: web.Request) -> web.Response:
+        """Cache events after a number; late and with gaps when faults say so."""
+        if self.batch is None:
+            return web.json_response([])
+        after = int(req.query.get("after", "0"))
+        events = [e for e in self.batch.cache.events if e[0] > after]
+        told = [e for e in events if not self.faults.strikes("cache_gaps")]
+        return web.json_response(told)
+
     async def _cancel(self, req: web.Request) -> web.Response:
         self.cancelled.add(req.match_info["attempt"])
         return web.Response()
@@ -118,6 +136,7 @@
     async def _generate(self, req: web.Request) -> web.StreamResponse:
         body = await req.read()
         attempt = req.headers["x-attempt"]
+        await self.faults.delay()
         crash = self.faults.text("crash_on")
         if crash and crash.encode() in body:
             req.transport.abort()
@@ -125,12 +144,33 @@
         self.runs[attempt] += 1
         self.running += 1
         try:
-            return await self._stream(req, attempt, body)
+            if self.batch is None:
+                pause = functools.partial(asyncio.sleep, self.token_seconds)
+                return await self._stream(req, attempt, body, pause)
+            return await self._stream_in_batch(req, attempt, body)
+        except ConnectionResetError:
+            # The agent gave the attempt up; a reply to nobody is no error.
+            return web.Response(status=500)
         finally:
             self.running -= 1
 
-    async def _stream(
+    async def _stream_in_batch(
         self, req: web.Request, attempt: str, body: bytes
+    ) -> web.StreamResponse:
+        prefix = hashlib.sha256(body[:PREFIX_BYTES]).hexdigest()[:8]
+        member = self.batch.enter(prefix, int(req.headers.get("x-priority", "1")))
+        try:
+            pause = functools.partial(self.batch.token, member)
+            return await self._stream(req, attempt, body, pause)
+        finally:
+            self.batch.leave(member)
+
+    async def _stream(
+        self,
+        req: web.Request,
+        attempt: str,
+        body: bytes,
+        pause: Callable[[], Awaitable[None]],
     ) -> web.StreamResponse:
         version = self.loaded.version
         res = web.StreamResponse()
@@ -139,7 +179,7 @@
         for index in range(self.tokens):
             if attempt in self.cancelled:
                 break
-            await asyncio.sleep(self.token_seconds)
+            await pause()
             row = {"text": f"{subject}-{version}-{index} ", "version": version}
             await res.write(orjson.dumps(row) + b"\n")
         await res.write(orjson.dumps({"done": True}) + b"\n")
@@ -154,6 +194,7 @@
     seconds: float = 0.005
     runs: Counter = field(factory=Counter)
     attempts: Counter = field(factory=Counter)
+    slots: asyncio.Semaphore | None = None
 
     def routes(self) -> list[web.RouteDef]:
         """Routes that it serves."""
@@ -168,7 +209,8 @@
             return web.Response(status=500)
         self.runs[key] += 1
         self.attempts[req.headers["x-attempt"]] += 1
-        await asyncio.sleep(self.seconds)
+        async with self.slots or contextlib.nullcontext():
+            await asyncio.sleep(self.seconds)
         if self.faults.value("silent"):
             await asyncio.sleep(3600)
         answer = {"key": key, "echo": hashlib.sha256(body).hexdigest()[:12]}
