Order and refuse at the agent, by class, organisation and expected wait

Cause: the agent let requests wait in no order, kept each until its deadline, and began it however little time was left.

Change: strict classes, with aging by 3 s that never reaches the most urgent class; inside a class start-time fair queueing between organisations; a quarter of the slots is kept for the most urgent class while any of it comes; a request whose expected wait and own time pass its deadline is refused when it comes, with Retry-After, and one that is overtaken meanwhile as soon as it cannot end in time. The wait counts only as many requests of each other organisation as there are own turns, and grows by the share of starts that more urgent classes take. Where a server reports no load, the limit follows the time that requests take (Vegas' estimate of what queues inside).

--- a/packages/wasabideck_agent/wasabideck_agent/runs.py
+++ b/packages/wasabideck_agent/wasabideck_agent/runs.py
@@ -17,7 +17,7 @@
     ServerDied,
     ServerRefused,
 )
-from wasabideck_policy.admission import Gate, admit
+from wasabideck_policy.admission import Gate
 from wasabideck_policy.claims import Claim
 from wasabideck_policy.outcomes import Answered, Failure, NotRun, Outcome, Unknown
 from wasabideck_wire import inner_pb2 as pb
@@ -25,7 +25,7 @@
 
 from .attempts import Attempt, Attempts
 from .claim_store import ClaimStore, stored_answer
-from .slots import Slot
+from .slots import Slot, Slots
 
 __all__ = ["Runner", "RunsService"]
 
@@ -51,7 +51,11 @@
     attempts: Attempts = field(factory=Attempts)
     in_force: Loaded = field(factory=Loaded)
     clock: Callable[[], float] = time.monotonic
-    _slot_free: asyncio.Condition = field(factory=asyncio.Condition)
+    slots: Slots = field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        """Make the slots behind the gate."""
+        self.slots = Slots(self.gate, self.clock)
 
     def start(self, req: pb.RunRequest) -> Attempt:
         """The attempt of that id, begun now unless it is known."""
@@ -62,7 +66,7 @@
         self.attempts.add(attempt)
         if self.attempts.buried(req.attempt):
             attempt.finish(NotRun(Failure("Cancelled", "given up earlier")), now)
-        elif refusal := admit(self.gate, attempt.deadline, now):
+        elif refusal := self.slots.refusal(attempt):
             attempt.finish(refusal, now)
         else:
             attempt.task = asyncio.create_task(self._run(attempt))
@@ -84,7 +88,7 @@
         return not attempt.started
 
     async def _run(self, attempt: Attempt) -> None:
-        async with Slot(self.gate, self._slot_free, attempt, self.clock) as refusal:
+        async with Slot(self.slots, attempt) as refusal:
             outcome = refusal or await self._run_now(attempt)
         attempt.finish(outcome, self.clock())
         self.events.emit(
--- a/packages/wasabideck_agent/wasabideck_agent/slots.py
+++ b/packages/wasabideck_agent/wasabideck_agent/slots.py
@@ -5,46 +5,111 @@
 import asyncio
 from collections.abc import Callable
 
-from attrs import define
-from wasabideck_policy.admission import Gate
-from wasabideck_policy.outcomes import Failure, NotRun
+from attrs import define, field
+from wasabideck_policy.admission import Gate, admit, late_refusal
+from wasabideck_policy.concurrency import AdaptiveLimit
+from wasabideck_policy.fair_queue import Waiting
+from wasabideck_policy.outcomes import NotRun
 
 from .attempts import Attempt
 
-__all__ = ["Slot"]
+__all__ = ["Slot", "Slots"]
+
+# The gate is opened elsewhere; a request that waits looks at it this often.
+LOOK_SECONDS = 0.25
 
 
 @define
-class Slot:
-    """Waits for one of the server's slots; yields a refusal at the deadline."""
+class Slots:
+    """Gives the slots to the requests that wait, in the order of the gate.
+
+    Attributes
+    ----------
+    limit : AdaptiveLimit or None
+        What the capacity follows where the server reports no load.
+    """
 
     gate: Gate
-    free: asyncio.Condition
-    attempt: Attempt
     clock: Callable[[], float]
-    taken: bool = False
+    limit: AdaptiveLimit | None = None
+    _woken: dict[Waiting, asyncio.Future] = field(factory=dict)
 
-    async def __aenter__(self) -> NotRun | None:
+    def refusal(self, attempt: Attempt) -> NotRun | None:
+        """Final refusal of an attempt that just came; None when it may wait."""
+        now = self.clock()
+        return admit(self.gate, _waiting(attempt, now), now)
+
+    async def take(self, attempt: Attempt) -> NotRun | None:
         """Wait for a slot; the refusal, or None when it was taken."""
-        self.gate.waiting += 1
+        waiting = _waiting(attempt, self.clock())
+        woken = asyncio.get_running_loop().create_future()
+        self.gate.queue.add(waiting)
+        self._woken[waiting] = woken
+        self.give()
         try:
-            timeout = self.attempt.deadline - self.clock()
-            async with self.free:
-                await asyncio.wait_for(self.free.wait_for(self._may_run), timeout)
-                self.gate.running += 1
-                self.taken = True
-        except TimeoutError:
-            return NotRun(Failure("DeadlinePassed", "no slot before the deadline"))
-        finally:
-            self.gate.waiting -= 1
-        return None
-
-    async def __aexit__(self, *exc: object) -> None:
+            while not woken.done():
+                await asyncio.wait({woken}, timeout=LOOK_SECONDS)
+                self.give()
+        except asyncio.CancelledError:
+            self._forget(waiting, woken)
+            raise
+        return woken.result()
+
+    def release(self, seconds: float | None) -> None:
+        """Give a slot back, and pass it on."""
+        if self.limit and seconds is not None:
+            self.limit.observe(seconds, self.gate.running)
+            self.gate.capacity = self.limit.slots
+        self.gate.end(seconds)
+        self.give()
+
+    def give(self) -> None:
+        """Refuse who can no longer end in time; give free slots to the next."""
+        now = self.clock()
+        for waiting in self.gate.queue.late(now, self.gate.service_time):
+            if self.gate.running or waiting.deadline <= now:
+                self.gate.queue.remove(waiting)
+                self._wake(waiting, late_refusal(self.gate, waiting, now))
+        while first := self.gate.next(now):
+            self._wake(first, None)
+        self.gate.waiting = len(self.gate.queue)
+
+    def _wake(self, waiting: Waiting, refusal: NotRun | None) -> None:
+        self._woken.pop(waiting).set_result(refusal)
+
+    def _forget(self, waiting: Waiting, woken: asyncio.Future) -> None:
+        """Undo a wait that was cancelled, also one that had got its slot."""
+        if not woken.done():
+            del self._woken[waiting]
+            self.gate.queue.remove(waiting)
+            self.gate.waiting = len(self.gate.queue)
+        elif woken.result() is None:
+            self.release(None)
+
+
+@define
+class Slot:
+    """One attempt's slot: taken on entering, given back on leaving."""
+
+    slots: Slots
+    attempt: Attempt
+    began: float | None = None
+
+    async def __aenter__(self) -> NotRun | None:
+        """Wait for the slot; the refusal, or None when it was taken."""
+        refusal = await self.slots.take(self.attempt)
+        if refusal is None:
+            self.began = self.slots.clock()
+        return refusal
+
+    async def __aexit__(self, kind: type | None, *exc: object) -> None:
         """Give the slot back."""
-        if self.taken:
-            self.gate.running -= 1
-            async with self.free:
-                self.free.notify_all()
+        if self.began is None:
+            return
+        ran = self.attempt.started and kind is None
+        self.slots.release(self.slots.clock() - self.began if ran else None)
+
 
-    def _may_run(self) -> bool:
-        return self.gate.open and self.gate.running < self.gate.capacity
+def _waiting(attempt: Attempt, now: float) -> Waiting:
+    req = attempt.req
+    return Waiting(req.organisation, req.priority, now, attempt.deadline)
