Choose servers by a price in seconds, from a subset, with outliers left out

Cause: an entry chose by its own requests plus the engine's report, which lags; it knew nothing of prefixes, regions, slow servers or what the other entries do, asked every agent every 250 ms, and took one unanswered question, or one list that came back short, for the end of a server. A word of leaving was forgotten at the next answer.

Change: the price of a server is the wait expected there (the agent's own count of what runs and waits, corrected by what this entry sent and got back since, times the time a request takes there), what reading the prompt costs where its prefix is not cached, and the link to another region; the cheapest of two near, two far, the prefix's home (rendezvous) and its known holders is taken. Agents hear cache events, doubt what they knew after a gap, and tell the set only to who lacks it. An entry uses 12 servers of each service in its region and 4 in each other, windows on a ring so that each server is in as many, and asks 20 times a second at the most. Three failures in a row leave a server out, for longer each time, never more than half of a service. What an agent says of itself joins the list: leaving stays, and who answers stays 5 s beyond it.

Ruled out: windows drawn by rendezvous (at 410 entries, 1400 servers and 20 each, some servers would be in no window: the chance for each is about e^-5.9); the engine's report in place of the agent's own count.

Small edits in others' files: calls.py (the choice is told prefix and region, the fleet how an attempt ended), spread.py and entry.py (the status is told the question), servers.py (cache events). inner.proto: two fields in StatusReply, one in the request.

--- a/packages/wasabideck_agent/wasabideck_agent/agent.py
+++ b/packages/wasabideck_agent/wasabideck_agent/agent.py
@@ -20,6 +20,7 @@
 from wasabideck_platform.settings import PLAIN, AgentSettings, split_address
 from wasabideck_platform.spread import PeersService, Spread
 from wasabideck_policy.admission import Gate
+from wasabideck_policy.concurrency import AdaptiveLimit
 from wasabideck_policy.distribution import rank
 from wasabideck_policy.manifests import Manifest
 from wasabideck_policy.membership import AGENT, ENTRY, Member
@@ -28,6 +29,7 @@
 from .chunk_store import ChunkStore
 from .chunks_service import ChunksService
 from .claim_store import ClaimStore
+from .load import LOAD_SECONDS, LoadReader
 from .reconcile import Reconciler
 from .runs import Runner, RunsService
 from .transfer import Transfer
@@ -36,7 +38,6 @@
 
 SYNC_SECONDS = 0.5
 WATCHED_ENTRIES = 3
-LOAD_SECONDS = 0.5
 ROWS_SECONDS = 1.0
 FORGET_SECONDS = 5.0
 DRAIN_SECONDS = 60.0
@@ -55,9 +56,8 @@
     store: ChunkStore
     chunks: ChunksService
     metrics: Metrics
+    load: LoadReader
     members: list[Member] = field(factory=list)
-    load: float = 0.0
-    load_at: float = 0.0
 
     @property
     def vm(self) -> str:
@@ -79,9 +79,12 @@
         found = {m.vm: m for m in self.members if m.kind == ENTRY and not m.leaving}
         return [found[vm] for vm in rank(self.vm, found)[:WATCHED_ENTRIES]]
 
-    def status(self) -> pb.StatusReply:
+    def status(self, req: pb.StatusRequest) -> pb.StatusReply:
         """What this agent tells entries about its server."""
         gate = self.runner.gate
+        prefixes, changes = self.load.prefixes(time.monotonic())
+        # The set is some hundred bytes, and is only told to who lacks it.
+        told = [] if req.cache_changes == changes else prefixes
         return pb.StatusReply(
             vm=self.vm,
             service=self.cfg.server.service,
@@ -93,8 +96,11 @@
             in_progress=gate.running,
             waiting=gate.waiting,
             capacity=gate.capacity,
-            load=self.load,
-            load_at=self.load_at,
+            load=self.load.value,
+            load_at=self.load.at,
+            service_time=gate.service_time,
+            cached_prefixes=told,
+            cache_changes=changes,
         )
 
     def make_transfer(self, manifest: Manifest) -> Transfer:
@@ -134,16 +140,6 @@
         if self.cfg.server.kind == PLAIN:
             self.runner.gate.open = self.spread.heard
 
-    async def read_load(self) -> None:
-        """Read the engine's lagging load report."""
-        if self.runner.engine is None or not self.cfg.server.reports_load:
-            return
-        try:
-            report = await self.runner.engine.load()
-        except PlatformUnavailable:
-            return
-        self.load, self.load_at = report["load"], report["at"]
-
     async def forget_old(self) -> None:
         """Forget attempts that ended long ago."""
         self.runner.attempts.forget_old(time.monotonic())
@@ -186,6 +182,9 @@
         plain=PlainService(http) if plain else None,
         claims=ClaimStore(platform.table),
     )
+    if not cfg.server.reports_load:
+        most = cfg.server.capacity
+        runner.slots.limit = AdaptiveLimit(limit=most, most=most)
     store = ChunkStore()
     return Agent(
         cfg,
@@ -197,6 +196,7 @@
         store,
         ChunksService(store, cfg.uploads),
         Metrics(),
+        LoadReader(runner.engine if cfg.server.reports_load else None),
     )
 
 
@@ -209,7 +209,7 @@
     loops = [
         every(agent.cfg.platform.poll_seconds, agent.read_members),
         every(SYNC_SECONDS, agent.hear_state),
-        every(LOAD_SECONDS, agent.read_load),
+        every(LOAD_SECONDS, agent.load.read),
         every(FORGET_SECONDS, agent.forget_old),
     ]
     if agent.runner.engine:
--- /dev/null
+++ b/packages/wasabideck_agent/wasabideck_agent/load.py
@@ -0,0 +1,53 @@
+"""What the engine reports: its load, and which prompt prefixes it holds."""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Callable
+
+from attrs import define, field
+from wasabideck_platform.http import PlatformUnavailable
+from wasabideck_platform.servers import Engine
+from wasabideck_policy.affinity import CacheView
+
+__all__ = ["LOAD_SECONDS", "LoadReader"]
+
+LOAD_SECONDS = 0.5
+
+
+@define
+class LoadReader:
+    """Keeps the engine's last reports.
+
+    Attributes
+    ----------
+    engine : Engine or None
+        None where the server reports nothing.
+    value : float
+        0 idle to 1 full; more when requests wait inside the engine.
+    at : float
+        Wall time of the report, seconds.
+    """
+
+    engine: Engine | None
+    value: float = 0.0
+    at: float = 0.0
+    cache: CacheView = field(factory=CacheView)
+    clock: Callable[[], float] = time.monotonic
+
+    async def read(self) -> None:
+        """Read the reports; the last ones stand when the engine is silent."""
+        if self.engine is None:
+            return
+        try:
+            report = await self.engine.load()
+            events = await self.engine.cache_events(self.cache.sequence)
+        except PlatformUnavailable:
+            return
+        self.value, self.at = report["load"], report["at"]
+        self.cache.apply(events, self.clock())
+
+    def prefixes(self, now: float) -> tuple[list[str], int]:
+        """Prefixes that the engine is believed to hold, and their set's number."""
+        held = self.cache.held(now)
+        return held, self.cache.changes
--- a/packages/wasabideck_entry/wasabideck_entry/calls.py
+++ b/packages/wasabideck_entry/wasabideck_entry/calls.py
@@ -11,9 +11,10 @@
 from attrs import define, field, frozen
 from wasabideck_platform.channels import LINK_FAILURES, Channels
 from wasabideck_platform.events import Events
+from wasabideck_policy.affinity import prefix_name
 from wasabideck_policy.outcomes import Failure, NotRun, Outcome, Unknown
 from wasabideck_policy.retry import RetryBudget
-from wasabideck_policy.routing import Choice, Server
+from wasabideck_policy.routing import Ask, Choice, Server
 from wasabideck_wire import inner_pb2 as pb
 from wasabideck_wire.convert import final_from, outcome_from
 from wasabideck_wire.inner_grpc import RunsStub
@@ -90,7 +91,8 @@
             servers = self.fleet.candidates(call.service, tried)
             if not servers or (tried and not self.budget.spend()):
                 break
-            server = self.choose(servers, self.clock(), self.rng)
+            ask = Ask(prefix_name(call.body), self.fleet.region)
+            server = self.choose(servers, ask, self.clock(), self.rng)
             tried.add(server.vm)
             begun = False
             async for item in self._attempt(call, server):
@@ -99,6 +101,7 @@
                 else:
                     begun = begun or isinstance(item, Part)
                     yield item
+            self.fleet.observe(server, outcome)
             if begun or not _retryable(call, outcome):
                 break
         yield Ended(outcome)
--- a/packages/wasabideck_entry/wasabideck_entry/entry.py
+++ b/packages/wasabideck_entry/wasabideck_entry/entry.py
@@ -32,7 +32,6 @@
 
 __all__ = ["serve_entry"]
 
-STATUS_SECONDS = 0.25
 HEAD_SECONDS = 0.5
 DRAIN_SECONDS = 60.0
 
@@ -74,7 +73,7 @@
             except LINK_FAILURES:
                 self.channels.drop(member.address)
 
-    def status(self) -> pb.StatusReply:
+    def status(self, req: pb.StatusRequest) -> pb.StatusReply:
         """What this entry tells other processes of itself."""
         return pb.StatusReply(
             vm=self.cfg.process.vm,
@@ -112,7 +111,7 @@
     cfg: EntrySettings, events: Events, session: aiohttp.ClientSession
 ) -> Entry:
     channels = Channels(events.clock)
-    fleet = Fleet(cfg.process.vm, channels)
+    fleet = Fleet(cfg.process.vm, channels, cfg.process.region)
     rng = random.Random(f"{cfg.seed}/{cfg.process.vm}/{time.time_ns()}")
     return Entry(
         cfg,
@@ -130,7 +129,7 @@
     return [
         every(entry.cfg.platform.poll_seconds, entry.read_members),
         every(HEAD_SECONDS, entry.hear_state),
-        every(STATUS_SECONDS, entry.fleet.ask_all),
+        entry.fleet.keep_asking(),
     ]
 
 
--- a/packages/wasabideck_entry/wasabideck_entry/fleet.py
+++ b/packages/wasabideck_entry/wasabideck_entry/fleet.py
@@ -3,41 +3,61 @@
 from __future__ import annotations
 
 import asyncio
+import time
+from collections import defaultdict
+from collections.abc import Callable
 
 from attrs import define, field
 from wasabideck_platform.channels import LINK_FAILURES, Channels
 from wasabideck_policy.membership import AGENT, ENTRY, Member
+from wasabideck_policy.observation import Observed, join
+from wasabideck_policy.outcomes import Answered, Outcome, Unknown
+from wasabideck_policy.outliers import Outliers
 from wasabideck_policy.routing import Server
+from wasabideck_policy.subsets import OTHER_REGION, OWN_REGION, poll_pause, subset
 from wasabideck_wire import inner_pb2 as pb
 from wasabideck_wire.inner_grpc import PeersStub
 
 __all__ = ["Fleet"]
 
 STATUS_TIMEOUT = 1.0
+# Refusals that tell of the server, and not of the request or of the load.
+SERVER_FAILURES = {"Unreachable", "ServerRefused", "ServerDied", "ServerSilent"}
 
 
 @define
 class Fleet:
-    """The platform's list, joined with what the agents themselves say."""
+    """The platform's list, joined with what the agents themselves say.
+
+    Attributes
+    ----------
+    members : list of Member
+        The platform's last list.
+    servers : dict of str to Server
+        The servers that this entry uses, by VM.
+    """
 
     vm: str
     channels: Channels
+    region: str = ""
     members: list[Member] = field(factory=list)
     servers: dict[str, Server] = field(factory=dict)
     statuses: dict[str, pb.StatusReply] = field(factory=dict)
+    outliers: Outliers = field(factory=Outliers)
+    clock: Callable[[], float] = time.monotonic
+    _observed: dict[str, Observed] = field(factory=dict)
+    _cache_seen: dict[str, int] = field(factory=dict)
 
     def take_members(self, members: list[Member]) -> None:
         """Take a new list in; what is known of a server that stays is kept."""
         self.members = members
-        agents = {m.vm: m for m in members if m.kind == AGENT}
-        self.servers = {
-            vm: self.servers.get(vm) or _server(m) for vm, m in agents.items()
-        }
-        for vm, member in agents.items():
-            self.servers[vm].address = member.address
-            # A server that said itself that it leaves stays left, however far the
-            # platform's list lags behind.
-            self.servers[vm].leaving |= member.leaving
+        agents = [m for m in members if m.kind == AGENT]
+        self._observed = join(self._observed, agents, self.clock())
+        used = self._subset()
+        self.servers = {vm: self._server(vm) for vm in sorted(used)}
+        for known in (self.statuses, self._cache_seen):
+            for vm in known.keys() - self.servers.keys():
+                del known[vm]
 
     def entries(self) -> list[Member]:
         """The other entries."""
@@ -45,40 +65,107 @@
 
     def candidates(self, service: str, without: set[str]) -> list[Server]:
         """Servers of a service that may be given new work."""
-        return [
-            s
+        usable = {
+            s.vm: s
             for s in self.servers.values()
             if s.service == service and s.serving and not s.leaving
             if s.vm not in without
-        ]
+        }
+        sound = self.outliers.sound(usable, self.clock())
+        return [server for vm, server in usable.items() if vm in sound]
+
+    def observe(self, server: Server, outcome: Outcome) -> None:
+        """Learn from how an attempt on a server ended."""
+        if isinstance(outcome, Answered):
+            self.outliers.succeeded(server.vm)
+        elif outcome.failure.kind in SERVER_FAILURES:
+            self.outliers.failed(server.vm, self.clock())
+        elif isinstance(outcome, Unknown) and outcome.crashed:
+            self.outliers.failed(server.vm, self.clock())
+
+    async def keep_asking(self) -> None:
+        """Ask the servers for their status for ever, spread over each round."""
+        while True:
+            pause = poll_pause(len(self.servers))
+            await asyncio.gather(
+                asyncio.sleep(pause),
+                *(
+                    self._ask_after(server, pause * place / len(self.servers))
+                    for place, server in enumerate(self.servers.values())
+                ),
+            )
 
     async def ask_all(self) -> None:
-        """Ask every agent for its status."""
+        """Ask every server for its status, at once."""
         await asyncio.gather(*(self._ask(s) for s in self.servers.values()))
 
+    async def _ask_after(self, server: Server, seconds: float) -> None:
+        await asyncio.sleep(seconds)
+        await self._ask(server)
+
     async def _ask(self, server: Server) -> None:
         stub = PeersStub(self.channels.get(server.address))
+        req = pb.StatusRequest(
+            vm=self.vm, cache_changes=self._cache_seen.get(server.vm, 0)
+        )
         try:
-            reply = await stub.Status(
-                pb.StatusRequest(vm=self.vm), timeout=STATUS_TIMEOUT
-            )
+            reply = await stub.Status(req, timeout=STATUS_TIMEOUT)
         except LINK_FAILURES:
+            # A frozen agent accepts connections and answers nothing: it is left
+            # alone from the first question that it does not answer, and is back
+            # with the first that it does.
             self.channels.drop(server.address)
             server.serving = False
             return
+        self._take(server, reply)
+
+    def _take(self, server: Server, reply: pb.StatusReply) -> None:
+        now = self.clock()
+        observed = self._observed.get(server.vm)
+        if observed is None or reply.vm != server.vm:
+            return
+        observed.answered(reply.leaving, now)
         self.statuses[server.vm] = reply
         server.serving = reply.serving
-        server.leaving = reply.leaving
+        server.leaving = observed.leaving
         server.load, server.load_at = reply.load, reply.load_at
         server.capacity = reply.capacity
+        server.reported = reply.in_progress + reply.waiting
+        server.own_reported = server.in_progress
+        server.heard_at = now
+        server.service_time = reply.service_time or server.service_time
+        if reply.cache_changes != self._cache_seen.get(server.vm, 0):
+            self._cache_seen[server.vm] = reply.cache_changes
+            server.prefixes = list(reply.cached_prefixes)
 
+    def _subset(self) -> set[str]:
+        entries = [m for m in self.members if m.kind == ENTRY and not m.leaving]
+        local = [m.vm for m in entries if m.region == self.region]
+        groups: dict[tuple[str, str], list[str]] = defaultdict(list)
+        for vm, observed in self._observed.items():
+            groups[observed.member.service, observed.member.region].append(vm)
+        used: set[str] = set()
+        for (_, region), servers in groups.items():
+            # Servers of the own region are shared with the entries there alone.
+            if region == self.region:
+                used |= subset(self.vm, local, servers, OWN_REGION)
+            else:
+                everyone = [m.vm for m in entries]
+                used |= subset(self.vm, everyone, servers, OTHER_REGION)
+        return used
 
-def _server(member: Member) -> Server:
-    return Server(
-        member.vm,
-        member.service,
-        member.address,
-        member.region,
-        member.data_centre,
-        serving=False,
-    )
+    def _server(self, vm: str) -> Server:
+        observed = self._observed[vm]
+        member = observed.member
+        server = self.servers.get(vm)
+        if server is None or server.address != member.address:
+            server = Server(
+                vm,
+                member.service,
+                member.address,
+                member.region,
+                member.data_centre,
+                serving=False,
+            )
+        server.leaving = observed.leaving
+        return server
--- a/packages/wasabideck_lab/wasabideck_lab/load.py
+++ b/packages/wasabideck_lab/wasabideck_lab/load.py
@@ -15,7 +15,7 @@
 
 import aiohttp
 import orjson
-from attrs import define
+from attrs import define, field
 
 from .demo import first_ticket, submit, wait_in_force, wait_serving
 from .launcher import Lab
@@ -43,6 +43,8 @@
     deployment: Deployment
     lab: Lab
     seconds: float
+    sessions: list[aiohttp.ClientSession] = field(factory=list)
+    notes: dict[str, float] = field(factory=dict)
 
     def entries(self) -> list[str]:
         """Names of the entries, one a region."""
@@ -52,11 +54,19 @@
         """Names of the drafting servers."""
         return [f"draft-{i}" for i in range(self.deployment.drafting)]
 
+    def servers(self) -> int:
+        """How many backend servers there are."""
+        return self.deployment.drafting + sum(self.deployment.plain.values())
+
     async def start(self, policy: str, seed: int) -> None:
         """Start the fleet, and wait until ticket 1 is served everywhere."""
         lab, deployment = self.lab, self.deployment
         lab.entry_settings = {"routing": policy, "callers": _callers()}
         lab.server_settings = {"drafting": {"capacity": CAPACITY}}
+        for service, servers in deployment.plain.items():
+            # The one server of its kind is the one that reports no load.
+            if servers == 1:
+                lab.server_settings[service] = {"reports_load": False, "capacity": 32}
         await lab.start_platform()
         digest = lab.publish(*make_weights("drafter", "v1", CHUNKS, CHUNK_BYTES, seed))
         services = deployment.services()
@@ -75,8 +85,7 @@
             await wait_in_force(session, 1, deployment.drafting)
         for region in range(len(places)):
             async with self.session(region) as session:
-                servers = deployment.drafting + sum(deployment.plain.values())
-                await wait_serving(session, servers)
+                await wait_serving(session, self.servers())
 
     def _set_costs(self) -> None:
         pairs = zip(self.lab.engines.values(), self.deployment.speeds(), strict=True)
@@ -95,14 +104,14 @@
 
     async def drive(self, plan: list[Arrival]) -> list[Seen]:
         """Send every request when it is due; what all callers saw."""
-        sessions = [self.session(i) for i in range(len(self.deployment.regions))]
+        self.sessions = [self.session(i) for i in range(len(self.deployment.regions))]
         begun = time.monotonic()
         tasks = []
         for arrival in plan:
             await asyncio.sleep(max(0.0, begun + arrival.due - time.monotonic()))
-            tasks.append(asyncio.create_task(_send(sessions, arrival, begun)))
+            tasks.append(asyncio.create_task(_send(self.sessions, arrival, begun)))
         seen = await asyncio.gather(*tasks)
-        for session in sessions:
+        for session in self.sessions:
             await session.close()
         return seen
 
@@ -110,9 +119,24 @@
 async def _send(
     sessions: list[aiohttp.ClientSession], arrival: Arrival, begun: float
 ) -> Seen:
+    """One request; the balancer's part is to pass over entries that are down."""
     seen = Seen(arrival)
-    kind = arrival.kind
-    due = begun + arrival.due
+    for turn in range(len(sessions)):
+        session = sessions[(arrival.region + turn) % len(sessions)]
+        try:
+            await _post(session, seen, begun + arrival.due)
+            break
+        except aiohttp.ClientConnectorError:
+            seen.reason = "NoEntry"
+        except (TimeoutError, aiohttp.ClientError, OSError) as exc:
+            seen.reason = type(exc).__name__
+            break
+    seen.end = time.monotonic() - begun - arrival.due
+    return seen
+
+
+async def _post(session: aiohttp.ClientSession, seen: Seen, due: float) -> None:
+    arrival, kind = seen.arrival, seen.arrival.kind
     headers = {
         "authorization": f"Bearer {_token(arrival.organisation)}",
         "idempotency-key": arrival.key,
@@ -120,25 +144,18 @@
     }
     path = f"/v1/services/{kind.service}/{kind.route}"
     limit = aiohttp.ClientTimeout(total=kind.deadline + GRACE_SECONDS)
-    session = sessions[arrival.region]
-    try:
-        async with session.post(
-            path, data=arrival.body.encode(), headers=headers, timeout=limit
-        ) as answer:
-            last = 0.0
-            async for line in answer.content:
-                now = time.monotonic() - due
-                row = orjson.loads(line)
-                if "text" in row:
-                    seen.gaps += [now - last] if seen.first is not None else []
-                    seen.first = now if seen.first is None else seen.first
-                    last = now
-                elif "outcome" in row:
-                    seen.outcome, seen.reason = row["outcome"], row.get("reason", "")
-    except (TimeoutError, aiohttp.ClientError, OSError) as exc:
-        seen.reason = type(exc).__name__
-    seen.end = time.monotonic() - due
-    return seen
+    body = arrival.body.encode()
+    last = 0.0
+    async with session.post(path, data=body, headers=headers, timeout=limit) as answer:
+        async for line in answer.content:
+            now = time.monotonic() - due
+            row = orjson.loads(line)
+            if "text" in row:
+                seen.gaps += [now - last] if seen.first is not None else []
+                seen.first = now if seen.first is None else seen.first
+                last = now
+            elif "outcome" in row:
+                seen.outcome, seen.reason = row["outcome"], row.get("reason", "")
 
 
 Fault = Callable[[_Run], Awaitable[None]]
@@ -188,6 +205,25 @@
         standin.faults.active.pop("down")
 
 
+async def _entry_restart(run: _Run) -> None:
+    """With the table down, an entry dies and another one starts in its place."""
+    await asyncio.sleep(run.seconds / 3)
+    run.lab.table.faults.active["down"] = 1.0
+    old = run.lab.processes["entry-0"]
+    old.kill()
+    await old.process.wait()
+    begun = time.monotonic()
+    services, region = run.deployment.services(), run.deployment.regions[0]
+    await run.lab.start_entry("entry-0", services, **_place(region))
+    run.notes["started_seconds"] = round(time.monotonic() - begun, 2)
+    await run.sessions[0].close()
+    run.sessions[0] = run.session(0)
+    await wait_serving(run.sessions[0], run.servers())
+    run.notes["useful_seconds"] = round(time.monotonic() - begun, 2)
+    await asyncio.sleep(run.seconds / 3)
+    run.lab.table.faults.active.pop("down")
+
+
 LOAD_FAULTS: dict[str, Fault] = {
     "none": _no_fault,
     "load-lag": _load_lag,
@@ -195,6 +231,7 @@
     "outage": _outage,
     "freeze": _freeze,
     "store-down": _store_down,
+    "entry-restart": _entry_restart,
 }
 
 
@@ -230,6 +267,7 @@
     row |= summary(counted, seconds) | _spread(run)
     row["attempts_per_request"] = round(attempts / max(1, len(seen)), 3)
     row["store_reads_per_second"] = round(reads / (WARM_SECONDS + seconds), 1)
+    row["notes"] = run.notes
     row["bad_exits"] = {vm: code for vm, code in codes.items() if code}
     return row
 
--- a/packages/wasabideck_platform/wasabideck_platform/servers.py
+++ b/packages/wasabideck_platform/wasabideck_platform/servers.py
@@ -76,6 +76,11 @@
         """The engine's lagging report of its load."""
         return await self.http.json("GET", "/v1/load")
 
+    async def cache_events(self, after: int) -> list[tuple[int, str, bool]]:
+        """Cache events after a number; some may be missing, or not there yet."""
+        rows = await self.http.json("GET", f"/v1/cache?after={after}")
+        return [(number, name, stored) for number, name, stored in rows]
+
     async def cancel(self, attempt: str) -> None:
         """Stop generating for an attempt."""
         await self.http.call("POST", f"/v1/cancel/{attempt}", accept=(200, 404))
--- a/packages/wasabideck_platform/wasabideck_platform/spread.py
+++ b/packages/wasabideck_platform/wasabideck_platform/spread.py
@@ -92,7 +92,7 @@
     """Answers other processes' comparisons and questions of status."""
 
     spread: Spread
-    status: Callable[[], pb.StatusReply]
+    status: Callable[[pb.StatusRequest], pb.StatusReply]
 
     async def Sync(self, stream: Stream[pb.SyncRequest, pb.SyncReply]) -> None:
         """Take in what the asker has newer; answer with what it lacks."""
@@ -103,8 +103,8 @@
 
     async def Status(self, stream: Stream[pb.StatusRequest, pb.StatusReply]) -> None:
         """Answer with this process's present status."""
-        await stream.recv_message()
-        await stream.send_message(self.status())
+        req = await stream.recv_message()
+        await stream.send_message(self.status(req))
 
     def _reply(self, req: pb.SyncRequest) -> pb.SyncReply:
         state = self.spread.state
