Take the choice of the server furthest behind its target out again

Tried: targets from the free capacity in the last reports, cut by urgency above 80% of a server's capacity, each request to the server furthest behind its target share (FlexGroup, ATC '19, 3.5.2 and 3.5.3, without its tolerance).

Cause: shares of what was given out follow the servers' speed only by way of the reports, and at full load all of them are full, so that all targets are cut alike; the wait in seconds tells a slow server from a fast one there too.

--- a/packages/wasabideck_policy/wasabideck_policy/routing.py
+++ b/packages/wasabideck_policy/wasabideck_policy/routing.py
@@ -180,51 +180,6 @@
     return min(_draw(servers, rng), key=pressure)
 
 
-def behind_target() -> Choice:
-    """The server furthest behind its target share (FlexGroup, 3.5.2 and 3.5.3).
-
-    Targets follow from the free capacity in the last reports; urgency cuts the
-    target of a server that is nearly full.
-    """
-    given: dict[str, float] = {}
-
-    def choose(
-        servers: Sequence[Server], ask: Ask, now: float, rng: random.Random
-    ) -> Server:
-        targets = _targets(servers)
-        for vm in given:
-            given[vm] *= FORGET
-        total = sum(given.get(s.vm, 0.0) for s in servers) + 1.0
-
-        def behind(server: Server) -> tuple[float, float]:
-            share = given.get(server.vm, 0.0) / total
-            return targets[server.vm] - share, rng.random()
-
-        chosen = max(servers, key=behind)
-        given[chosen.vm] = given.get(chosen.vm, 0.0) + 1.0
-        return chosen
-
-    return choose
-
-
-FORGET = 0.98
-URGENT_LOAD = 0.8
-LEAST_TARGET = 0.01
-
-
-def _targets(servers: Sequence[Server]) -> dict[str, float]:
-    loads = {s.vm: s.reported / max(s.capacity, 1) for s in servers}
-    goal = max(1.0, *loads.values())
-    free = {}
-    for server in servers:
-        load = loads[server.vm]
-        urgency = min(1.0, max(0.0, (load - URGENT_LOAD) / (1.0 - URGENT_LOAD)))
-        scale = 1.0 - urgency * (1.0 - LEAST_TARGET)
-        free[server.vm] = max(1e-6, (goal - load) * scale)
-    total = sum(free.values())
-    return {vm: value / total for vm, value in free.items()}
-
-
 def _draw(servers: Sequence[Server], rng: random.Random) -> list[Server]:
     return rng.sample(servers, min(DRAWN, len(servers)))
 
@@ -233,7 +188,6 @@
     "priced": lambda: priced,
     "two-choices": lambda: two_choices,
     "reported-two-choices": lambda: reported_two_choices,
-    "behind-target": behind_target,
     "round-robin": round_robin,
     "random": lambda: uniform,
     "least-in-progress": lambda: least_loaded,
