--- a/packages/wasabideck_lab/wasabideck_lab/launcher.py
+++ b/packages/wasabideck_lab/wasabideck_lab/launcher.py
@@ -82,6 +82,7 @@
     entry_settings: dict = field(factory=dict)
     server_settings: dict[str, dict] = field(factory=dict)
     addresses: dict[str, str] = field(factory=dict)
+    server_addresses: dict[str, str] = field(factory=dict)
     manifests: dict[str, Manifest] = field(factory=dict)
     engines: dict[str, EngineStandin] = field(factory=dict)
     plains: dict[str, PlainStandin] = field(factory=dict)
@@ -136,7 +137,7 @@
     async def _start_agent(
         self, vm: str, service: str, kind: str, standin: object, place: dict
     ) -> Process:
-        url = await self._serve(standin)
+        url = self.server_addresses[vm] = await self._serve(standin)
         server = {"service": service, "url": url, "kind": kind}
         server |= self.server_settings.get(service, {})
         settings = self._common(vm, **place) | {"server": server}
