--- a/packages/wasabideck_lab/wasabideck_lab/capacity.py
+++ b/packages/wasabideck_lab/wasabideck_lab/capacity.py
@@ -77,7 +77,7 @@
     spread = Spread("ports", events)
     spread.heard = True
     status = pb.StatusReply(serving=True, service="drafting", capacity=8)
-    return _Ports(PeersService(spread, lambda: status))
+    return _Ports(PeersService(spread, lambda req: status))
 
 
 async def entry_by_servers() -> list[dict]:
--- a/packages/wasabideck_policy/wasabideck_policy/admission.py
+++ b/packages/wasabideck_policy/wasabideck_policy/admission.py
@@ -15,6 +15,7 @@
 # At most this share of the slots is taken to be passed over to more urgent classes.
 MOST_OVERTAKEN = 0.9
 LEAST_RETRY_AFTER = 0.1
+QUEUED_SHARE = 0.5
 
 
 @define
@@ -99,7 +100,12 @@
     if waiting.priority == MOST_URGENT:
         gate.urgent_until = now + RESERVE_SECONDS
     wait = gate.expected_wait(waiting, now)
-    missing = now + wait + gate.service_time - waiting.deadline
+    slack = waiting.deadline - now - gate.service_time
+    # Whoever has requests waiting already may fill half of the time that is left, so
+    # that the first request of another organisation always finds room behind them.
+    if gate.queue.waits(waiting.organisation):
+        slack *= QUEUED_SHARE
+    missing = wait - slack
     if wait and missing > 0:
         detail = f"expected wait {wait:.2f} s"
         return NotRun(Failure("Overloaded", detail), max(LEAST_RETRY_AFTER, missing))
--- a/packages/wasabideck_policy/wasabideck_policy/fair_queue.py
+++ b/packages/wasabideck_policy/wasabideck_policy/fair_queue.py
@@ -111,6 +111,10 @@
         turns = self._turns.setdefault(waiting.level(now), _Turns())
         turns.take(waiting.organisation)
 
+    def waits(self, organisation: str) -> bool:
+        """Whether an organisation has a request that waits."""
+        return any(w.organisation == organisation for w in self._waiting)
+
     def ahead_of(self, waiting: Waiting, now: float) -> int:
         """How many requests would be given a slot before one that comes now."""
         level = waiting.level(now)
