--- a/packages/wasabideck_lab/wasabideck_lab/capacity.py
+++ b/packages/wasabideck_lab/wasabideck_lab/capacity.py
@@ -76,7 +76,7 @@
     events = Events("ports", Clock(), time.time)
     spread = Spread("ports", events, heard=Heard(done=True))
     status = pb.StatusReply(serving=True, service="drafting", capacity=8)
-    return _Ports(PeersService(spread, lambda: status))
+    return _Ports(PeersService(spread, lambda req: status))
 
 
 async def entry_by_servers() -> list[dict]:
