Order a model with its adapters, and let tickets for others pass by

Two faults found by reading. Now a step is superseded only by a ticket that names something else for this very server. (2) A ticket for an adapter was accepted and never in force: agents looked at two slots only. Now a model and its adapters are one order under one fencing number, the newest ticket's, so that no request meets one of the former and one of the new. Ruled out: an order for each adapter; between two orders the engine would serve a mix. The test of the gate takes the whole of what is wanted; its cases are the same.

--- a/packages/wasabideck_agent/wasabideck_agent/agent.py
+++ b/packages/wasabideck_agent/wasabideck_agent/agent.py
@@ -40,7 +40,7 @@
 from .load import LOAD_SECONDS, LoadReader
 from .manifest_reader import ManifestReader
 from .orders import Orders
-from .reconcile import MODEL, Reconciler
+from .reconcile import Reconciler
 from .runs import Runner, RunsService
 from .swap_turns import SwapTurns
 from .transfer import Transfer
@@ -268,7 +268,7 @@
         agent.runner,
         agent.events,
         OrderBook(agent.cfg.server.checks_fencing),
-        lambda: reconciler.wanted(MODEL),
+        lambda: reconciler.wanted(),
     )
     turns = SwapTurns(
         agent.vm,
--- a/packages/wasabideck_agent/wasabideck_agent/orders.py
+++ b/packages/wasabideck_agent/wasabideck_agent/orders.py
@@ -4,15 +4,21 @@
 
 import asyncio
 import time
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Mapping
 
 from attrs import define
 from wasabideck_platform.events import Events
 from wasabideck_platform.http import PlatformRefused, PlatformUnavailable
 from wasabideck_platform.servers import Engine, Loaded
-from wasabideck_policy.orders import OrderBook, gate_open, matches, order_due
+from wasabideck_policy.orders import (
+    OrderBook,
+    gate_open,
+    matches,
+    order_due,
+    ordered_by,
+)
 from wasabideck_policy.outcomes import WasabideckError
-from wasabideck_policy.tickets import Assignment
+from wasabideck_policy.wants import Wanted
 
 from .runs import Runner
 
@@ -56,7 +62,7 @@
     runner: Runner
     events: Events
     book: OrderBook
-    wanted: Callable[[], Assignment | None]
+    wanted: Callable[[], Wanted | None]
     clock: Callable[[], float] = time.monotonic
     pause: Callable[[float], Awaitable[None]] = asyncio.sleep
     swap_seconds: float = 0.0
@@ -75,11 +81,19 @@
         self._take(await self.engine.loaded())
 
     async def bring(
-        self, wanted: Assignment, chunks: int, turn: Callable[[], Awaitable[None]]
+        self,
+        wanted: Wanted,
+        chunks: Mapping[str, int],
+        turn: Callable[[], Awaitable[None]],
     ) -> None:
-        """Have the engine serve what a ticket names.
+        """Have the engine serve what its tickets name.
 
-        ``turn`` is awaited before the server stops for the swap.
+        Parameters
+        ----------
+        chunks : mapping of str to int
+            How many chunks make each manifest whole.
+        turn : callable
+            Awaited before the server stops for the swap.
 
         Raises
         ------
@@ -120,16 +134,9 @@
             await self.pause(LOOK_SECONDS)
             await self.read_back()
 
-    async def _send(self, wanted: Assignment, chunks: int) -> None:
-        change = wanted.change
-        order = Loaded(
-            wanted.ticket,
-            change.model,
-            change.version,
-            change.manifest,
-            change.engine_role,
-        )
-        self.events.emit("order.sent", ticket=wanted.ticket, version=change.version)
+    async def _send(self, wanted: Wanted, chunks: Mapping[str, int]) -> None:
+        order = ordered_by(wanted)
+        self.events.emit("order.sent", ticket=wanted.ticket, version=order.version)
         # New requests wait while the engine swaps; those in progress go on on the
         # version that they began with.
         self.runner.gate.open = False
@@ -160,7 +167,7 @@
         self.runner.in_force = serving
         self.runner.gate.open = gate_open(serving, self.wanted(), self.book.highest)
 
-    def _due(self, wanted: Assignment) -> bool:
+    def _due(self, wanted: Wanted) -> bool:
         if matches(self.serving, wanted):
             return False
         if not order_due(self.serving, wanted):
--- a/packages/wasabideck_agent/wasabideck_agent/reconcile.py
+++ b/packages/wasabideck_agent/wasabideck_agent/reconcile.py
@@ -16,6 +16,7 @@
 from wasabideck_policy.manifests import CorruptManifest, Manifest
 from wasabideck_policy.orders import matches
 from wasabideck_policy.tickets import Assignment, desired
+from wasabideck_policy.wants import STANDBY, Wanted, wanted_of
 
 from .chunk_store import ChunkStore
 from .delivery_rows import DeliveryRows
@@ -26,8 +27,6 @@
 
 RETRY_SECONDS = 0.5
 WATCH_SECONDS = 1.0
-MODEL = "model"
-SLOTS = (MODEL, "standby")
 
 _FAILURES = (
     PlatformUnavailable,
@@ -70,17 +69,30 @@
         while True:
             changed.clear()
             step = asyncio.create_task(self._settle())
-            newer = asyncio.create_task(changed.wait())
-            await asyncio.wait({step, newer}, return_when=asyncio.FIRST_COMPLETED)
-            if step.done():
-                step.result()
-            await newer
+            await self._until_superseded(step, changed)
             # A newer ticket supersedes a transfer in progress: chunks that both
             # versions share stay in the store, nothing else of it is kept. An
             # order in flight is not cancelled by this.
             step.cancel()
             await asyncio.wait({step})
 
+    async def _until_superseded(
+        self, step: asyncio.Task, changed: asyncio.Event
+    ) -> None:
+        """Wait until a ticket names something else for this very server.
+
+        Thousands of changes a day concern others. If each began a transfer here
+        anew, one that takes minutes would hardly ever come to its end.
+        """
+        aims = self.wanted(), self.standby()
+        while aims == (self.wanted(), self.standby()):
+            newer = asyncio.create_task(changed.wait())
+            await asyncio.wait({step, newer}, return_when=asyncio.FIRST_COMPLETED)
+            if step.done():
+                newer.cancel()
+                step.result()
+            changed.clear()
+
     async def _settle(self) -> None:
         """Bring the engine to what is wanted, and see that it stays there."""
         while True:
@@ -94,39 +106,46 @@
             await self.orders.read_back()
             if not self.spread.heard:
                 return False
-            for slot in SLOTS:
-                if wanted := self.wanted(slot):
-                    await self._bring(wanted)
+            if wanted := self.wanted():
+                await self._bring(wanted)
+            if standby := self.standby():
+                await self._hold(standby)
             self._forget_superseded()
             return True
         except _FAILURES as exc:
             self.events.emit("reconcile.failed", why=str(exc))
             return False
 
-    def wanted(self, slot: str) -> Assignment | None:
-        """What a slot of this server is to hold by the tickets known now."""
-        return desired(self.spread.state, self.service, self.vm, slot)
+    def wanted(self) -> Wanted | None:
+        """What this server is to serve by the tickets known now."""
+        return wanted_of(self.spread.state, self.service, self.vm)
 
-    async def _bring(self, wanted: Assignment) -> None:
-        slot = wanted.change.slot
-        if slot == MODEL and matches(self.orders.serving, wanted):
+    def standby(self) -> Assignment | None:
+        """What this server is to hold without serving it."""
+        return desired(self.spread.state, self.service, self.vm, STANDBY)
+
+    async def _bring(self, wanted: Wanted) -> None:
+        """Have the model and its adapters served."""
+        if matches(self.orders.serving, wanted):
             self._found(wanted)
             return
-        if slot != MODEL and self._done.get(slot) == wanted.ticket:
+        chunks = {}
+        for part in wanted.parts:
+            if manifest := await self._fetch(part):
+                await self._stage(manifest)
+                chunks[manifest.digest] = len(manifest.chunks)
+        await self.orders.bring(wanted, chunks, lambda: self.take_turn(wanted.ticket))
+        self._in_force(wanted)
+        for part in wanted.parts:
+            await self._finish(part, self.wall())
+
+    async def _hold(self, standby: Assignment) -> None:
+        """Have weights held whole, for a ticket that is to come."""
+        if self._is_done(standby):
             return
-        delivery = self._delivery(wanted)
-        chunks = 0
-        if wanted.change.manifest:
-            manifest = await self._fetch(wanted, delivery)
+        if manifest := await self._fetch(standby):
             await self._stage(manifest)
-            chunks = len(manifest.chunks)
-        if slot == MODEL:
-            await self.orders.bring(
-                wanted, chunks, lambda: self.take_turn(wanted.ticket)
-            )
-            delivery.in_force = self.wall()
-            self._in_force(wanted)
-        await self._finish(wanted, delivery)
+        await self._finish(standby, 0.0)
 
     def _forget_superseded(self) -> None:
         """Drop the chunks of weights that no ticket names any more.
@@ -134,19 +153,24 @@
         Only once all that is wanted is whole and in force: until then the chunks of
         the version in force may be shared by the next one, and peers may want them.
         """
-        wanted = [self.wanted(slot) for slot in SLOTS]
-        kept = {w.change.manifest for w in wanted if w and w.change.manifest}
-        self.store.keep_only({*kept, self.orders.serving.manifest})
+        wanted, serving = self.wanted(), self.orders.serving
+        parts = [*(wanted.parts if wanted else ()), self.standby()]
+        named = {part.change.manifest for part in parts if part}
+        self.store.keep_only({*named, serving.manifest, *serving.adapters.values()})
 
-    def _found(self, wanted: Assignment) -> None:
+    def _found(self, wanted: Wanted) -> None:
         """Note what was in force before this process had anything to do with it."""
-        if self._done.get(MODEL) == wanted.ticket:
-            return
-        delivery = self._delivery(wanted)
-        delivery.in_force = self.wall()
-        self.rows.add_found(delivery)
-        self._done[MODEL] = wanted.ticket
-        self._in_force(wanted)
+        missing = [part for part in wanted.parts if not self._is_done(part)]
+        for part in missing:
+            delivery = self._delivery(part)
+            delivery.in_force = self.wall()
+            self.rows.add_found(delivery)
+            self._done[part.change.slot] = part.ticket
+        if missing:
+            self._in_force(wanted)
+
+    def _is_done(self, part: Assignment) -> bool:
+        return self._done.get(part.change.slot) == part.ticket
 
     def _delivery(self, wanted: Assignment) -> Delivery:
         """The delivery of a ticket; the same one when it is tried again."""
@@ -169,8 +193,12 @@
         )
         return delivery
 
-    async def _fetch(self, wanted: Assignment, delivery: Delivery) -> Manifest:
-        digest = wanted.change.manifest
+    async def _fetch(self, part: Assignment) -> Manifest | None:
+        """Fetch and verify what a ticket names; None when it names nothing."""
+        delivery = self._delivery(part)
+        digest = part.change.manifest
+        if not digest:
+            return None
         manifest = self.store.manifest(digest) or await self.read_manifest(digest)
         self.store.know(manifest)
         transfer = self.make_transfer(manifest)
@@ -182,7 +210,7 @@
         if not delivery.verified:
             delivery.verified = self.wall()
             self.events.emit(
-                "transfer.verified", ticket=wanted.ticket, sources=delivery.sources
+                "transfer.verified", ticket=part.ticket, sources=delivery.sources
             )
         return manifest
 
@@ -193,13 +221,18 @@
                 data = self.store.get(digest)
                 await self.engine.stage(manifest.digest, index, data)
 
-    def _in_force(self, wanted: Assignment) -> None:
+    def _in_force(self, wanted: Wanted) -> None:
         self.metrics.ticket.set({}, wanted.ticket)
         self.events.emit(
             "version.in-force", ticket=wanted.ticket, version=wanted.change.version
         )
 
-    async def _finish(self, wanted: Assignment, delivery: Delivery) -> None:
-        self._done[wanted.change.slot] = wanted.ticket
+    async def _finish(self, part: Assignment, in_force: float) -> None:
+        """Write the delivery's row, unless an earlier order brought this part."""
+        if self._is_done(part):
+            return
+        delivery = self._delivery(part)
+        delivery.in_force = in_force
+        self._done[part.change.slot] = part.ticket
         self.rows.add(delivery)
         await self.rows.write()
--- a/packages/wasabideck_lab/wasabideck_lab/standin_servers.py
+++ b/packages/wasabideck_lab/wasabideck_lab/standin_servers.py
@@ -113,17 +113,21 @@
         old = order["fence"] < self.loaded.fence
         if old and not self.faults.value("ignore_fence"):
             return False
-        staged = self.staged.get(order["manifest"], {})
-        whole = [staged.get(index, "") for index in range(order["chunks"])]
-        # The books' own judgement, apart from the agent's: a partial or mixed model.
-        known = self.manifests.get(order["manifest"])
-        if tuple(whole) != (known.chunks if known else ()):
+        chunks = order.pop("chunks")
+        manifests = (order["manifest"], *order["adapters"].values())
+        if not all(self._staged_whole(digest, chunks) for digest in manifests):
             self.mixed += 1
-        order.pop("chunks")
         self.loaded = Loaded(**order)
         self.history.append(order["fence"])
         return True
 
+    def _staged_whole(self, digest: str, chunks: dict[str, int]) -> bool:
+        """The books' own judgement, apart from the agent's, of partial or mixed."""
+        staged = self.staged.get(digest, {})
+        given = [staged.get(index, "") for index in range(chunks.get(digest, 0))]
+        known = self.manifests.get(digest)
+        return tuple(given) == (known.chunks if known else ())
+
     async def _load(self, req: web.Request) -> web.Response:
         now = time.time()
         load = self.batch.load if self.batch else self.running / self.capacity
--- a/packages/wasabideck_platform/wasabideck_platform/servers.py
+++ b/packages/wasabideck_platform/wasabideck_platform/servers.py
@@ -2,11 +2,11 @@
 
 from __future__ import annotations
 
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Mapping
 
 import aiohttp
 import orjson
-from attrs import define
+from attrs import asdict, define
 from wasabideck_policy.orders import Serving
 from wasabideck_policy.outcomes import WasabideckError
 
@@ -55,16 +55,12 @@
         """Hand one chunk to the engine."""
         await self.http.call("PUT", f"/v1/weights/{manifest}/{index}", data)
 
-    async def order(self, wanted: Loaded, chunks: int) -> Loaded:
-        """Order the engine to serve; what it serves afterwards."""
-        body = {
-            "fence": wanted.fence,
-            "model": wanted.model,
-            "version": wanted.version,
-            "manifest": wanted.manifest,
-            "engine_role": wanted.engine_role,
-            "chunks": chunks,
-        }
+    async def order(self, wanted: Loaded, chunks: Mapping[str, int]) -> Loaded:
+        """Order the engine to serve; what it serves afterwards.
+
+        ``chunks`` tells how many chunks make each manifest whole.
+        """
+        body = asdict(wanted) | {"chunks": dict(chunks)}
         answer = await self.http.json("POST", "/v1/orders", body, timeout=ORDER_TIMEOUT)
         return Loaded(**answer)
 
--- a/packages/wasabideck_policy/wasabideck_policy/orders.py
+++ b/packages/wasabideck_policy/wasabideck_policy/orders.py
@@ -2,11 +2,18 @@
 
 from __future__ import annotations
 
-from attrs import define, frozen
+from attrs import define, field, frozen
 
-from .tickets import Assignment
+from .wants import Wanted
 
-__all__ = ["OrderBook", "Serving", "gate_open", "matches", "order_due"]
+__all__ = [
+    "OrderBook",
+    "Serving",
+    "gate_open",
+    "matches",
+    "order_due",
+    "ordered_by",
+]
 
 # An order whose answer was lost takes effect within this time, or never.
 SETTLE_SECONDS = 10.0
@@ -20,6 +27,8 @@
     ----------
     fence : int
         Fencing number of the order that loaded it: the ticket's number.
+    adapters : dict of str to str
+        Manifest of each adapter beside the model, by its name.
     """
 
     fence: int = 0
@@ -27,19 +36,28 @@
     version: str = ""
     manifest: str = ""
     engine_role: str = "mixed"
+    adapters: dict[str, str] = field(factory=dict)
 
 
-def matches(serving: Serving, wanted: Assignment) -> bool:
-    """Whether an engine serves just what a ticket names."""
+def ordered_by(wanted: Wanted) -> Serving:
+    """What an engine serves once it has carried a ticket out."""
     change = wanted.change
-    return (serving.fence, serving.manifest, serving.engine_role) == (
+    return Serving(
         wanted.ticket,
+        change.model,
+        change.version,
         change.manifest,
         change.engine_role,
+        wanted.adapters if change.manifest else {},
     )
 
 
-def gate_open(serving: Serving, wanted: Assignment | None, highest: int) -> bool:
+def matches(serving: Serving, wanted: Wanted) -> bool:
+    """Whether an engine serves just what its tickets name."""
+    return serving == ordered_by(wanted)
+
+
+def gate_open(serving: Serving, wanted: Wanted | None, highest: int) -> bool:
     """Whether requests may be given to an engine.
 
     Open for what the ticket names, and under cutover ``keep`` for the version of an
@@ -58,10 +76,10 @@
         return False
     if serving.fence == wanted.ticket:
         return matches(serving, wanted)
-    return wanted.change.cutover == "keep" and serving.fence > 0
+    return serving.fence > 0 and wanted.keeps(serving.fence)
 
 
-def order_due(serving: Serving, wanted: Assignment) -> bool:
+def order_due(serving: Serving, wanted: Wanted) -> bool:
     """Whether an engine is to be ordered.
 
     Never less than it has: a higher number means that this process's state is old,
--- a/tests/tickets/test_orders.py
+++ b/tests/tickets/test_orders.py
@@ -13,13 +13,14 @@
 from wasabideck_policy import orders as policy
 from wasabideck_policy.orders import OrderBook, Serving, gate_open, order_due
 from wasabideck_policy.tickets import Assignment, Change
+from wasabideck_policy.wants import Wanted
 
 NEWEST = "d5"
 
 
 def wanted(ticket=5, manifest=NEWEST, cutover="keep"):
     change = Change("a", "model", "m", f"v{ticket}", manifest, cutover=cutover)
-    return Assignment(ticket, change)
+    return Wanted(ticket, change, (Assignment(ticket, change),))
 
 
 def serving(fence, manifest=None):
@@ -196,7 +197,7 @@
 
     now: float = 100.0
     log: list = field(factory=list)
-    wanted: Assignment | None = None
+    wanted: Wanted | None = None
     engine: FakeEngine = field(init=False)
     runner: FakeRunner = field(factory=FakeRunner)
 
--- /dev/null
+++ b/tests/tickets/test_reconcile.py
@@ -0,0 +1,174 @@
+"""One server is brought to what its own tickets name, model and adapters at once."""
+
+import asyncio
+
+import pytest
+from attrs import define, field
+from wasabideck_agent.chunk_store import ChunkStore
+from wasabideck_agent.reconcile import Reconciler
+from wasabideck_lab.weights import make_weights
+from wasabideck_platform.spread import Spread
+from wasabideck_policy.orders import Serving, ordered_by
+from wasabideck_policy.tickets import Assignment, Change
+from wasabideck_policy.wants import wanted_of
+
+WEIGHTS = {v: make_weights("m", v, 2, 8, 0) for v in ("v1", "v2", "tone-1")}
+
+
+def names(ticket, scope, version, slot="model"):
+    change = Change(scope, slot, "m", version, WEIGHTS[version][0].digest)
+    return Assignment(ticket, change, ticket)
+
+
+@define
+class Server:
+    """Engine, orders, transfers, rows and metrics of one VM, as its agent sees it."""
+
+    store: ChunkStore = field(factory=ChunkStore)
+    serving: Serving = field(factory=Serving)
+    begun: list = field(factory=list)
+    ordered: list = field(factory=list)
+    rows: list = field(factory=list)
+    may_transfer: asyncio.Event = field(factory=asyncio.Event)
+    moved: asyncio.Condition = field(factory=asyncio.Condition)
+    sources: dict = field(factory=dict)
+
+    def emit(self, kind, /, **fields):
+        pass
+
+    def set(self, labels, value):
+        pass
+
+    @property
+    def ticket(self):
+        return self
+
+    async def read_back(self):
+        pass
+
+    async def bring(self, wanted, chunks, turn):
+        self.serving = ordered_by(wanted)
+        self.ordered.append((wanted.ticket, wanted.adapters, chunks))
+
+    def add(self, delivery):
+        self.rows.append((delivery.slot, delivery.ticket))
+
+    async def write(self):
+        async with self.moved:
+            self.moved.notify_all()
+
+    async def manifest(self, digest):
+        return next(m for m, _ in WEIGHTS.values() if m.digest == digest)
+
+    def make_transfer(self, manifest):
+        server = self
+
+        class Transfer:
+            sources = {}
+
+            async def run(self):
+                server.begun.append(manifest.version)
+                await server.write()
+                await server.may_transfer.wait()
+                for digest, data in zip(
+                    manifest.chunks, WEIGHTS[manifest.version][1], strict=True
+                ):
+                    server.store.add(digest, data, "")
+
+        return Transfer()
+
+    async def staged(self, digest):
+        return set()
+
+    async def stage(self, digest, index, data):
+        pass
+
+    async def until(self, condition):
+        async with self.moved:
+            await asyncio.wait_for(self.moved.wait_for(condition), 10)
+
+
+@pytest.fixture
+def scene():
+    server = Server()
+    spread = Spread("vm-1", server)
+    reconciler = Reconciler(
+        "vm-1",
+        "a",
+        server,
+        server,
+        spread,
+        server.manifest,
+        server,
+        server.store,
+        server,
+        server,
+        server.make_transfer,
+        None,
+    )
+    spread._heard.done = True
+    return server, spread, reconciler
+
+
+def test_a_ticket_for_others_does_not_begin_a_transfer_anew(scene):
+    """A transfer takes minutes, and every twelve seconds some ticket changes some
+    other service. The weights never came to be in force: each change, whomever it
+    named, cancelled the transfer here and began it anew."""
+    server, spread, reconciler = scene
+
+    async def run():
+        spread.merge([names(1, "a", "v1")], 1)
+        task = asyncio.create_task(reconciler.run())
+        await server.until(lambda: server.begun)
+        for ticket in (2, 3, 4):
+            spread.merge([names(ticket, "other", "v2")], ticket)
+            for _ in range(10):
+                await asyncio.sleep(0)
+        begun_meanwhile = list(server.begun)
+        server.may_transfer.set()
+        await server.until(lambda: server.rows)
+        task.cancel()
+        return begun_meanwhile
+
+    assert asyncio.run(run()) == ["v1"]
+    assert server.rows == [("model", 1)]
+
+
+def test_a_newer_ticket_for_this_server_supersedes_the_transfer(scene):
+    server, spread, reconciler = scene
+
+    async def run():
+        spread.merge([names(1, "a", "v1")], 1)
+        task = asyncio.create_task(reconciler.run())
+        await server.until(lambda: server.begun)
+        spread.merge([names(2, "a/vm-1", "v2")], 2)
+        await server.until(lambda: server.begun[-1] == "v2")
+        server.may_transfer.set()
+        await server.until(lambda: server.rows)
+        task.cancel()
+
+    asyncio.run(run())
+    assert [ticket for ticket, _, _ in server.ordered] == [2]
+
+
+def test_a_model_and_its_adapters_are_ordered_together(scene):
+    """An adapter's ticket was accepted, shown as accepted, and never in force:
+    agents looked at the slots ``model`` and ``standby`` alone."""
+    server, spread, reconciler = scene
+    server.may_transfer.set()
+
+    async def run():
+        spread.merge([names(1, "a", "v1")], 1)
+        await reconciler._attempt_once()
+        spread.merge([names(2, "a", "tone-1", "adapter:tone")], 2)
+        await reconciler._attempt_once()
+        spread.merge([Assignment(3, Change("a", "adapter:tone"), 3)], 3)
+        await reconciler._attempt_once()
+
+    asyncio.run(run())
+    tone = WEIGHTS["tone-1"][0].digest
+    adapters = [(ticket, named) for ticket, named, _ in server.ordered]
+    assert adapters == [(1, {}), (2, {"tone": tone}), (3, {})]
+    assert server.ordered[1][2] == {WEIGHTS["v1"][0].digest: 2, tone: 2}
+    assert server.rows == [("model", 1), ("adapter:tone", 2)]
+    assert wanted_of(spread.state, "a", "vm-1").ticket == 3
