--- a/packages/wasabideck_agent/wasabideck_agent/agent.py
+++ b/packages/wasabideck_agent/wasabideck_agent/agent.py
@@ -28,6 +28,7 @@
 from wasabideck_platform.tls import Keys
 from wasabideck_policy.admission import Gate
 from wasabideck_policy.arrivals import Arrivals
+from wasabideck_policy.concurrency import AdaptiveLimit
 from wasabideck_policy.manifests import Manifest
 from wasabideck_policy.membership import AGENT, Member, Watch, watched
 from wasabideck_policy.orders import OrderBook
@@ -39,10 +40,11 @@
 from .claim_store import ClaimStore
 from .delivery_rows import DeliveryRows
 from .links import Link, Links, give_way_to_live
+from .load import LOAD_SECONDS, LoadReader
 from .manifest_reader import ManifestReader
 from .once import Holder, Once
 from .orders import Orders
-from .reconcile import MODEL, Reconciler
+from .reconcile import Reconciler
 from .runs import Runner
 from .runs_service import RunsService
 from .swap_turns import SwapTurns
@@ -51,7 +53,6 @@
 __all__ = ["serve_agent"]
 
 SYNC_SECONDS = 1.0
-LOAD_SECONDS = 0.5
 ROWS_SECONDS = 1.0
 FORGET_SECONDS = 5.0
 DRAIN_SECONDS = 60.0
@@ -75,12 +76,11 @@
     chunks: ChunksService
     links: Links
     metrics: Metrics
+    load: LoadReader
     rows: DeliveryRows
     members: list[Member] = field(factory=list)
     watch: Watch = field(factory=Watch)
     orders: Orders | None = None
-    load: float = 0.0
-    load_at: float = 0.0
 
     @property
     def vm(self) -> str:
@@ -97,9 +97,12 @@
             and m.service == self.cfg.server.service
         ]
 
-    def status(self) -> pb.StatusReply:
+    def status(self, req: pb.StatusRequest) -> pb.StatusReply:
         """What this agent tells entries about its server."""
         gate = self.runner.gate
+        prefixes, changes = self.load.prefixes(time.monotonic())
+        # The set is some hundred bytes, and is only told to who lacks it.
+        told = [] if req.cache_changes == changes else prefixes
         return pb.StatusReply(
             vm=self.vm,
             service=self.cfg.server.service,
@@ -111,8 +114,11 @@
             in_progress=gate.running,
             waiting=gate.waiting,
             capacity=gate.capacity,
-            load=self.load,
-            load_at=self.load_at,
+            load=self.load.value,
+            load_at=self.load.at,
+            service_time=gate.service_time,
+            cached_prefixes=told,
+            cache_changes=changes,
             incarnation=self.runner.attempts.arrivals.incarnation,
             clock_ms=int(self.runner.clock() * 1000),
         )
@@ -171,16 +177,6 @@
             self.channels.drop(member.address, channel)
             self.watch.failed(member.vm, time.monotonic())
 
-    async def read_load(self) -> None:
-        """Read the engine's lagging load report."""
-        if self.runner.engine is None or not self.cfg.server.reports_load:
-            return
-        try:
-            report = await self.runner.engine.load()
-        except PlatformUnavailable:
-            return
-        self.load, self.load_at = report["load"], report["at"]
-
     def count_links(self) -> None:
         """Bring the links' metrics up to date."""
         for name in ("up", "down", "region"):
@@ -245,6 +241,9 @@
         attempts=Attempts(Arrivals(incarnation)),
         quarantine=spread.quarantine,
     )
+    if not cfg.server.reports_load:
+        most = cfg.server.capacity
+        runner.slots.limit = AdaptiveLimit(limit=most, most=most)
     store = ChunkStore()
     rate = cfg.weights.link_rate
     links = Links(Link(rate), Link(rate), Link(cfg.weights.region_rate))
@@ -259,6 +258,7 @@
         ChunksService(store, links, cfg.weights.uploads),
         links,
         Metrics(),
+        LoadReader(runner.engine if cfg.server.reports_load else None),
         DeliveryRows(platform.table),
     )
 
@@ -272,7 +272,7 @@
     loops = [
         every(agent.cfg.platform.poll_seconds, agent.read_members),
         every(SYNC_SECONDS, agent.hear_state),
-        every(LOAD_SECONDS, agent.read_load),
+        every(LOAD_SECONDS, agent.load.read),
         every(FORGET_SECONDS, agent.forget_old),
     ]
     if agent.runner.engine:
@@ -289,7 +289,7 @@
         agent.runner,
         agent.events,
         OrderBook(agent.cfg.server.checks_fencing),
-        lambda: reconciler.wanted(MODEL),
+        lambda: reconciler.wanted(),
     )
     turns = SwapTurns(
         agent.vm,
--- a/packages/wasabideck_agent/wasabideck_agent/runs.py
+++ b/packages/wasabideck_agent/wasabideck_agent/runs.py
@@ -19,14 +19,14 @@
     ServerRefused,
     ServerSilent,
 )
-from wasabideck_policy.admission import Gate, admit
+from wasabideck_policy.admission import Gate
 from wasabideck_policy.outcomes import Answered, Failure, NotRun, Outcome, Unknown
 from wasabideck_policy.quarantine import Quarantine, fingerprint
 from wasabideck_wire import inner_pb2 as pb
 
 from .attempts import Attempt, Attempts
 from .once import Once
-from .slots import Slot
+from .slots import Slot, Slots
 from .solo import Solo
 
 __all__ = ["Runner"]
@@ -67,8 +67,12 @@
     crashes: int = 0
     streams: int = 0
     heard_at: float = 0.0
+    slots: Slots = field(init=False)
     _crashed_at: float = float("-inf")
-    _slot_free: asyncio.Condition = field(factory=asyncio.Condition)
+
+    def __attrs_post_init__(self) -> None:
+        """Make the slots behind the gate."""
+        self.slots = Slots(self.gate, self.clock)
 
     def start(self, req: pb.RunRequest) -> Attempt:
         """The attempt of that id, begun now unless it is known."""
@@ -82,7 +86,7 @@
         self.attempts.add(attempt)
         if barred:
             attempt.finish(NotRun(barred, 1.0), now)
-        elif refusal := self._refusal(attempt, now):
+        elif refusal := self._barred(attempt) or self.slots.refusal(attempt):
             attempt.finish(refusal, now)
         else:
             attempt.task = asyncio.create_task(self._run(attempt))
@@ -125,12 +129,17 @@
             self.events.emit("attempt.orphaned", attempt=attempt.req.attempt)
             await self.stop(attempt)
 
-    def _refusal(self, attempt: Attempt, now: float) -> NotRun | None:
+    def _barred(self, attempt: Attempt) -> NotRun | None:
+        """Refusal of a request that crashes servers, or whose server just crashed."""
+        if self.clock() - self._crashed_at < SAME_CRASH_SECONDS:
+            # A server that is starting again breaks what comes too soon, and each of
+            # those requests would pass for the cause of another crash.
+            return NotRun(Failure("ServerDown", "it crashed just now"), 1.0)
         if self.quarantine.crashes and self.quarantine.refused(
             _fingerprint(attempt.req), self.wall()
         ):
             return NotRun(Failure("Quarantined", "it crashes the servers that run it"))
-        return admit(self.gate, attempt.deadline, now)
+        return None
 
     def _alone(self, req: pb.RunRequest) -> bool:
         if req.alone or not self.quarantine.crashes:
@@ -146,7 +155,7 @@
             self.events.emit("cancel.failed", attempt=attempt.req.attempt, why=str(exc))
 
     async def _run(self, attempt: Attempt) -> None:
-        async with Slot(self.gate, self._slot_free, attempt, self.clock) as refusal:
+        async with Slot(self.slots, attempt) as refusal:
             outcome = refusal or await self._run_in_slot(attempt)
         attempt.finish(outcome, self.clock())
         self.events.emit(
@@ -159,7 +168,7 @@
     async def _run_in_slot(self, attempt: Attempt) -> Outcome:
         async with self.solo.running(self._alone(attempt.req)):
             # Another copy of a suspect may have crashed the server while this waited.
-            if refusal := self._refusal(attempt, self.clock()):
+            if refusal := self._barred(attempt):
                 return refusal
             if attempt.req.repeatable:
                 return await self._serve_or_fail(attempt)
--- a/packages/wasabideck_entry/wasabideck_entry/calls.py
+++ b/packages/wasabideck_entry/wasabideck_entry/calls.py
@@ -12,9 +12,10 @@
 from attrs import define, field, frozen
 from wasabideck_platform.channels import Channels
 from wasabideck_platform.events import Events
+from wasabideck_policy.affinity import prefix_name
 from wasabideck_policy.outcomes import Failure, NotRun, Outcome, Unknown
 from wasabideck_policy.retry import RetryBudget, costs_nothing, may_retry
-from wasabideck_policy.routing import Choice, Server
+from wasabideck_policy.routing import Ask, Choice, Server
 from wasabideck_wire import inner_pb2 as pb
 from wasabideck_wire.convert import outcome_from
 
@@ -166,6 +167,7 @@
                     elif progress.take(item):
                         yield item
             progress.ran |= isinstance(outcome, Unknown)
+            self.fleet.observe(server, outcome)
             await self.suspects.hear(name, outcome)
             if not self._goes_on(call, progress, outcome):
                 break
@@ -181,7 +183,10 @@
         if progress.manifest:
             servers = [s for s in servers if s.manifest == progress.manifest]
         servers = self.suspects.narrow(name, servers)
-        return self.choose(servers, self.clock(), self.rng) if servers else None
+        if not servers:
+            return None
+        ask = Ask(prefix_name(call.body), self.fleet.region)
+        return self.choose(servers, ask, self.clock(), self.rng)
 
     def _affords(self, progress: _Progress, outcome: Outcome) -> bool:
         first = not progress.tried
--- a/packages/wasabideck_lab/wasabideck_lab/launcher.py
+++ b/packages/wasabideck_lab/wasabideck_lab/launcher.py
@@ -84,6 +84,8 @@
     table: TableStandin = field(init=False)
     members: MembersStandin = field(init=False)
     weights: WeightsStandin = field(init=False)
+    entry_settings: dict = field(factory=dict)
+    server_settings: dict[str, dict] = field(factory=dict)
     addresses: dict[str, str] = field(factory=dict)
     server_addresses: dict[str, str] = field(factory=dict)
     manifests: dict[str, Manifest] = field(factory=dict)
@@ -120,6 +122,7 @@
             "operators": [{"name": "operator-1", "token": OPERATOR_TOKEN}],
             "callers": [{"organisation": "org-1", "token": CALLER_TOKEN}],
         }
+        settings |= self.entry_settings
         process = await self._start(vm, "wasabideck", settings)
         self.members.put(Member(vm, ENTRY, process.inner, **_place(place)))
         return process
@@ -145,6 +148,7 @@
     ) -> Process:
         url = self.server_addresses[vm] = await self._serve(standin)
         server = {"service": service, "url": url, "kind": kind}
+        server |= self.server_settings.get(service, {})
         return await self.start_agent(vm, {"server": server}, **place)
 
     async def start_agent(self, vm: str, extra: dict, **place: str) -> Process:
--- a/packages/wasabideck_policy/wasabideck_policy/retry.py
+++ b/packages/wasabideck_policy/wasabideck_policy/retry.py
@@ -20,6 +20,7 @@
         "NotServing",
         "OtherIncarnation",
         "OtherManifest",
+        "ServerDown",
         "Unreachable",
     }
 )
