--- a/packages/wasabideck_lab/wasabideck_lab/faults_run.py
+++ b/packages/wasabideck_lab/wasabideck_lab/faults_run.py
@@ -44,6 +44,7 @@
     folder: Path
     expected_dead: set[str] = field(factory=set)
     problems: list[str] = field(factory=list)
+    figures: dict[str, float] = field(factory=dict)
 
     def entries(self) -> list[str]:
         """Names of the entries that run."""
@@ -86,7 +87,7 @@
             stage.problems.append(f"{vm} exited with {code}")
     clean = found.clean and not stage.problems
     row = {"scenario": name, "seed": seed, "clean": clean} | asdict(found)
-    return row | {"problems": stage.problems}
+    return row | {"problems": stage.problems, "figures": stage.figures}
 
 
 async def _set_up(folder: Path, seed: int, rate: float) -> Stage:
