--- a/packages/wasabideck_agent/wasabideck_agent/agent.py
+++ b/packages/wasabideck_agent/wasabideck_agent/agent.py
@@ -15,11 +15,18 @@
 from wasabideck_platform.events import Events, open_events
 from wasabideck_platform.http import HttpClient, PlatformUnavailable
 from wasabideck_platform.metrics import Metrics, render_metrics
-from wasabideck_platform.process import announce_ready, every, first_of
+from wasabideck_platform.process import (
+    announce_ready,
+    every,
+    first_of,
+    reread_keys,
+)
 from wasabideck_platform.servers import Engine, PlainService
 from wasabideck_platform.settings import PLAIN, AgentSettings, split_address
 from wasabideck_platform.spread import PeersService, Spread
+from wasabideck_platform.tls import Keys
 from wasabideck_policy.admission import Gate
+from wasabideck_policy.concurrency import AdaptiveLimit
 from wasabideck_policy.manifests import Manifest
 from wasabideck_policy.membership import AGENT, Member, Watch, watched
 from wasabideck_policy.orders import OrderBook
@@ -29,8 +36,11 @@
 from .chunks_service import ChunksService
 from .claim_store import ClaimStore
 from .delivery_rows import DeliveryRows
+from .links import Link, Links, give_way_to_live
+from .load import LOAD_SECONDS, LoadReader
+from .manifest_reader import ManifestReader
 from .orders import Orders
-from .reconcile import MODEL, Reconciler
+from .reconcile import Reconciler
 from .runs import Runner, RunsService
 from .swap_turns import SwapTurns
 from .transfer import Transfer
@@ -38,7 +48,6 @@
 __all__ = ["serve_agent"]
 
 SYNC_SECONDS = 1.0
-LOAD_SECONDS = 0.5
 ROWS_SECONDS = 1.0
 FORGET_SECONDS = 5.0
 DRAIN_SECONDS = 60.0
@@ -56,13 +65,13 @@
     runner: Runner
     store: ChunkStore
     chunks: ChunksService
+    links: Links
     metrics: Metrics
+    load: LoadReader
     rows: DeliveryRows
     members: list[Member] = field(factory=list)
     watch: Watch = field(factory=Watch)
     orders: Orders | None = None
-    load: float = 0.0
-    load_at: float = 0.0
 
     @property
     def vm(self) -> str:
@@ -79,9 +88,12 @@
             and m.service == self.cfg.server.service
         ]
 
-    def status(self) -> pb.StatusReply:
+    def status(self, req: pb.StatusRequest) -> pb.StatusReply:
         """What this agent tells entries about its server."""
         gate = self.runner.gate
+        prefixes, changes = self.load.prefixes(time.monotonic())
+        # The set is some hundred bytes, and is only told to who lacks it.
+        told = [] if req.cache_changes == changes else prefixes
         return pb.StatusReply(
             vm=self.vm,
             service=self.cfg.server.service,
@@ -93,25 +105,40 @@
             in_progress=gate.running,
             waiting=gate.waiting,
             capacity=gate.capacity,
-            load=self.load,
-            load_at=self.load_at,
+            load=self.load.value,
+            load_at=self.load.at,
+            service_time=gate.service_time,
+            cached_prefixes=told,
+            cache_changes=changes,
         )
 
     def make_transfer(self, manifest: Manifest) -> Transfer:
         """A transfer of a manifest into this agent's store."""
+        place = self.cfg.process
         return Transfer(
-            self.vm,
+            Member(self.vm, AGENT, "", place.region, place.data_centre),
             manifest,
             self.store,
             self.chunks,
             self.platform.origin,
             self.channels,
+            self.links,
             self.events,
             self.peers,
-            self.cfg.fetches,
+            self.cfg.weights,
             random.Random(f"{self.cfg.seed}/{self.vm}"),
         )
 
+    def manifests(self) -> ManifestReader:
+        """Reads manifests from peers or from the origin."""
+        return ManifestReader(
+            self.vm,
+            self.platform.origin,
+            self.channels,
+            self.peers,
+            random.Random(f"{self.cfg.seed}/{self.vm}/manifests"),
+        )
+
     async def read_members(self) -> None:
         """Read the platform's list; keep the last one when it is down."""
         try:
@@ -139,15 +166,11 @@
             self.channels.drop(member.address)
             self.watch.failed(member.vm, time.monotonic())
 
-    async def read_load(self) -> None:
-        """Read the engine's lagging load report."""
-        if self.runner.engine is None or not self.cfg.server.reports_load:
-            return
-        try:
-            report = await self.runner.engine.load()
-        except PlatformUnavailable:
-            return
-        self.load, self.load_at = report["load"], report["at"]
+    def count_links(self) -> None:
+        """Bring the links' metrics up to date."""
+        for name in ("up", "down", "region"):
+            passed = getattr(self.links, name).passed
+            self.metrics.link.set({"direction": name}, passed)
 
     async def forget_old(self) -> None:
         """Forget attempts that ended long ago."""
@@ -157,17 +180,20 @@
 async def serve_agent(cfg: AgentSettings, stop: asyncio.Event) -> None:
     """Serve until ``stop`` is set, then finish what is in progress."""
     events, _ = open_events(cfg.process.vm, cfg.process.events)
+    keys = Keys(cfg.tls) if cfg.tls else None
     async with aiohttp.ClientSession() as session:
-        agent = _assemble(cfg, events, session)
+        agent = _assemble(cfg, events, session, keys)
         server = Server(_services(agent))
         observe_clock(server, events.clock)
+        give_way_to_live(server, agent.links)
         host, port = split_address(cfg.process.inner)
-        await server.start(host, port)
-        http = await _serve_http(agent)
+        await server.start(host, port, ssl=keys and keys.inner_server)
+        http = await _serve_http(agent, keys)
         inner = server._server.sockets[0].getsockname()
         events.emit("process.ready", kind=AGENT)
         announce_ready(vm=agent.vm, inner=f"{inner[0]}:{inner[1]}", http=http)
-        tasks = [asyncio.create_task(loop) for loop in _loops(agent)]
+        loops = [*_loops(agent), *reread_keys(keys, events)]
+        tasks = [asyncio.create_task(loop) for loop in loops]
         await first_of(stop, tasks)
         await _drain(agent)
         for task in tasks:
@@ -178,7 +204,10 @@
 
 
 def _assemble(
-    cfg: AgentSettings, events: Events, session: aiohttp.ClientSession
+    cfg: AgentSettings,
+    events: Events,
+    session: aiohttp.ClientSession,
+    keys: Keys | None,
 ) -> Agent:
     platform = connect_platform(cfg.platform, session)
     http = HttpClient(cfg.server.url, cfg.platform.timeout_seconds, session)
@@ -191,17 +220,24 @@
         plain=PlainService(http) if plain else None,
         claims=ClaimStore(platform.table),
     )
+    if not cfg.server.reports_load:
+        most = cfg.server.capacity
+        runner.slots.limit = AdaptiveLimit(limit=most, most=most)
     store = ChunkStore()
+    rate = cfg.weights.link_rate
+    links = Links(Link(rate), Link(rate), Link(cfg.weights.region_rate))
     return Agent(
         cfg,
         events,
-        Channels(events.clock),
+        Channels(events.clock, keys and keys.inner_client),
         platform,
         Spread(cfg.process.vm, events),
         runner,
         store,
-        ChunksService(store, cfg.uploads),
+        ChunksService(store, links, cfg.weights.uploads),
+        links,
         Metrics(),
+        LoadReader(runner.engine if cfg.server.reports_load else None),
         DeliveryRows(platform.table),
     )
 
@@ -215,7 +251,7 @@
     loops = [
         every(agent.cfg.platform.poll_seconds, agent.read_members),
         every(SYNC_SECONDS, agent.hear_state),
-        every(LOAD_SECONDS, agent.read_load),
+        every(LOAD_SECONDS, agent.load.read),
         every(FORGET_SECONDS, agent.forget_old),
     ]
     if agent.runner.engine:
@@ -232,7 +268,7 @@
         agent.runner,
         agent.events,
         OrderBook(agent.cfg.server.checks_fencing),
-        lambda: reconciler.wanted(MODEL),
+        lambda: reconciler.wanted(),
     )
     turns = SwapTurns(
         agent.vm,
@@ -246,7 +282,7 @@
         agent.runner.engine,
         orders,
         agent.spread,
-        agent.platform.origin,
+        agent.manifests().read,
         agent.rows,
         agent.store,
         agent.events,
@@ -271,10 +307,11 @@
     await agent.rows.write()
 
 
-async def _serve_http(agent: Agent) -> str:
+async def _serve_http(agent: Agent, keys: Keys | None) -> str:
     """Serve /metrics and /ready; the bound address."""
 
     async def metrics(req: web.Request) -> web.Response:
+        agent.count_links()
         body, headers = render_metrics(agent.metrics, req.headers.get("accept", ""))
         return web.Response(body=body, headers=headers)
 
@@ -286,7 +323,7 @@
     runner = web.AppRunner(app, access_log=None)
     await runner.setup()
     host, port = split_address(agent.cfg.process.http)
-    site = web.TCPSite(runner, host, port)
+    site = web.TCPSite(runner, host, port, ssl_context=keys and keys.http)
     await site.start()
     bound = runner.addresses[0]
     return f"{bound[0]}:{bound[1]}"
--- a/packages/wasabideck_lab/wasabideck_lab/launcher.py
+++ b/packages/wasabideck_lab/wasabideck_lab/launcher.py
@@ -76,9 +76,12 @@
     folder: Path
     seed: int = 0
     origin_rate: float = 0.0
+    tls: dict[str, str] | None = None
     table: TableStandin = field(init=False)
     members: MembersStandin = field(init=False)
     weights: WeightsStandin = field(init=False)
+    entry_settings: dict = field(factory=dict)
+    server_settings: dict[str, dict] = field(factory=dict)
     addresses: dict[str, str] = field(factory=dict)
     server_addresses: dict[str, str] = field(factory=dict)
     manifests: dict[str, Manifest] = field(factory=dict)
@@ -115,6 +118,7 @@
             "operators": [{"name": "operator-1", "token": OPERATOR_TOKEN}],
             "callers": [{"organisation": "org-1", "token": CALLER_TOKEN}],
         }
+        settings |= self.entry_settings
         process = await self._start(vm, "wasabideck", settings)
         self.members.put(Member(vm, ENTRY, process.inner, **_place(place)))
         return process
@@ -136,7 +140,21 @@
     ) -> Process:
         url = self.server_addresses[vm] = await self._serve(standin)
         server = {"service": service, "url": url, "kind": kind}
-        settings = self._common(vm, **place) | {"server": server}
+        server |= self.server_settings.get(service, {})
+        return await self.start_agent(vm, {"server": server}, **place)
+
+    async def start_agent(self, vm: str, extra: dict, **place: str) -> Process:
+        """Start the agent of a server that is served already.
+
+        Parameters
+        ----------
+        extra : dict
+            Settings besides the common ones; ``server`` at least.
+        """
+        settings = self._common(vm, **place)
+        settings["platform"] |= extra.get("platform", {})
+        settings |= {k: v for k, v in extra.items() if k != "platform"}
+        service = extra["server"]["service"]
         process = await self._start(vm, "wasabideck-agent", settings)
         member = Member(vm, AGENT, process.inner, service=service, **_place(place))
         self.members.put(member)
@@ -159,6 +177,7 @@
         process = {"vm": vm, "events": str(self.folder / f"{vm}.events")}
         return {
             "seed": self.seed,
+            **({"tls": self.tls} if self.tls else {"plain_text": True}),
             "process": process | _place(place),
             "platform": {k: self.addresses[k] for k in ("table", "members", "weights")},
         }
--- a/packages/wasabideck_policy/wasabideck_policy/membership.py
+++ b/packages/wasabideck_policy/wasabideck_policy/membership.py
@@ -7,7 +7,7 @@
 
 from attrs import define, field, frozen
 
-from .distribution import rank
+from .rendezvous import rank
 
 __all__ = ["AGENT", "ENTRY", "Heard", "Member", "Watch", "polls", "tell", "watched"]
 
--- /dev/null
+++ b/tests/sessions/test_burst_session.py
@@ -0,0 +1,109 @@
+"""Golden file of a burst at three times capacity, by given times and seed.
+
+The decisions are the real ones; clocks, engines and links are fakes of a few lines.
+"""
+
+import heapq
+import random
+from collections import Counter
+from itertools import count
+
+from wasabideck_lab.load_mix import DEPLOYMENTS, arrivals
+from wasabideck_policy.admission import Gate, admit, late_refusal
+from wasabideck_policy.affinity import prefix_name
+from wasabideck_policy.fair_queue import Waiting
+from wasabideck_policy.routing import Ask, Server, priced
+
+SECONDS = 20.0
+REPORT_SECONDS = 0.5
+SERVICE_SECONDS = 1.3
+CAPACITY = 8
+
+
+class Session:
+    """Two entries before six servers; time is what the next event says."""
+
+    def __init__(self, seed):
+        self.rng = random.Random(seed)
+        vms = [f"draft-{i}" for i in range(6)]
+        self.gates = {vm: Gate(CAPACITY, SERVICE_SECONDS, open=True) for vm in vms}
+        self.views = [
+            [Server(vm, "drafting", "", "here") for vm in vms] for _ in range(2)
+        ]
+        self.outcomes = {}
+        self.asked = {}
+        self.sent_to = {}
+        self._events = []
+        self._order = count()
+
+    def at(self, when, do, *args):
+        heapq.heappush(self._events, (when, next(self._order), do, args))
+
+    def run(self):
+        while self._events:
+            now, _, do, args = heapq.heappop(self._events)
+            do(now, *args)
+
+    def report(self, now):
+        for view in self.views:
+            for server in view:
+                gate = self.gates[server.vm]
+                server.reported = gate.running + len(gate.queue)
+                server.own_reported = server.in_progress
+                server.heard_at = now
+        if now < SECONDS:
+            self.at(now + REPORT_SECONDS, self.report)
+
+    def arrive(self, now, arrival):
+        ask = Ask(prefix_name(arrival.body.encode()), "here")
+        view = self.views[arrival.region % 2]
+        server = priced(view, ask, now, self.rng)
+        gate = self.gates[server.vm]
+        kind = arrival.kind
+        waiting = Waiting(arrival.organisation, kind.priority, now, now + kind.deadline)
+        self.asked[waiting] = arrival
+        if refusal := admit(gate, waiting, now):
+            self.outcomes[waiting] = ("refused at once", refusal.retry_after > 0)
+            return
+        gate.queue.add(waiting)
+        self.sent_to[waiting] = server
+        server.in_progress += 1
+        self.begin(now, gate)
+
+    def begin(self, now, gate):
+        for waiting in gate.queue.late(now, gate.service_time):
+            gate.queue.remove(waiting)
+            self.sent_to[waiting].in_progress -= 1
+            retry_after = late_refusal(gate, waiting, now).retry_after
+            self.outcomes[waiting] = ("refused later", retry_after > 0)
+        while waiting := gate.next(now):
+            seconds = SERVICE_SECONDS * self.rng.uniform(0.8, 1.2)
+            self.at(now + seconds, self.end, gate, waiting, seconds)
+
+    def end(self, now, gate, waiting, seconds):
+        gate.end(seconds)
+        self.sent_to[waiting].in_progress -= 1
+        in_time = now <= waiting.deadline
+        self.outcomes[waiting] = ("answered" if in_time else "answered late", True)
+        self.begin(now, gate)
+
+
+def test_burst(data_regression):
+    session = Session(seed=1)
+    session.at(0.0, session.report)
+    for arrival in arrivals(DEPLOYMENTS["rent"], 3.0, SECONDS, random.Random(1)):
+        if arrival.kind.service == "drafting":
+            session.at(arrival.due, session.arrive, arrival)
+    session.run()
+    assert len(session.outcomes) == len(session.asked)
+    assert all(told for _, told in session.outcomes.values())
+    data_regression.check(_shown(session))
+
+
+def _shown(session):
+    shown = {}
+    for group in (lambda a: a.kind.route, lambda a: a.organisation):
+        for waiting, (outcome, _) in session.outcomes.items():
+            name = group(session.asked[waiting])
+            shown.setdefault(name, Counter())[outcome] += 1
+    return {name: dict(counts) for name, counts in shown.items()}
