--- a/packages/wasabideck_lab/wasabideck_lab/scenarios_tickets.py
+++ b/packages/wasabideck_lab/wasabideck_lab/scenarios_tickets.py
@@ -25,6 +25,7 @@
 LATE_SECONDS = 3.0
 SETTLE_SECONDS = 10.0
 ROUNDS = 4
+ROLES = ("mixed", "decode", "mixed")
 
 
 def _table_down(stage: Stage, down: bool) -> None:
@@ -58,7 +59,7 @@
         # The highest number again, with other content, from everywhere.
         jobs += [
             submit_ticket(stage, vm, first + 2, engine_role=role)
-            for vm, role in zip(stage.entries(), ("mixed", "decode", "mixed"), strict=True)
+            for vm, role in zip(stage.entries(), ROLES, strict=True)
         ]
         answers = await asyncio.gather(*jobs)
         titles = {answer.title for answer in answers if answer.status != 200}
--- a/packages/wasabideck_lab/wasabideck_lab/stage_tickets.py
+++ b/packages/wasabideck_lab/wasabideck_lab/stage_tickets.py
@@ -142,5 +142,3 @@
     """VMs on which a ticket is in force by ``ticket status``."""
     answer = await ask(stage, vm, f"/v1/tickets/{number}/status")
     return answer.body.get("in_force", [])
-
-
