--- a/packages/wasabideck_lab/wasabideck_lab/__main__.py
+++ b/packages/wasabideck_lab/wasabideck_lab/__main__.py
@@ -15,6 +15,7 @@
 from .distribute_command import distribute
 from .faults import FAULTS
 from .faults_run import SCENARIOS, run_scenario
+from .in_force import measure_in_force
 from .load_command import load
 from .overhead import measure_overhead
 from .samples import write_samples
@@ -98,6 +99,17 @@
         for row in asyncio.run(measure_all(names)):
             print(orjson.dumps(row).decode() if json else row, flush=True)
 
+    def in_force(self, json: bool = False) -> None:
+        """Measure the time from a ticket's acceptance to in force, by fleet size.
+
+        Parameters
+        ----------
+        json : bool
+            Print JSON.
+        """
+        for row in asyncio.run(measure_in_force()):
+            print(orjson.dumps(row).decode() if json else row, flush=True)
+
     def overhead(self, json: bool = False) -> None:
         """Measure start-up, idle memory and added latency of the path.
 
