--- a/tests/tickets/test_acceptance.py
+++ b/tests/tickets/test_acceptance.py
@@ -119,6 +119,20 @@
     assert table.rows["state", "b#model"]["ticket"] == 7
 
 
+def test_a_fresh_head_beside_stale_rows_accepts_nothing_wrong(
+    table, accept, make_ticket
+):
+    """The head is read from the table and the rows from a replica that lags: a
+    lower number passes its holder, and the fleet goes back to it."""
+    accept(make_ticket(1, "a"))
+    before = table.snapshot()
+    accept(make_ticket(7, "b"))
+    table.stale = before | {("head", "head"): table.rows["head", "head"]}
+    with pytest.raises(TicketUnknown):
+        accept(make_ticket(6, "b"))
+    assert table.rows["state", "b#model"]["ticket"] == 7
+
+
 def test_changes_are_read_above_a_place(table, accept, make_ticket):
     accept(make_ticket(1, "a", "b"))
     accept(make_ticket(2, "a", version="v2"))
