Decide without going through every chunk's ranks

Each message woke the transfer, and each wake-up went through the ranks of all chunks that nobody was known to hold.

--- a/packages/wasabideck_agent/wasabideck_agent/transfer.py
+++ b/packages/wasabideck_agent/wasabideck_agent/transfer.py
@@ -239,7 +239,7 @@
 
     def _follow_members(self) -> None:
         members = self.peers_of()
-        if members == self._members and self.view.owners:
+        if members == self._members and self.view.owners.ranks:
             return
         self._members = members
         set_members(self.view, self._digest, members)
@@ -271,7 +271,8 @@
 
     def _heard(self, vm: str, held: int, sent: int = 0, reading: int = 0) -> None:
         hear(self.view, vm, held, self.clock(), sent, reading)
-        if held & self.view.wanted:
+        # A view that is full of fetches cannot use the news; each wake-up costs.
+        if held & self.view.wanted and self.view.active.bit_count() < self.cfg.fetches:
             self._news.set()
 
     def _lose(self, vm: str) -> None:
--- a/packages/wasabideck_lab/wasabideck_lab/distribute.py
+++ b/packages/wasabideck_lab/wasabideck_lab/distribute.py
@@ -155,12 +155,12 @@
     run.vms = [f"draft-{index + 1:04d}" for index in range(plan.replicas)]
     urls = await _start_engines(run)
     turns = asyncio.Semaphore(STARTS_AT_ONCE)
+    program = _corrupting(plan.corrupt) if plan.corrupt else ()
 
     async def start(index: int, vm: str) -> None:
         async with turns:
-            await lab.start_agent(
-                vm, _agent_settings(plan, urls[vm]), region=run.region(index)
-            )
+            settings = _agent_settings(plan, urls[vm])
+            await lab.start_agent(vm, settings, program, region=run.region(index))
 
     await asyncio.gather(*(start(i, vm) for i, vm in enumerate(run.vms)))
     _say(f"{len(run.vms)} agents run")
@@ -168,6 +168,10 @@
     await _wait(run, lambda: len(_rows(run, 1)) == plan.replicas, 60.0, "v1")
 
 
+def _corrupting(share: float) -> tuple[str, ...]:
+    return (sys.executable, "-m", "wasabideck_lab.faulty_agent", str(share))
+
+
 def _agent_settings(plan: Plan, url: str) -> dict:
     return {
         "platform": {"poll_seconds": 2.0, "timeout_seconds": 10.0},
--- a/packages/wasabideck_lab/wasabideck_lab/launcher.py
+++ b/packages/wasabideck_lab/wasabideck_lab/launcher.py
@@ -138,19 +138,23 @@
         server = {"service": service, "url": url, "kind": kind}
         return await self.start_agent(vm, {"server": server}, **place)
 
-    async def start_agent(self, vm: str, extra: dict, **place: str) -> Process:
+    async def start_agent(
+        self, vm: str, extra: dict, program: tuple[str, ...] = (), **place: str
+    ) -> Process:
         """Start the agent of a server that is served already.
 
         Parameters
         ----------
         extra : dict
             Settings besides the common ones; ``server`` at least.
+        program : tuple of str
+            Another program than the agent's binary.
         """
         settings = self._common(vm, **place)
         settings["platform"] |= extra.get("platform", {})
         settings |= {k: v for k, v in extra.items() if k != "platform"}
         service = extra["server"]["service"]
-        process = await self._start(vm, "wasabideck-agent", settings)
+        process = await self._start(vm, "wasabideck-agent", settings, program)
         member = Member(vm, AGENT, process.inner, service=service, **_place(place))
         self.members.put(member)
         return process
@@ -176,13 +180,15 @@
             "platform": {k: self.addresses[k] for k in ("table", "members", "weights")},
         }
 
-    async def _start(self, vm: str, binary: str, settings: dict) -> Process:
+    async def _start(
+        self, vm: str, binary: str, settings: dict, program: tuple[str, ...] = ()
+    ) -> Process:
         path = self.folder / f"{vm}.toml"
         path.write_text(to_toml(settings))
         # The binaries stand beside the interpreter that runs the lab.
-        program = Path(sys.executable).with_name(binary)
+        binaries = Path(sys.executable).parent
         child = await asyncio.create_subprocess_exec(
-            str(program),
+            *(program or (str(binaries / binary),)),
             "serve",
             str(path),
             stdout=asyncio.subprocess.PIPE,
--- a/packages/wasabideck_policy/wasabideck_policy/distribution.py
+++ b/packages/wasabideck_policy/wasabideck_policy/distribution.py
@@ -3,11 +3,11 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Callable, Iterable, Iterator, Sequence
+from collections.abc import Callable, Iterable, Sequence
 
 from attrs import frozen
 
-from .views import GATEWAYS, ORIGIN, Fetch, Peer, View, bits, pick_bit, rank
+from .views import ORIGIN, Duties, Fetch, Peer, View, bits, pick_bit, rank
 
 __all__ = ["SWARM", "Policy", "may_reach_out", "next_fetch", "rank", "whom_to_ask"]
 
@@ -64,25 +64,36 @@
     useful = any(p.held & view.wanted for p in view.holders.values())
     near = [p for p in view.peers.values() if p.region == view.region]
     asked = _draw(view, near, ASKS_FED if useful else ASKS_STARVING, now, rng)
-    if any(view.vm in ranks for ranks in view.bringers[:GATEWAYS]):
+    if view.bringers.first:
         far = [p for p in view.peers.values() if p.region != view.region]
         asked += _draw(view, far, CHECKS, now, rng)
     return list(dict.fromkeys([*_checks(view, now), *asked]))
 
 
-def may_reach_out(view: View, ranks: Sequence[str], now: float) -> bool:
-    """Whether a chunk's ranks let this VM fetch it from outside its region.
+def may_reach_out(view: View, duties: Duties, index: int, now: float) -> bool:
+    """Whether this VM may fetch a chunk from outside its region.
 
     The first in rank may at once. Another may when all before it are lost, or after
     a delay without any progress that doubles with each rank.
     """
-    if view.vm not in ranks:
-        return False
-    place = ranks.index(view.vm)
-    if all(view.peers[vm].lost for vm in ranks[:place] if vm in view.peers):
+    place = duties.places[index]
+    if place <= 0:
+        return place == 0
+    if now - max(view.begun, view.progress_at) >= view.limits.patience * (2**place - 1):
         return True
+    before = (view.peers.get(vm) for vm in duties.ranks[index][:place])
+    return all(peer is None or peer.lost for peer in before)
+
+
+def _due(view: View, duties: Duties, missing: int, now: float) -> int:
+    """Chunks among the missing that this VM may fetch from outside."""
+    due = missing & duties.first
     waited = now - max(view.begun, view.progress_at)
-    return waited >= view.limits.patience * (2**place - 1)
+    if waited >= view.limits.patience or any(p.lost for p in view.peers.values()):
+        for index in bits(missing & ~due):
+            if may_reach_out(view, duties, index, now):
+                due |= 1 << index
+    return due
 
 
 def _read_origin(view: View, wanted: int, now: float) -> Fetch | None:
@@ -90,29 +101,30 @@
     unseen = wanted & ~view.seen
     if busy or not unseen:
         return None
-    for index in bits(unseen):
-        ranks = view.owners[index]
-        if may_reach_out(view, ranks, now) and _checked(view, index, ranks, now):
+    for index in bits(_due(view, view.owners, unseen, now)):
+        if _checked(view, index, now):
             far = bool(view.origin_region) and view.region != view.origin_region
             return Fetch(index, ORIGIN, far)
     return None
 
 
-def _checked(view: View, index: int, ranks: Sequence[str], now: float) -> bool:
+def _checked(view: View, index: int, now: float) -> bool:
     """Whether the next in rank does not have the chunk already.
 
     A VM that joins late may come first in rank for a chunk that the one after it has
     read long ago; reading it again would cost the origin a copy.
     """
-    after = next((p for p in _after(view, ranks) if not p.lost), None)
+    after = _after(view, view.owners, index)
     if after is None or now - view.begun >= CHECK_SECONDS:
         return after is None or not after.reading >> index & 1
     return after.heard_at >= view.begun and not after.reading >> index & 1
 
 
-def _after(view: View, ranks: Sequence[str]) -> Iterator[Peer]:
-    place = ranks.index(view.vm)
-    return (view.peers[vm] for vm in ranks[place + 1 :] if vm in view.peers)
+def _after(view: View, duties: Duties, index: int) -> Peer | None:
+    """The next in rank after this VM that is not lost."""
+    later = duties.ranks[index][duties.places[index] + 1 :]
+    peers = (view.peers[vm] for vm in later if vm in view.peers)
+    return next((peer for peer in peers if not peer.lost), None)
 
 
 def _bring_far(view: View, wanted: int, now: float, rng: random.Random) -> Fetch | None:
@@ -124,13 +136,10 @@
     there = 0
     for peer in free:
         there |= peer.held & lacking
-    mine = 0
-    for index in bits(there):
-        if may_reach_out(view, view.bringers[index], now):
-            mine |= 1 << index
-    if not mine:
+    due = _due(view, view.bringers, there, now)
+    if not due:
         return None
-    index = pick_bit(mine, rng)
+    index = pick_bit(due, rng)
     holders = [p for p in free if p.held >> index & 1]
     return Fetch(index, _least_sent(holders, rng).vm, far=True)
 
@@ -202,28 +211,25 @@
 def _checks(view: View, now: float) -> list[str]:
     """Neighbours in rank, for duties that nobody is known to have done."""
     checks: dict[str, None] = {}
-    for missing, table in (
+    for missing, duties in (
         (view.wanted & ~view.seen, view.owners),
         (view.wanted & ~view.seen_near, view.bringers),
     ):
-        for index in bits(missing):
+        for index in bits(missing & duties.close):
             if len(checks) >= CHECKS:
-                break
-            checks.update(dict.fromkeys(_neighbours(view, table[index], now)))
+                return list(checks)
+            checks.update(dict.fromkeys(_neighbours(view, duties, index, now)))
     return list(checks)[:CHECKS]
 
 
-def _neighbours(view: View, ranks: Sequence[str], now: float) -> list[str]:
+def _neighbours(view: View, duties: Duties, index: int, now: float) -> list[str]:
     """The last before this VM that is not lost, and the first after it at first."""
-    if view.vm not in ranks:
-        return []
-    place = ranks.index(view.vm)
-    before = (view.peers[vm] for vm in reversed(ranks[:place]) if vm in view.peers)
-    found = []
-    if place <= CHECKS:
-        found = [p for p in before if not p.lost][:1]
-    after = next((p for p in _after(view, ranks) if not p.lost), None)
-    if place == 0 and after is not None and after.heard_at < view.begun:
+    place = duties.places[index]
+    earlier = reversed(duties.ranks[index][:place])
+    before = (view.peers[vm] for vm in earlier if vm in view.peers)
+    found = [p for p in before if not p.lost][:1]
+    after = _after(view, duties, index) if place == 0 else None
+    if after is not None and after.heard_at < view.begun:
         found.append(after)
     return [p.vm for p in found if now - p.heard_at >= CHECK_SECONDS]
 
--- a/packages/wasabideck_policy/wasabideck_policy/views.py
+++ b/packages/wasabideck_policy/wasabideck_policy/views.py
@@ -19,6 +19,7 @@
 
 __all__ = [
     "ORIGIN",
+    "Duties",
     "Fetch",
     "Limits",
     "Peer",
@@ -45,6 +46,8 @@
 OWNER_POOL = 64
 # Agents of a region that bring chunks over its link, each with an equal share of it.
 GATEWAYS = 4
+# Places in rank from which a VM keeps an eye on those before it.
+CLOSE = 2
 LOST_SECONDS = 2.0
 CORRUPT_SLOTS = 8.0
 MAX_STRIKES = 8
@@ -101,6 +104,26 @@
     lost: bool = False
 
 
+@frozen
+class Duties:
+    """Who fetches which chunk from outside a region, in order of rank.
+
+    Attributes
+    ----------
+    ranks : tuple of sequences of str
+        For each chunk the VMs that may fetch it.
+    places : tuple of int
+        For each chunk this VM's place among them; -1 when it is not.
+    first, close : int
+        Chunks for which this VM is the first, and for which it is near to it.
+    """
+
+    ranks: tuple[Sequence[str], ...] = ()
+    places: tuple[int, ...] = ()
+    first: int = 0
+    close: int = 0
+
+
 @frozen
 class Fetch:
     """One fetch to start.
@@ -154,8 +177,8 @@
     origin_busy_until: float = 0.0
     sources: Counter = field(factory=Counter)
     far_active: int = 0
-    owners: list[list[str]] = field(factory=list)
-    bringers: list[list[str]] = field(factory=list)
+    owners: Duties = Duties()
+    bringers: Duties = Duties()
 
     @property
     def whole(self) -> int:
@@ -194,10 +217,9 @@
     pool = gateways(item, view.region, [view.vm, *near])
     # A pool that is gone through in turn shares the link's bytes out evenly; ranks
     # drawn for each chunk would leave one of the few gateways far behind.
-    view.bringers = [
-        [pool[(i + k) % len(pool)] for k in range(len(pool))]
-        for i in range(len(view.digests))
-    ]
+    turns = [[*pool[k:], *pool[:k]] for k in range(len(pool))]
+    chunks = range(len(view.digests))
+    view.bringers = _duties(view.vm, [turns[i % len(pool)] for i in chunks])
 
 
 def hear(
@@ -309,4 +331,11 @@
     region = {vm: view.peers[vm].region for vm in staying} | {view.vm: view.region}
     at_home = [vm for vm in region if region[vm] == view.origin_region]
     pool = heapq.nlargest(OWNER_POOL, at_home or region, key=_score(item))
-    view.owners = [rank(digest, pool) for digest in view.digests]
+    view.owners = _duties(view.vm, [rank(digest, pool) for digest in view.digests])
+
+
+def _duties(vm: str, ranks: Sequence[Sequence[str]]) -> Duties:
+    places = tuple(row.index(vm) if vm in row else -1 for row in ranks)
+    first = sum(1 << i for i, place in enumerate(places) if place == 0)
+    close = sum(1 << i for i, place in enumerate(places) if 0 <= place <= CLOSE)
+    return Duties(tuple(ranks), places, first, close)
