--- a/packages/wasabideck_agent/wasabideck_agent/agent.py
+++ b/packages/wasabideck_agent/wasabideck_agent/agent.py
@@ -15,30 +15,39 @@
 from wasabideck_platform.events import Events, open_events
 from wasabideck_platform.http import HttpClient, PlatformUnavailable
 from wasabideck_platform.metrics import Metrics, render_metrics
-from wasabideck_platform.process import announce_ready, every, first_of
+from wasabideck_platform.process import (
+    announce_ready,
+    every,
+    first_of,
+    reread_keys,
+)
 from wasabideck_platform.servers import Engine, PlainService
 from wasabideck_platform.settings import PLAIN, AgentSettings, split_address
 from wasabideck_platform.spread import PeersService, Spread
+from wasabideck_platform.tls import Keys
 from wasabideck_policy.admission import Gate
-from wasabideck_policy.distribution import rank
+from wasabideck_policy.concurrency import AdaptiveLimit
 from wasabideck_policy.manifests import Manifest
-from wasabideck_policy.membership import AGENT, ENTRY, Member
+from wasabideck_policy.membership import AGENT, Member, Watch, watched
+from wasabideck_policy.orders import OrderBook
 from wasabideck_wire import inner_pb2 as pb
 
 from .chunk_store import ChunkStore
 from .chunks_service import ChunksService
 from .claim_store import ClaimStore
+from .delivery_rows import DeliveryRows
 from .links import Link, Links, give_way_to_live
+from .load import LOAD_SECONDS, LoadReader
 from .manifest_reader import ManifestReader
+from .orders import Orders
 from .reconcile import Reconciler
 from .runs import Runner, RunsService
+from .swap_turns import SwapTurns
 from .transfer import Transfer
 
 __all__ = ["serve_agent"]
 
-SYNC_SECONDS = 0.5
-WATCHED_ENTRIES = 3
-LOAD_SECONDS = 0.5
+SYNC_SECONDS = 1.0
 ROWS_SECONDS = 1.0
 FORGET_SECONDS = 5.0
 DRAIN_SECONDS = 60.0
@@ -58,9 +67,11 @@
     chunks: ChunksService
     links: Links
     metrics: Metrics
+    load: LoadReader
+    rows: DeliveryRows
     members: list[Member] = field(factory=list)
-    load: float = 0.0
-    load_at: float = 0.0
+    watch: Watch = field(factory=Watch)
+    orders: Orders | None = None
 
     @property
     def vm(self) -> str:
@@ -77,14 +88,12 @@
             and m.service == self.cfg.server.service
         ]
 
-    def entries(self) -> list[Member]:
-        """The few entries that this agent watches."""
-        found = {m.vm: m for m in self.members if m.kind == ENTRY and not m.leaving}
-        return [found[vm] for vm in rank(self.vm, found)[:WATCHED_ENTRIES]]
-
-    def status(self) -> pb.StatusReply:
+    def status(self, req: pb.StatusRequest) -> pb.StatusReply:
         """What this agent tells entries about its server."""
         gate = self.runner.gate
+        prefixes, changes = self.load.prefixes(time.monotonic())
+        # The set is some hundred bytes, and is only told to who lacks it.
+        told = [] if req.cache_changes == changes else prefixes
         return pb.StatusReply(
             vm=self.vm,
             service=self.cfg.server.service,
@@ -96,8 +105,11 @@
             in_progress=gate.running,
             waiting=gate.waiting,
             capacity=gate.capacity,
-            load=self.load,
-            load_at=self.load_at,
+            load=self.load.value,
+            load_at=self.load.at,
+            service_time=gate.service_time,
+            cached_prefixes=told,
+            cache_changes=changes,
         )
 
     def make_transfer(self, manifest: Manifest) -> Transfer:
@@ -136,11 +148,8 @@
 
     async def hear_state(self) -> None:
         """Compare ticket state with the watched entries, else with the table."""
-        for member in self.entries():
-            try:
-                await self.spread.sync(self.channels.get(member.address))
-            except LINK_FAILURES:
-                self.channels.drop(member.address)
+        members = watched(self.vm, self.members, self.watch, time.monotonic())
+        await asyncio.gather(*(self._sync(m, len(members)) for m in members))
         if not self.spread.heard:
             try:
                 await self.spread.poll(self.platform.table)
@@ -149,15 +158,13 @@
         if self.cfg.server.kind == PLAIN:
             self.runner.gate.open = self.spread.heard
 
-    async def read_load(self) -> None:
-        """Read the engine's lagging load report."""
-        if self.runner.engine is None or not self.cfg.server.reports_load:
-            return
+    async def _sync(self, member: Member, listed: int) -> None:
+        channel = self.channels.get(member.address)
         try:
-            report = await self.runner.engine.load()
-        except PlatformUnavailable:
-            return
-        self.load, self.load_at = report["load"], report["at"]
+            await self.spread.sync(member.vm, channel, listed)
+        except LINK_FAILURES:
+            self.channels.drop(member.address)
+            self.watch.failed(member.vm, time.monotonic())
 
     def count_links(self) -> None:
         """Bring the links' metrics up to date."""
@@ -173,18 +180,20 @@
 async def serve_agent(cfg: AgentSettings, stop: asyncio.Event) -> None:
     """Serve until ``stop`` is set, then finish what is in progress."""
     events, _ = open_events(cfg.process.vm, cfg.process.events)
+    keys = Keys(cfg.tls) if cfg.tls else None
     async with aiohttp.ClientSession() as session:
-        agent = _assemble(cfg, events, session)
+        agent = _assemble(cfg, events, session, keys)
         server = Server(_services(agent))
         observe_clock(server, events.clock)
         give_way_to_live(server, agent.links)
         host, port = split_address(cfg.process.inner)
-        await server.start(host, port)
-        http = await _serve_http(agent)
+        await server.start(host, port, ssl=keys and keys.inner_server)
+        http = await _serve_http(agent, keys)
         inner = server._server.sockets[0].getsockname()
         events.emit("process.ready", kind=AGENT)
         announce_ready(vm=agent.vm, inner=f"{inner[0]}:{inner[1]}", http=http)
-        tasks = [asyncio.create_task(loop) for loop in _loops(agent)]
+        loops = [*_loops(agent), *reread_keys(keys, events)]
+        tasks = [asyncio.create_task(loop) for loop in loops]
         await first_of(stop, tasks)
         await _drain(agent)
         for task in tasks:
@@ -195,7 +204,10 @@
 
 
 def _assemble(
-    cfg: AgentSettings, events: Events, session: aiohttp.ClientSession
+    cfg: AgentSettings,
+    events: Events,
+    session: aiohttp.ClientSession,
+    keys: Keys | None,
 ) -> Agent:
     platform = connect_platform(cfg.platform, session)
     http = HttpClient(cfg.server.url, cfg.platform.timeout_seconds, session)
@@ -208,13 +220,16 @@
         plain=PlainService(http) if plain else None,
         claims=ClaimStore(platform.table),
     )
+    if not cfg.server.reports_load:
+        most = cfg.server.capacity
+        runner.slots.limit = AdaptiveLimit(limit=most, most=most)
     store = ChunkStore()
     rate = cfg.weights.link_rate
     links = Links(Link(rate), Link(rate), Link(cfg.weights.region_rate))
     return Agent(
         cfg,
         events,
-        Channels(events.clock),
+        Channels(events.clock, keys and keys.inner_client),
         platform,
         Spread(cfg.process.vm, events),
         runner,
@@ -222,6 +237,8 @@
         ChunksService(store, links, cfg.weights.uploads),
         links,
         Metrics(),
+        LoadReader(runner.engine if cfg.server.reports_load else None),
+        DeliveryRows(platform.table),
     )
 
 
@@ -234,28 +251,49 @@
     loops = [
         every(agent.cfg.platform.poll_seconds, agent.read_members),
         every(SYNC_SECONDS, agent.hear_state),
-        every(LOAD_SECONDS, agent.read_load),
+        every(LOAD_SECONDS, agent.load.read),
         every(FORGET_SECONDS, agent.forget_old),
     ]
     if agent.runner.engine:
-        reconciler = Reconciler(
-            agent.vm,
-            agent.cfg.server.service,
-            agent.runner.engine,
-            agent.runner,
-            agent.spread,
-            agent.manifests().read,
-            agent.platform.table,
-            agent.store,
-            agent.events,
-            agent.metrics,
-            agent.make_transfer,
-        )
+        reconciler = _reconciler(agent)
         loops.append(reconciler.run())
-        loops.append(every(ROWS_SECONDS, reconciler.write_rows))
+        loops.append(every(ROWS_SECONDS, reconciler.rows.write))
     return loops
 
 
+def _reconciler(agent: Agent) -> Reconciler:
+    reconciler: Reconciler
+    orders = Orders(
+        agent.runner.engine,
+        agent.runner,
+        agent.events,
+        OrderBook(agent.cfg.server.checks_fencing),
+        lambda: reconciler.wanted(),
+    )
+    turns = SwapTurns(
+        agent.vm,
+        agent.channels,
+        agent.peers,
+        random.Random(f"{agent.cfg.seed}/{agent.vm}/turns"),
+    )
+    reconciler = Reconciler(
+        agent.vm,
+        agent.cfg.server.service,
+        agent.runner.engine,
+        orders,
+        agent.spread,
+        agent.manifests().read,
+        agent.rows,
+        agent.store,
+        agent.events,
+        agent.metrics,
+        agent.make_transfer,
+        lambda ticket: turns.wait(ticket, orders.swap_seconds),
+    )
+    agent.orders = orders
+    return reconciler
+
+
 async def _drain(agent: Agent) -> None:
     """Refuse new work, and finish what is in progress."""
     agent.runner.gate.leaving = True
@@ -263,9 +301,13 @@
     limit = time.monotonic() + DRAIN_SECONDS
     while agent.runner.attempts.in_progress() and time.monotonic() < limit:
         await asyncio.sleep(0.05)
+    if agent.orders:
+        # The next agent beside this engine could not know of an order in flight.
+        await agent.orders.finish()
+    await agent.rows.write()
 
 
-async def _serve_http(agent: Agent) -> str:
+async def _serve_http(agent: Agent, keys: Keys | None) -> str:
     """Serve /metrics and /ready; the bound address."""
 
     async def metrics(req: web.Request) -> web.Response:
@@ -281,7 +323,7 @@
     runner = web.AppRunner(app, access_log=None)
     await runner.setup()
     host, port = split_address(agent.cfg.process.http)
-    site = web.TCPSite(runner, host, port)
+    site = web.TCPSite(runner, host, port, ssl_context=keys and keys.http)
     await site.start()
     bound = runner.addresses[0]
     return f"{bound[0]}:{bound[1]}"
--- a/packages/wasabideck_agent/wasabideck_agent/manifest_reader.py
+++ b/packages/wasabideck_agent/wasabideck_agent/manifest_reader.py
@@ -10,9 +10,9 @@
 from attrs import define
 from wasabideck_platform.channels import LINK_FAILURES, Channels
 from wasabideck_platform.weights import Origin
-from wasabideck_policy.distribution import rank
 from wasabideck_policy.manifests import CorruptManifest, Manifest, manifest_from_json
 from wasabideck_policy.membership import Member
+from wasabideck_policy.rendezvous import rank
 from wasabideck_wire import inner_pb2 as pb
 from wasabideck_wire.inner_grpc import ChunksStub
 
--- a/packages/wasabideck_lab/wasabideck_lab/__main__.py
+++ b/packages/wasabideck_lab/wasabideck_lab/__main__.py
@@ -4,9 +4,10 @@
 
 import asyncio
 import sys
+from pathlib import Path
 
-import fire
 import orjson
+from wasabideck_platform.command_line import commands, run_commands
 
 from . import scenarios_answers, scenarios_tickets  # noqa: F401  (they register)
 from .capacity import MEASUREMENTS, measure_all
@@ -14,11 +15,14 @@
 from .distribute_command import decisions, distribute
 from .faults import FAULTS
 from .faults_run import SCENARIOS, run_scenario
+from .load_command import load
 from .overhead import measure_overhead
+from .samples import write_samples
 
 __all__ = ["main"]
 
 
+@commands
 class _Commands:
     """Stand-ins, load generator and experiments; not shipped."""
 
@@ -31,10 +35,19 @@
         if code:
             sys.exit(code)
 
+    def write_samples(self, folder: str = "samples") -> None:
+        """Write the sample settings of the two users' deployments.
+
+        Parameters
+        ----------
+        folder : str
+            Folder that gets one folder a deployment.
+        """
+        print(f"{write_samples(Path(folder))} files in {folder}")
+
     def list_faults(self) -> None:
         """List the faults that stand-ins can be switched to."""
-        for name, meaning in FAULTS.items():
-            print(f"{name:<14} {meaning}")
+        print(_faults_listed())
 
     def faults(
         self,
@@ -70,6 +83,7 @@
 
     distribute = staticmethod(distribute)
     decisions = staticmethod(decisions)
+    load = staticmethod(load)
 
     def capacity(self, only: str = "all", json: bool = False) -> None:
         """Measure the slopes that docs/CAPACITY.md is worked out from.
@@ -99,7 +113,13 @@
 
 def main() -> None:
     """Run the lab's command line."""
-    fire.Fire(_Commands(), name="python -m wasabideck_lab")
+    name = "python -m wasabideck_lab"
+    run_commands(_Commands(), name, more_help=_faults_listed())
+
+
+def _faults_listed() -> str:
+    lines = (f"    {name:<14} {meaning}" for name, meaning in FAULTS.items())
+    return "\n".join(["FAULTS", "    Switches of the stand-ins:", "", *lines])
 
 
 if __name__ == "__main__":
--- a/packages/wasabideck_lab/wasabideck_lab/distribute.py
+++ b/packages/wasabideck_lab/wasabideck_lab/distribute.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import math
 import random
 import sys
@@ -449,8 +450,8 @@
 
 
 async def _close(run: Run) -> None:
-    for vm in run.vms:
-        if vm in run.lab.processes:
+    for vm in set(run.vms) & run.lab.processes.keys() - run.killed:
+        with contextlib.suppress(ProcessLookupError):
             run.lab.processes[vm].kill()
     await run.lab.close()
     for child in run.children:
--- a/packages/wasabideck_policy/wasabideck_policy/distribution.py
+++ b/packages/wasabideck_policy/wasabideck_policy/distribution.py
@@ -7,9 +7,9 @@
 
 from attrs import frozen
 
-from .views import ORIGIN, Duties, Fetch, Peer, View, bits, pick_bit, rank
+from .views import ORIGIN, Duties, Fetch, Peer, View, bits, pick_bit
 
-__all__ = ["SWARM", "Policy", "may_reach_out", "next_fetch", "rank", "whom_to_ask"]
+__all__ = ["SWARM", "Policy", "may_reach_out", "next_fetch", "whom_to_ask"]
 
 # A view counts at most so many holders at a time, so that a decision's cost does not
 # grow with the fleet.
--- a/packages/wasabideck_policy/wasabideck_policy/views.py
+++ b/packages/wasabideck_policy/wasabideck_policy/views.py
@@ -10,12 +10,12 @@
 import math
 import random
 from collections import Counter
-from collections.abc import Callable, Iterable, Iterator, Sequence
+from collections.abc import Iterable, Iterator, Sequence
 
-import xxhash
 from attrs import define, field, frozen
 
 from .membership import Member
+from .rendezvous import rank, score
 
 __all__ = [
     "ORIGIN",
@@ -34,7 +34,6 @@
     "lose",
     "origin_failed",
     "pick_bit",
-    "rank",
     "refused",
     "set_members",
 ]
@@ -191,14 +190,9 @@
         return self.whole & ~(self.held | self.active)
 
 
-def rank(item: str, vms: Iterable[str]) -> list[str]:
-    """VMs in rendezvous order for an item: all callers agree without talking."""
-    return sorted(vms, key=_score(item), reverse=True)
-
-
 def gateways(item: str, region: str, vms: Sequence[str]) -> list[str]:
     """The few agents of a region that bring chunks of an item over its link."""
-    return heapq.nlargest(GATEWAYS, vms, key=_score(f"{item}/{region}"))
+    return heapq.nlargest(GATEWAYS, vms, key=score(f"{item}/{region}"))
 
 
 def set_members(view: View, item: str, members: Iterable[Member]) -> None:
@@ -314,10 +308,6 @@
     return (mask & -mask).bit_length() - 1
 
 
-def _score(item: str) -> Callable[[str], int]:
-    return lambda vm: xxhash.xxh64_intdigest(f"{item}|{vm}".encode())
-
-
 def _see_again(view: View) -> None:
     view.seen = view.seen_near = 0
     for peer in view.holders.values():
@@ -330,7 +320,7 @@
     """Rank those who may read from the origin, in its own region if it has any."""
     region = {vm: view.peers[vm].region for vm in staying} | {view.vm: view.region}
     at_home = [vm for vm in region if region[vm] == view.origin_region]
-    pool = heapq.nlargest(OWNER_POOL, at_home or region, key=_score(item))
+    pool = heapq.nlargest(OWNER_POOL, at_home or region, key=score(item))
     view.owners = _duties(view.vm, [rank(digest, pool) for digest in view.digests])
 
 
