--- a/packages/wasabideck_lab/wasabideck_lab/__main__.py
+++ b/packages/wasabideck_lab/wasabideck_lab/__main__.py
@@ -12,7 +12,7 @@
 from . import scenarios_answers, scenarios_tickets  # noqa: F401  (they register)
 from .capacity import MEASUREMENTS, measure_all
 from .demo import DemoFailed, run_demo
-from .distribute_command import distribute
+from .distribute_command import decisions, distribute
 from .faults import FAULTS
 from .faults_run import SCENARIOS, run_scenario
 from .in_force import measure_in_force
@@ -83,6 +83,7 @@
             sys.exit(f"faults: {dirty} scenarios are not clean")
 
     distribute = staticmethod(distribute)
+    decisions = staticmethod(decisions)
     load = staticmethod(load)
 
     def capacity(self, only: str = "all", json: bool = False) -> None:
