--- a/packages/wasabideck_platform/wasabideck_platform/settings.py
+++ b/packages/wasabideck_platform/wasabideck_platform/settings.py
@@ -34,6 +34,7 @@
     "ServerSettings",
     "ServiceSettings",
     "TlsSettings",
+    "WeightsSettings",
     "split_address",
 ]
 
@@ -163,6 +164,38 @@
     reports_load: bool = True
 
 
+@frozen
+class WeightsSettings:
+    """How an agent takes part in the distribution of weights.
+
+    Attributes
+    ----------
+    profile : str
+        ``time``: a reader of the origin that seems lost is replaced soon;
+        ``origin-bytes``: late, so that hardly any chunk is read twice.
+    policy : str
+        ``swarm``, or a baseline that experiments compare with.
+    fetches, uploads : int
+        Chunks fetched at once, and uploads taken on at once.
+    link_rate : float
+        Bytes per second of the VM's link, each way; 0 is no limit.
+    region_rate : float
+        Bytes per second that weights may take of the link into this region.
+    origin_region : str
+        Region that the origin stands in; empty when it is near to all.
+    """
+
+    profile: str = field(default="time", validator=choice(("time", "origin-bytes")))
+    policy: str = field(
+        default="swarm", validator=choice(("swarm", "origin", "tree", "random"))
+    )
+    fetches: int = field(default=3, validator=at_least(1))
+    uploads: int = field(default=3, validator=at_least(1))
+    link_rate: float = field(default=0.0, validator=at_least(0))
+    region_rate: float = field(default=0.0, validator=at_least(0))
+    origin_region: str = ""
+
+
 @frozen
 class EntrySettings:
     """All settings of an entry process.
@@ -204,8 +237,7 @@
     server: ServerSettings
     tls: TlsSettings | None = None
     plain_text: bool = False
-    fetches: int = field(default=4, validator=at_least(1))
-    uploads: int = field(default=4, validator=at_least(1))
+    weights: WeightsSettings = field(factory=WeightsSettings)
     seed: int = field(default=0, validator=instance_of(int))
 
 
