Spend no retry on an organisation whose share is used up

Change: a refusal says ShareUsed where the organisation has requests waiting already, and entries do not retry it (one name in calls.py). Those who wait for a slot are looked after by one task instead of one each: with hundreds waiting, each of them went through all the others four times a second.

--- a/packages/wasabideck_agent/wasabideck_agent/slots.py
+++ b/packages/wasabideck_agent/wasabideck_agent/slots.py
@@ -15,7 +15,7 @@
 
 __all__ = ["Slot", "Slots"]
 
-# The gate is opened elsewhere; a request that waits looks at it this often.
+# The gate is opened elsewhere; it is looked at this often while requests wait.
 LOOK_SECONDS = 0.25
 
 
@@ -33,6 +33,7 @@
     clock: Callable[[], float]
     limit: AdaptiveLimit | None = None
     _woken: dict[Waiting, asyncio.Future] = field(factory=dict)
+    _looking: asyncio.Task | None = None
 
     def refusal(self, attempt: Attempt) -> NotRun | None:
         """Final refusal of an attempt that just came; None when it may wait."""
@@ -46,14 +47,13 @@
         self.gate.queue.add(waiting)
         self._woken[waiting] = woken
         self.give()
+        if self.gate.queue and (self._looking is None or self._looking.done()):
+            self._looking = asyncio.create_task(self._look())
         try:
-            while not woken.done():
-                await asyncio.wait({woken}, timeout=LOOK_SECONDS)
-                self.give()
+            return await asyncio.shield(woken)
         except asyncio.CancelledError:
             self._forget(waiting, woken)
             raise
-        return woken.result()
 
     def release(self, seconds: float | None) -> None:
         """Give a slot back, and pass it on."""
@@ -74,6 +74,12 @@
             self._wake(first, None)
         self.gate.waiting = len(self.gate.queue)
 
+    async def _look(self) -> None:
+        """Look after those who wait: nothing else may happen until they are late."""
+        while self.gate.queue:
+            await asyncio.sleep(LOOK_SECONDS)
+            self.give()
+
     def _wake(self, waiting: Waiting, refusal: NotRun | None) -> None:
         self._woken.pop(waiting).set_result(refusal)
 
--- a/packages/wasabideck_entry/wasabideck_entry/calls.py
+++ b/packages/wasabideck_entry/wasabideck_entry/calls.py
@@ -11,6 +11,7 @@
 from attrs import define, field, frozen
 from wasabideck_platform.channels import LINK_FAILURES, Channels
 from wasabideck_platform.events import Events
+from wasabideck_policy.admission import SHARE_USED
 from wasabideck_policy.affinity import prefix_name
 from wasabideck_policy.outcomes import Failure, NotRun, Outcome, Unknown
 from wasabideck_policy.retry import RetryBudget
@@ -188,9 +189,12 @@
         return reply.not_run
 
 
+_FINAL = {"KeyReused", "Cancelled", "Quarantined", SHARE_USED}
+
+
 def _retryable(call: Call, outcome: Outcome) -> bool:
     if isinstance(outcome, NotRun):
-        return outcome.failure.kind not in ("KeyReused", "Cancelled", "Quarantined")
+        return outcome.failure.kind not in _FINAL
     return isinstance(outcome, Unknown) and call.repeatable
 
 
--- a/packages/wasabideck_policy/wasabideck_policy/admission.py
+++ b/packages/wasabideck_policy/wasabideck_policy/admission.py
@@ -7,7 +7,7 @@
 from .fair_queue import MOST_URGENT, FairQueue, Waiting
 from .outcomes import Failure, NotRun
 
-__all__ = ["Gate", "admit", "late_refusal"]
+__all__ = ["OVERLOADED", "SHARE_USED", "Gate", "admit", "late_refusal"]
 
 SMOOTHING = 0.1
 RESERVED_SHARE = 4
@@ -16,6 +16,8 @@
 MOST_OVERTAKEN = 0.9
 LEAST_RETRY_AFTER = 0.1
 QUEUED_SHARE = 0.5
+OVERLOADED = "Overloaded"
+SHARE_USED = "ShareUsed"
 
 
 @define
@@ -103,16 +105,18 @@
     slack = waiting.deadline - now - gate.service_time
     # Whoever has requests waiting already may fill half of the time that is left, so
     # that the first request of another organisation always finds room behind them.
-    if gate.queue.waits(waiting.organisation):
-        slack *= QUEUED_SHARE
-    missing = wait - slack
-    if wait and missing > 0:
-        detail = f"expected wait {wait:.2f} s"
-        return NotRun(Failure("Overloaded", detail), max(LEAST_RETRY_AFTER, missing))
-    return None
+    queued = gate.queue.waits(waiting.organisation)
+    missing = wait - (slack * QUEUED_SHARE if queued else slack)
+    if not wait or missing <= 0:
+        return None
+    # Its organisation's share is used up at other servers too, and a retry there
+    # would be paid from the same budget as those of organisations that find room.
+    kind = SHARE_USED if queued else OVERLOADED
+    detail = f"expected wait {wait:.2f} s"
+    return NotRun(Failure(kind, detail), max(LEAST_RETRY_AFTER, missing))
 
 
 def late_refusal(gate: Gate, waiting: Waiting, now: float) -> NotRun:
     """Final refusal of a request that waited, and can no longer end in time."""
     wait = max(LEAST_RETRY_AFTER, gate.expected_wait(waiting, now))
-    return NotRun(Failure("Overloaded", "no slot in time"), wait)
+    return NotRun(Failure(OVERLOADED, "no slot in time"), wait)
