Bound every input before it is kept; stamps on answers; events that cannot hurt

Cause: grpclib believes a message's announced length and keeps what comes; sanic takes 1 MiB for a ticket that may have 256 KiB; nothing bounded one organisation's connections. Malformed protobuf, a peer's damaged change, a platform's page instead of JSON and a corrupt stamp were untyped errors, of which some ended the loops and so the process. Answers bore no stamp, so an agent ahead of its entry had its answers stamped after the entry's next events; a VM with a wild clock carried all others off. Events went through a buffered file.

Ruled out: a limit in the codec alone (the bytes are in memory by then); counting requests in sanic's response hook (it runs when a streamed answer begins).

--- a/packages/wasabideck_agent/wasabideck_agent/agent.py
+++ b/packages/wasabideck_agent/wasabideck_agent/agent.py
@@ -9,11 +9,11 @@
 import aiohttp
 from aiohttp import web
 from attrs import define, field
-from grpclib.server import Server
 from wasabideck_platform.channels import LINK_FAILURES, Channels, observe_clock
 from wasabideck_platform.clients import Platform, connect_platform
 from wasabideck_platform.events import Events, open_events
 from wasabideck_platform.http import HttpClient, PlatformUnavailable
+from wasabideck_platform.inner_limits import InnerServer
 from wasabideck_platform.metrics import Metrics, render_metrics
 from wasabideck_platform.process import (
     announce_ready,
@@ -161,7 +161,7 @@
     keys = Keys(cfg.tls) if cfg.tls else None
     async with aiohttp.ClientSession() as session:
         agent = _assemble(cfg, events, session, keys)
-        server = Server(_services(agent))
+        server = InnerServer(_services(agent))
         observe_clock(server, events.clock)
         host, port = split_address(cfg.process.inner)
         await server.start(host, port, ssl=keys and keys.inner_server)
--- a/packages/wasabideck_entry/wasabideck_entry/entry.py
+++ b/packages/wasabideck_entry/wasabideck_entry/entry.py
@@ -8,12 +8,12 @@
 
 import aiohttp
 from attrs import define, field
-from grpclib.server import Server
 from sanic import HTTPResponse, Request, Sanic
 from wasabideck_platform.channels import LINK_FAILURES, Channels, observe_clock
 from wasabideck_platform.clients import Platform, connect_platform
 from wasabideck_platform.events import Events, open_events
 from wasabideck_platform.http import PlatformUnavailable
+from wasabideck_platform.inner_limits import InnerServer
 from wasabideck_platform.metrics import Metrics
 from wasabideck_platform.process import (
     announce_ready,
@@ -97,7 +97,7 @@
     keys = Keys(cfg.tls) if cfg.tls else None
     async with aiohttp.ClientSession() as session:
         entry = _assemble(cfg, events, session, keys)
-        server = Server([PeersService(entry.spread, entry.status)])
+        server = InnerServer([PeersService(entry.spread, entry.status)])
         observe_clock(server, events.clock)
         host, port = split_address(cfg.process.inner)
         await server.start(host, port, ssl=keys and keys.inner_server)
--- a/packages/wasabideck_entry/wasabideck_entry/listener.py
+++ b/packages/wasabideck_entry/wasabideck_entry/listener.py
@@ -10,13 +10,16 @@
 
 from attrs import frozen
 from sanic import HTTPResponse, Request, Sanic
-from sanic.exceptions import SanicException
+from sanic.exceptions import PayloadTooLarge, SanicException
+from sanic.models.server_types import ConnInfo
 from sanic.server import AsyncioServer
 from wasabideck_platform.metrics import Metrics, render_metrics
 from wasabideck_platform.settings import EntrySettings, split_address
 from wasabideck_platform.tls import Keys
 from wasabideck_policy.outcomes import WasabideckError
+from wasabideck_policy.tickets import MAX_TICKET_BYTES
 
+from .caller_limits import HeldConnections
 from .front import problem
 from .identity import check
 
@@ -28,6 +31,7 @@
 REQUEST_SECONDS = 30
 IDLE_SECONDS = 75
 HEADER_BYTES = 8192
+TICKETS_PATH = "/v1/tickets"
 CLOSE_STEP_SECONDS = 0.02
 
 
@@ -97,11 +101,24 @@
 
 
 def _add_guards(app: Sanic, listener: Listener) -> None:
+    callers = listener.cfg.callers
+    held = HeldConnections({c.organisation: c.most_connections for c in callers})
+
     # Requests are checked when their head has been read: a wrong credential is
     # refused before its body is taken in.
     @app.signal("http.routing.after")
     async def admit(request: Request, **routed: object) -> None:
         request.ctx.who = check(listener.cfg, request.path, request.headers)
+        held.enter(request.conn_info.ctx, request.ctx.who)
+        request.stream.request_max_size = most = _most_bytes(listener, request.path)
+        # A longer body is refused from its announced length; one that comes in
+        # pieces is refused as soon as they are too many.
+        if int(request.headers.get("content-length", 0)) > most:
+            raise PayloadTooLarge(f"body: {most} bytes at most")
+
+    @app.signal("http.lifecycle.complete")
+    async def leave(conn_info: ConnInfo, **_: object) -> None:
+        held.leave(conn_info.ctx)
 
     @app.exception(WasabideckError)
     async def refuse(req: Request, exc: WasabideckError) -> HTTPResponse:
@@ -112,6 +129,10 @@
         return _refusal(req, type(exc).__name__, exc.status_code, str(exc), 0.0)
 
 
+def _most_bytes(listener: Listener, path: str) -> int:
+    return MAX_TICKET_BYTES if path == TICKETS_PATH else listener.cfg.body_bytes
+
+
 def _refusal(
     req: Request, title: str, status: int, detail: str, retry_after: float
 ) -> HTTPResponse:
--- a/packages/wasabideck_platform/wasabideck_platform/channels.py
+++ b/packages/wasabideck_platform/wasabideck_platform/channels.py
@@ -7,19 +7,36 @@
 
 from attrs import define, field
 from grpclib.client import Channel
-from grpclib.events import RecvRequest, SendRequest, listen
+from grpclib.events import (
+    RecvInitialMetadata,
+    RecvRequest,
+    RecvTrailingMetadata,
+    SendInitialMetadata,
+    SendRequest,
+    SendTrailingMetadata,
+    listen,
+)
 from grpclib.exceptions import GRPCError, StreamTerminatedError
 from grpclib.server import Server
+from wasabideck_wire.convert import MalformedMessage
 
-from .events import Clock, Stamp
+from .events import Clock
+from .inner_limits import InnerChannel
 from .settings import split_address
 
 __all__ = ["LINK_FAILURES", "Channels", "observe_clock"]
 
 HLC = "wasabideck-hlc"
 
-# Whatever a call over a broken, refused or silent connection raises.
-LINK_FAILURES = (GRPCError, StreamTerminatedError, OSError, asyncio.TimeoutError)
+# Whatever a call over a broken, refused or silent connection raises, or one to a
+# peer that answers nonsense.
+LINK_FAILURES = (
+    GRPCError,
+    StreamTerminatedError,
+    OSError,
+    asyncio.TimeoutError,
+    MalformedMessage,
+)
 
 
 @define
@@ -34,8 +51,10 @@
         """The channel to an address."""
         if address not in self._open:
             host, port = split_address(address)
-            channel = Channel(host, port, ssl=self.ssl)
+            channel = InnerChannel(host, port, self.ssl)
             listen(channel, SendRequest, self._stamp)
+            listen(channel, RecvInitialMetadata, self._hear)
+            listen(channel, RecvTrailingMetadata, self._hear)
             self._open[address] = channel
         return self._open[address]
 
@@ -52,13 +71,19 @@
     async def _stamp(self, event: SendRequest) -> None:
         event.metadata[HLC] = str(self.clock.last)
 
+    async def _hear(self, event: RecvInitialMetadata | RecvTrailingMetadata) -> None:
+        self.clock.hear(event.metadata.get(HLC))
+
 
 def observe_clock(server: Server, clock: Clock) -> None:
-    """Move the clock past the stamp of each request that a server receives."""
+    """Exchange stamps with whoever calls a server: requests and answers bear them."""
+
+    async def hear(event: RecvRequest) -> None:
+        clock.hear(event.metadata.get(HLC))
 
-    async def on_request(event: RecvRequest) -> None:
-        text = event.metadata.get(HLC)
-        if isinstance(text, str):
-            clock.observe(Stamp.parse(text))
+    async def stamp(event: SendInitialMetadata | SendTrailingMetadata) -> None:
+        event.metadata[HLC] = str(clock.last)
 
-    listen(server, RecvRequest, on_request)
+    listen(server, RecvRequest, hear)
+    listen(server, SendInitialMetadata, stamp)
+    listen(server, SendTrailingMetadata, stamp)
--- a/packages/wasabideck_platform/wasabideck_platform/http.py
+++ b/packages/wasabideck_platform/wasabideck_platform/http.py
@@ -2,14 +2,24 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
+from typing import TypeVar
 
 import aiohttp
 import orjson
 from attrs import define, frozen
 from wasabideck_policy.outcomes import WasabideckError
 
-__all__ = ["Changed", "HttpClient", "PlatformRefused", "PlatformUnavailable"]
+__all__ = [
+    "Changed",
+    "HttpClient",
+    "PlatformNonsense",
+    "PlatformRefused",
+    "PlatformUnavailable",
+    "understood",
+]
+
+T = TypeVar("T")
 
 
 class PlatformUnavailable(WasabideckError):
@@ -30,6 +40,24 @@
         self.maybe_applied = maybe_applied
 
 
+class PlatformNonsense(PlatformUnavailable):
+    """A service of the platform answered what is no answer.
+
+    Treated as a lost answer: a write may have taken effect.
+    """
+
+    def __init__(self, url: str, why: str):
+        super().__init__(url, f"nonsense: {why}", maybe_applied=True)
+
+
+def understood(url: str, value: object, make: Callable[[object], T]) -> T:
+    """What ``make`` makes of an answer; raises ``PlatformNonsense`` if it cannot."""
+    try:
+        return make(value)
+    except (TypeError, ValueError, LookupError, AttributeError) as exc:
+        raise PlatformNonsense(url, f"{type(exc).__name__}: {exc}"[:200]) from exc
+
+
 class PlatformRefused(WasabideckError):
     """A service of the platform answered that it won't."""
 
@@ -126,4 +154,6 @@
         """Like ``call``, with JSON in and out."""
         body = None if value is None else orjson.dumps(value)
         _, data = await self.call(method, path, body, **kw)
-        return orjson.loads(data) if data else None
+        if not data:
+            return None
+        return understood(f"{self.base}{path}", data, orjson.loads)
--- a/packages/wasabideck_platform/wasabideck_platform/members.py
+++ b/packages/wasabideck_platform/wasabideck_platform/members.py
@@ -6,10 +6,11 @@
 from attrs import define, field
 from wasabideck_policy.membership import Member
 
-from .http import HttpClient
+from .http import HttpClient, understood
 
 __all__ = ["Members"]
 
+PATH = "/v1/members"
 BYTES_PER_SECOND = 3000.0
 
 
@@ -48,10 +49,13 @@
         """
         if now < self._next_at:
             return self._listed
-        changed = await self.http.get_if_changed("/v1/members", self._tag)
+        changed = await self.http.get_if_changed(PATH, self._tag)
         if changed:
-            rows = orjson.loads(changed.body)
-            self._listed = [Member(**row) for row in rows]
+            self._listed = understood(f"{self.http.base}{PATH}", changed.body, _listed)
             self._tag = changed.tag
             self._next_at = now + changed.wire_bytes / self.bytes_per_second
         return self._listed
+
+
+def _listed(body: bytes) -> list[Member]:
+    return [Member(**row) for row in orjson.loads(body)]
--- a/packages/wasabideck_platform/wasabideck_platform/settings.py
+++ b/packages/wasabideck_platform/wasabideck_platform/settings.py
@@ -109,10 +109,18 @@
 
 @frozen
 class CallerSettings:
-    """A caller's credential and the organisation that it stands for."""
+    """A caller's credential and the organisation that it stands for.
+
+    Attributes
+    ----------
+    most_connections : int
+        Open connections of the organisation at one entry; each carries one request
+        at a time.
+    """
 
     organisation: str = field(validator=is_name)
     token: str = field(validator=is_secret, repr=False)
+    most_connections: int = field(default=256, validator=at_least(1))
 
 
 @frozen
--- a/packages/wasabideck_wire/wasabideck_wire/convert.py
+++ b/packages/wasabideck_wire/wasabideck_wire/convert.py
@@ -4,12 +4,34 @@
 
 from collections.abc import Iterable
 
-from wasabideck_policy.outcomes import Answered, Failure, NotRun, Outcome, Unknown
+from attrs import astuple
+from wasabideck_policy.outcomes import (
+    Answered,
+    Failure,
+    NotRun,
+    Outcome,
+    Unknown,
+    WasabideckError,
+)
 from wasabideck_policy.tickets import Assignment, change_from_json, change_to_json
 
 from . import inner_pb2 as pb
 
-__all__ = ["assignments_from", "entries_from", "final_from", "outcome_from"]
+__all__ = [
+    "MalformedMessage",
+    "assignments_from",
+    "entries_from",
+    "final_from",
+    "outcome_from",
+]
+
+
+class MalformedMessage(WasabideckError):
+    """A peer's message holds what is no data of the system."""
+
+    def __init__(self, message: str, why: str):
+        super().__init__(f"{message}: {why}")
+        self.message = message
 
 
 def entries_from(assignments: Iterable[Assignment]) -> list[pb.Entry]:
@@ -27,11 +49,19 @@
 
 
 def assignments_from(entries: Iterable[pb.Entry]) -> list[Assignment]:
-    """Assignments of tickets from messages."""
-    return [
-        Assignment(entry.ticket, change_from_json(entry.change), entry.sequence)
-        for entry in entries
-    ]
+    """Assignments of tickets from messages; raises ``MalformedMessage``."""
+    return [_assignment_from(entry) for entry in entries]
+
+
+def _assignment_from(entry: pb.Entry) -> Assignment:
+    try:
+        change = change_from_json(entry.change)
+    except (ValueError, TypeError) as exc:
+        raise MalformedMessage("Entry.change", str(exc)) from exc
+    # Names that are no text would end whatever sorts or compares them later.
+    if not all(isinstance(value, str) for value in astuple(change)):
+        raise MalformedMessage("Entry.change", "a value is no string")
+    return Assignment(entry.ticket, change, entry.sequence)
 
 
 def final_from(outcome: Outcome) -> pb.Final:
--- /dev/null
+++ b/tests/product/test_events.py
@@ -0,0 +1,113 @@
+"""Stamps follow cause and effect whatever the clocks say, and events never hurt."""
+
+import asyncio
+import os
+
+import eliot
+import orjson
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+from wasabideck_platform.channels import Channels, observe_clock
+from wasabideck_platform.events import (
+    MOST_DRIFT_SECONDS,
+    Clock,
+    EventFile,
+    Events,
+    EventsUnwritable,
+    Stamp,
+    open_events,
+)
+from wasabideck_platform.inner_limits import InnerServer
+from wasabideck_platform.spread import PeersService
+from wasabideck_wire import inner_pb2 as pb
+from wasabideck_wire.inner_grpc import PeersStub
+
+
+@given(st.lists(st.tuples(st.integers(0, 2), st.floats(0, 100)), max_size=60))
+def test_an_effect_is_stamped_after_its_cause(steps):
+    # Three processes whose clocks jump as they like tell each other things in turn.
+    clocks = [Clock(), Clock(), Clock()]
+    said = Stamp(0, 0)
+    for who, wall in steps:
+        heard, clock = said, clocks[who]
+        clock.observe(heard, wall)
+        said = clock.tick(wall)
+        within = heard.micros <= (wall + MOST_DRIFT_SECONDS) * 1e6
+        assert said > heard or not within
+
+
+def test_a_wild_clock_does_not_carry_the_others_off():
+    # One VM's clock says next year. Its stamps reached every process, and the whole
+    # fleet's time line stood a year ahead until all were restarted.
+    clock = Clock()
+    clock.observe(Stamp(10**15, 0), now=1000.0)
+    assert clock.tick(1000.0) == Stamp(10**9, 0)
+    clock.observe(Stamp(10**9 + 30_000_000, 5), now=1000.0)
+    assert clock.tick(1000.0) == Stamp(10**9 + 30_000_000, 6)
+
+
+@pytest.mark.parametrize(
+    "text", ["", ".", "1", "1.x", "-1.0", "1.-1", "٣.٠", "9" * 40 + ".0", None, b"1.0"]
+)
+def test_a_corrupt_stamp_is_ignored(text):
+    clock = Clock(wall=lambda: 1.0)
+    clock.hear(text)
+    assert clock.last == Stamp(0, 0)
+
+
+def test_answers_carry_stamps_as_requests_do():
+    # An agent's clock is 20 s ahead. Its answer was given after the entry's request
+    # and stood after the entry's next event in the time line: the answer bore no
+    # stamp, so the entry did not move past it.
+    async def body():
+        ahead, behind = Clock(wall=lambda: 1020.0), Clock(wall=lambda: 1000.0)
+
+        def status():
+            ahead.tick(1020.0)
+            return pb.StatusReply()
+
+        server = InnerServer([PeersService(None, status)])
+        observe_clock(server, ahead)
+        await server.start("127.0.0.1", 0)
+        host, port = server._server.sockets[0].getsockname()
+        channels = Channels(behind)
+        behind.tick(1000.0)
+        stub = PeersStub(channels.get(f"{host}:{port}"))
+        await stub.Status(pb.StatusRequest(), timeout=5)
+        channels.close()
+        server.close()
+        return ahead.last, behind.tick(1000.0)
+
+    answered, after = asyncio.run(body())
+    assert after > answered
+
+
+def test_a_full_disk_loses_events_and_nothing_else(tmp_path):
+    # The disk is full when a process stops. The write of its last event failed, the
+    # stop ended there, and requests in progress were cut off.
+    full = EventFile(os.open("/dev/full", os.O_WRONLY))
+    eliot.add_destinations(full)
+    try:
+        events = Events("vm", Clock(), lambda: 1.0)
+        events.emit("process.leaving")
+        events.emit("process.stopped")
+    finally:
+        eliot.remove_destination(full)
+    assert full.lost == 2
+
+
+def test_events_of_odd_values_are_written(tmp_path):
+    path = tmp_path / "events"
+    events, file = open_events("vm", str(path), lambda: 1.0)
+    try:
+        events.emit("transfer.verified", sources={1: 2}, why=ValueError("x"))
+    finally:
+        eliot.remove_destination(file)
+    row = orjson.loads(path.read_bytes())
+    assert (row["hlc"], row["sources"], row["why"]) == ("1000000.0", {"1": 2}, "x")
+
+
+def test_a_file_that_cannot_be_opened_ends_the_start(tmp_path):
+    with pytest.raises(EventsUnwritable):
+        open_events("vm", str(tmp_path))
--- /dev/null
+++ b/tests/product/test_limits.py
@@ -0,0 +1,207 @@
+"""Whatever comes in is bounded before it is kept, and no nonsense ends a process."""
+
+import asyncio
+import struct
+import time
+
+import aiohttp
+import orjson
+import pytest
+from grpclib.const import Cardinality, Status
+from grpclib.exceptions import GRPCError
+from wasabideck_entry.caller_limits import HeldConnections, TooManyConnections
+from wasabideck_platform.channels import LINK_FAILURES, Channels
+from wasabideck_platform.events import Clock
+from wasabideck_platform.http import HttpClient, PlatformNonsense
+from wasabideck_platform.inner_limits import MOST_MESSAGE, MOST_STREAMS, InnerServer
+from wasabideck_platform.members import Members
+from wasabideck_platform.settings import CallerSettings
+from wasabideck_platform.spread import PeersService
+from wasabideck_policy.tickets import MAX_TICKET_BYTES
+from wasabideck_wire import inner_pb2 as pb
+from wasabideck_wire.convert import MalformedMessage, assignments_from
+from wasabideck_wire.inner_grpc import PeersStub
+
+OPERATOR = "sample-operator-token"
+CALLER = "sample-caller-token"
+
+
+def head(path, token, *lines):
+    first = [f"POST {path} HTTP/1.1", "host: x", f"authorization: Bearer {token}"]
+    return "\r\n".join([*first, *lines, "", ""]).encode()
+
+
+BRIEF = "/v1/services/drafting/brief"
+
+
+@pytest.mark.parametrize(
+    ("data", "status"),
+    [
+        (head(BRIEF, CALLER, "content-length: 2000000"), 413),
+        (head("/v1/tickets", OPERATOR, f"content-length: {MAX_TICKET_BYTES + 1}"), 413),
+        (
+            head("/v1/tickets", OPERATOR, "transfer-encoding: chunked")
+            + b"100000\r\n"
+            + b"x" * 0x100000,
+            413,
+        ),
+        (head(BRIEF, CALLER, "x-filler: " + "x" * 20_000), 413),
+        (head(BRIEF, CALLER, "content-length: -1"), 400),
+        (head(BRIEF, CALLER, "content-length: many"), 400),
+        (b"nonsense\r\n\r\n", 400),
+        (head("/v1/nowhere", CALLER, "content-length: 0"), 404),
+    ],
+)
+def test_what_is_too_big_or_malformed_is_refused_and_the_entry_goes_on(
+    entry_settings, run_entry, talk, data, status
+):
+    # One client sends a body, a head or a ticket without end. Kept until it is
+    # whole, it takes the entry's memory and with it every other caller's requests.
+    async def body():
+        async with run_entry(entry_settings()) as entry:
+            refused = await talk(entry.http, data)
+            alive = await talk(entry.http, b"GET /metrics HTTP/1.1\r\nhost: x\r\n\r\n")
+        return refused, alive
+
+    refused, alive = asyncio.run(body())
+    assert refused[0] == status
+    assert {"title", "status", "detail"} <= orjson.loads(refused[1]).keys()
+    assert alive[0] == 200
+
+
+def test_a_callers_connections_are_bounded_and_freed(entry_settings, run_entry, talk):
+    # One organisation's client leaks connections until the entry has no descriptor
+    # left for anyone else.
+    callers = [
+        CallerSettings("org-1", CALLER, most_connections=2),
+        CallerSettings("org-2", "sample-other-caller-token"),
+    ]
+
+    async def body():
+        statuses = []
+        async with run_entry(entry_settings(callers=callers)) as entry:
+            url = f"http://{entry.http}{BRIEF}"
+            token = {"authorization": f"Bearer {CALLER}"}
+            async with (
+                aiohttp.ClientSession(headers=token) as one,
+                aiohttp.ClientSession(headers=token) as two,
+            ):
+                # No server is known, so each is refused at once and stays open.
+                for session in (one, two, one):
+                    async with session.post(url, data=b"x") as answer:
+                        statuses.append(answer.status)
+                ask = head(BRIEF, CALLER, "content-length: 0")
+                status, problem = await talk(entry.http, ask)
+                statuses.append(status)
+                assert orjson.loads(problem)["title"] == "TooManyConnections"
+                other = head(BRIEF, "sample-other-caller-token", "content-length: 0")
+                statuses.append((await talk(entry.http, other))[0])
+            while (await talk(entry.http, ask))[0] == 429:
+                pass
+        return statuses
+
+    assert asyncio.run(asyncio.wait_for(body(), 20)) == [503, 503, 503, 429, 503]
+
+
+def test_a_connection_counts_for_its_newest_request():
+    held = HeldConnections({"a": 1, "b": 1})
+
+    class Connection:
+        pass
+
+    first, second = Connection(), Connection()
+    held.enter(first, "a")
+    held.enter(first, "a")
+    with pytest.raises(TooManyConnections):
+        held.enter(second, "a")
+    held.enter(first, "b")
+    held.enter(second, "a")
+    held.leave(first)
+    held.leave(first)
+    assert +held.held == {"a": 1}
+
+
+@pytest.fixture
+def serving():
+    async def serve(body):
+        server = InnerServer([PeersService(None, lambda: pb.StatusReply(vm="one"))])
+        await server.start("127.0.0.1", 0)
+        host, port = server._server.sockets[0].getsockname()
+        channels = Channels(Clock())
+        try:
+            return await body(channels.get(f"{host}:{port}"))
+        finally:
+            channels.close()
+            server.close()
+
+    return lambda body: asyncio.run(asyncio.wait_for(serve(body), 30))
+
+
+@pytest.mark.parametrize(
+    ("payload", "status"),
+    [
+        (struct.pack("!?I", False, MOST_MESSAGE + 1) + b"x", Status.RESOURCE_EXHAUSTED),
+        (struct.pack("!?I", False, 4) + b"\xff" * 4, Status.INVALID_ARGUMENT),
+    ],
+)
+def test_a_peers_nonsense_is_a_typed_refusal(serving, payload, status):
+    # A broken peer announces a message of gigabytes, or sends bytes that are none
+    # of the protocol. The length was believed, and whatever came was kept.
+    async def body(channel):
+        stream = channel.request(
+            "/wasabideck.Peers/Status",
+            Cardinality.UNARY_UNARY,
+            pb.StatusRequest,
+            pb.StatusReply,
+        )
+        with pytest.raises(GRPCError) as caught:
+            async with stream:
+                await stream.send_request()
+                await stream._stream.send_data(payload, end_stream=True)
+                await stream.recv_message()
+        reply = await PeersStub(channel).Status(pb.StatusRequest(), timeout=5)
+        return caught.value.status, reply.vm
+
+    assert serving(body) == (status, "one")
+
+
+def test_open_streams_are_bounded(serving):
+    async def body(channel):
+        await PeersStub(channel).Status(pb.StatusRequest(), timeout=5)
+        return channel._protocol.connection._connection.remote_settings
+
+    assert serving(body).max_concurrent_streams == MOST_STREAMS
+
+
+@pytest.mark.parametrize(
+    "change",
+    [b"", b"[]", b"{}", b"\xff", b'{"scope": 1, "slot": "model"}', b'{"other": 1}'],
+)
+def test_a_malformed_change_is_a_link_failure(change):
+    # A process compares its tickets with a peer whose memory is damaged. Untyped,
+    # the error ended the loop that hears tickets, and with it the process.
+    with pytest.raises(MalformedMessage) as caught:
+        assignments_from([pb.Entry(scope="a", slot="model", ticket=1, change=change)])
+    assert isinstance(caught.value, LINK_FAILURES)
+
+
+@pytest.mark.parametrize("answer", [b"<html>", b"[1]", b'[{"vm": 1}]', b"{}x", b"7"])
+def test_a_nonsense_answer_of_the_platform_is_a_typed_failure(answer):
+    # A gateway answers 200 with a page of its own. The membership list became an
+    # untyped error, which ended the process of every VM at the same moment.
+    async def serve(reader, writer):
+        await reader.readuntil(b"\r\n\r\n")
+        length = f"content-length: {len(answer)}\r\n\r\n".encode()
+        writer.write(b"HTTP/1.1 200 OK\r\nconnection: close\r\n" + length + answer)
+        writer.close()
+
+    async def body():
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        host, port = server.sockets[0].getsockname()
+        async with server, aiohttp.ClientSession() as session:
+            client = HttpClient(f"http://{host}:{port}", 5.0, session)
+            with pytest.raises(PlatformNonsense) as caught:
+                await Members(client).read(time.monotonic())
+        return caught.value
+
+    assert asyncio.run(body()).maybe_applied
