One vocabulary of events, a time line that survives its processes, fed metrics

Cause: kinds of events were scattered words; one half-written line of a killed process made the whole time line unreadable; five metrics were declared and only two of them ever fed; the demo looked at exit codes alone.

Ruled out: feeding metrics at each place that emits an event (the same thing twice, in other owners' files); a label a VM (2,100 of them).

Metrics listen to events. The demo checks report, answers, the order's single run, events and exit codes, and exits 1 naming what is wrong.

--- a/packages/wasabideck_agent/wasabideck_agent/agent.py
+++ b/packages/wasabideck_agent/wasabideck_agent/agent.py
@@ -11,7 +11,7 @@
 from attrs import define, field
 from wasabideck_platform.channels import LINK_FAILURES, Channels, observe_clock
 from wasabideck_platform.clients import Platform, connect_platform
-from wasabideck_platform.events import Events, open_events
+from wasabideck_platform.events import EventFile, Events, open_events
 from wasabideck_platform.http import HttpClient, PlatformUnavailable
 from wasabideck_platform.inner_limits import InnerServer
 from wasabideck_platform.metrics import Metrics, render_metrics
@@ -162,15 +162,16 @@
 
 async def serve_agent(cfg: AgentSettings, stop: asyncio.Event) -> None:
     """Serve until ``stop`` is set, then finish what is in progress."""
-    events, _ = open_events(cfg.process.vm, cfg.process.events)
+    events, file = open_events(cfg.process.vm, cfg.process.events)
     keys = Keys(cfg.tls) if cfg.tls else None
     async with aiohttp.ClientSession() as session:
         agent = _assemble(cfg, events, session, keys)
+        events.listeners.append(agent.metrics.count)
         server = InnerServer(_services(agent))
         observe_clock(server, events.clock)
         host, port = split_address(cfg.process.inner)
         await server.start(host, port, ssl=keys and keys.inner_server)
-        http = await _serve_http(agent, keys)
+        http = await _serve_http(agent, file, keys)
         inner = server._server.sockets[0].getsockname()
         events.emit("process.ready", kind=AGENT)
         announce_ready(vm=agent.vm, inner=f"{inner[0]}:{inner[1]}", http=http)
@@ -282,10 +283,12 @@
     await agent.rows.write()
 
 
-async def _serve_http(agent: Agent, keys: Keys | None) -> str:
+async def _serve_http(agent: Agent, file: EventFile, keys: Keys | None) -> str:
     """Serve /metrics and /ready; the bound address."""
 
     async def metrics(req: web.Request) -> web.Response:
+        agent.metrics.in_progress.set({}, len(agent.runner.attempts.in_progress()))
+        agent.metrics.events_lost.set({}, file.lost)
         body, headers = render_metrics(agent.metrics, req.headers.get("accept", ""))
         return web.Response(body=body, headers=headers)
 
--- a/packages/wasabideck_entry/wasabideck_entry/__main__.py
+++ b/packages/wasabideck_entry/wasabideck_entry/__main__.py
@@ -2,12 +2,13 @@
 
 from __future__ import annotations
 
-from wasabideck_platform.command_line import commands, run_commands
+from wasabideck_platform.command_line import CommandError, commands, run_commands
 from wasabideck_platform.process import run_process
 
 from .access import operator_client
 from .entry import serve_entry
 from .entry_settings import load_entry_settings
+from .picture import write_picture
 from .report import ReportFilter, moment
 from .show import show_fleet, show_json, show_report, show_ticket, show_tickets
 from .timeline import show_timeline
@@ -182,17 +183,21 @@
         servers = operator_client(access, entry).get("/v1/fleet")
         show_json(servers) if json else show_fleet(servers)
 
-    def timeline(self, *files: str, json: bool = False) -> None:
+    def timeline(self, *files: str, picture: str = "", json: bool = False) -> None:
         """Merge the processes' event files into one order of cause and effect.
 
         Parameters
         ----------
         files : str
             Event files.
+        picture : str
+            Write a page with a picture to this file instead, to open in a browser.
         json : bool
             Print JSON lines.
         """
-        show_timeline(files, json)
+        if not files:
+            raise CommandError("name one or more event files")
+        write_picture(files, picture) if picture else show_timeline(files, json)
 
 
 def main() -> None:
--- a/packages/wasabideck_entry/wasabideck_entry/entry.py
+++ b/packages/wasabideck_entry/wasabideck_entry/entry.py
@@ -5,6 +5,7 @@
 import asyncio
 import random
 import time
+from collections.abc import Callable
 
 import aiohttp
 from attrs import define, field
@@ -59,6 +60,7 @@
     caller: Caller
     metrics: Metrics
     leaving: bool = False
+    events_lost: Callable[[], int] = int
     poll_at: float = 0.0
     in_progress: int = field(default=0)
 
@@ -113,6 +115,12 @@
         """Whether new requests may come here."""
         return self.spread.heard and not self.leaving
 
+    def observe(self) -> Metrics:
+        """Metrics as they are now."""
+        self.metrics.in_progress.set({}, self.in_progress)
+        self.metrics.events_lost.set({}, self.events_lost())
+        return self.metrics
+
     def status(self) -> pb.StatusReply:
         """What this entry tells other processes of itself."""
         return pb.StatusReply(
@@ -124,17 +132,19 @@
 
 async def serve_entry(cfg: EntrySettings, stop: asyncio.Event) -> None:
     """Serve until ``stop`` is set, then finish what is in progress."""
-    events, _ = open_events(cfg.process.vm, cfg.process.events)
+    events, file = open_events(cfg.process.vm, cfg.process.events)
     keys = Keys(cfg.tls) if cfg.tls else None
     async with aiohttp.ClientSession() as session:
         entry = _assemble(cfg, events, session, keys)
+        entry.events_lost = lambda: file.lost
+        events.listeners.append(entry.metrics.count)
         server = InnerServer([entry.peers])
         observe_clock(server, events.clock)
         host, port = split_address(cfg.process.inner)
         await server.start(host, port, ssl=keys and keys.inner_server)
         inner = server._server.sockets[0].getsockname()
         await entry.read_members()
-        listener = Listener(cfg, entry.metrics, entry.ready, keys)
+        listener = Listener(cfg, entry.ready, entry.observe, keys)
         http, address = await serve_http(_app(entry, listener), listener)
         events.emit("process.ready", kind=ENTRY)
         announce_ready(vm=cfg.process.vm, inner=f"{inner[0]}:{inner[1]}", http=address)
--- a/packages/wasabideck_entry/wasabideck_entry/listener.py
+++ b/packages/wasabideck_entry/wasabideck_entry/listener.py
@@ -43,11 +43,13 @@
     ----------
     ready : callable
         Whether the platform's balancer may send requests here.
+    observe : callable
+        The metrics, as they are now.
     """
 
     cfg: EntrySettings
-    metrics: Metrics
     ready: Callable[[], bool]
+    observe: Callable[[], Metrics]
     keys: Keys | None = None
 
 
@@ -150,5 +152,5 @@
     @app.get("/metrics")
     async def metrics(req: Request) -> HTTPResponse:
         accept = req.headers.get("accept", "")
-        body, headers = render_metrics(listener.metrics, accept)
+        body, headers = render_metrics(listener.observe(), accept)
         return HTTPResponse(body, headers=headers)
--- /dev/null
+++ b/packages/wasabideck_entry/wasabideck_entry/picture.py
@@ -0,0 +1,131 @@
+"""The time line as one self-contained HTML page: a lane a VM, a line a cause."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from html import escape
+from pathlib import Path
+
+from attrs import frozen
+from wasabideck_platform.events import MICROS, Stamp
+from wasabideck_platform.vocabulary import CAUSES, KINDS
+
+from .timeline import EventsUnreadable, fields_of, merge_events
+
+__all__ = ["draw_timeline", "write_picture"]
+
+LEFT = 140
+TOP = 30
+LANE = 36
+WIDTH = 1400
+STEP = 7
+RADIUS = 4
+
+PAGE = """<!DOCTYPE html>
+<html lang="en"><meta charset="utf-8"><title>wasabideck time line</title>
+<style>
+body {{ font: 13px sans-serif; margin: 1em }}
+line.lane {{ stroke: #ddd }}
+line.cause {{ stroke: #8ab; stroke-width: 1 }}
+circle {{ fill: #357 }}
+circle.alarm {{ fill: #c33 }}
+</style>
+<p>{count} events of {vms} VMs over {seconds:.3f} s, in the order of cause and effect.
+Lines join events of one cause on different VMs; red ones may need an operator.
+Point at an event to read it.</p>
+<svg width="{width}" height="{height}" xmlns="http://www.w3.org/2000/svg">
+{shapes}
+</svg></html>
+"""
+
+
+@frozen
+class _Point:
+    event: dict
+    x: float
+    y: float
+
+
+def write_picture(files: Sequence[str], page: str) -> None:
+    """Write the merged events of some files as a page.
+
+    Raises
+    ------
+    EventsUnreadable
+        A file cannot be read, or the page cannot be written.
+    """
+    try:
+        Path(page).write_text(draw_timeline(merge_events(files).events))
+    except OSError as exc:
+        raise EventsUnreadable(page, exc.strerror) from exc
+
+
+def draw_timeline(events: Sequence[dict]) -> str:
+    """The page of merged events."""
+    vms = sorted({event["vm"] for event in events})
+    points = _points(events, vms)
+    width = max([WIDTH, *(point.x + LEFT for point in points)])
+    shapes = [_lane(vm, i, width) for i, vm in enumerate(vms)]
+    shapes += _causes(points)
+    shapes += [_dot(point) for point in points]
+    micros = [Stamp.parse(event["hlc"]).micros for event in events] or [0]
+    return PAGE.format(
+        count=len(events),
+        vms=len(vms),
+        seconds=(micros[-1] - micros[0]) / MICROS,
+        width=round(width),
+        height=TOP + LANE * (len(vms) + 1),
+        shapes="\n".join(shapes),
+    )
+
+
+def _points(events: Sequence[dict], vms: Sequence[str]) -> list[_Point]:
+    """Places of events: by time, and at least a step apart in their order."""
+    if not events:
+        return []
+    micros = [Stamp.parse(event["hlc"]).micros for event in events]
+    scale = (WIDTH - LEFT) / max(1, micros[-1] - micros[0])
+    points: list[_Point] = []
+    x = LEFT - STEP
+    for event, at in zip(events, micros, strict=True):
+        x = max(x + STEP, LEFT + (at - micros[0]) * scale)
+        points.append(_Point(event, x, TOP + LANE * vms.index(event["vm"])))
+    return points
+
+
+def _lane(vm: str, index: int, width: float) -> str:
+    y = TOP + LANE * index
+    return (
+        f'<text x="4" y="{y + 4}">{escape(vm)}</text>'
+        f'<line class="lane" x1="{LEFT}" x2="{width:.0f}" y1="{y}" y2="{y}"/>'
+    )
+
+
+def _causes(points: Sequence[_Point]) -> list[str]:
+    """Lines from an event to the next one of the same cause on another VM."""
+    latest: dict[tuple[str, str], _Point] = {}
+    lines = []
+    for point in points:
+        for name in CAUSES:
+            if name not in point.event:
+                continue
+            cause = (name, str(point.event[name]))
+            before = latest.get(cause)
+            if before and before.y != point.y:
+                lines.append(
+                    f'<line class="cause" x1="{before.x:.1f}" y1="{before.y}" '
+                    f'x2="{point.x:.1f}" y2="{point.y}"/>'
+                )
+            latest[cause] = point
+    return lines
+
+
+def _dot(point: _Point) -> str:
+    kind = point.event["message_type"]
+    alarm = kind in KINDS and KINDS[kind].todo
+    style = ' class="alarm"' if alarm else ""
+    title = escape(f"{point.event['hlc']} {kind} {fields_of(point.event)}")
+    return (
+        f'<circle{style} cx="{point.x:.1f}" cy="{point.y}" r="{RADIUS}">'
+        f"<title>{title}</title></circle>"
+    )
--- a/packages/wasabideck_lab/wasabideck_lab/demo.py
+++ b/packages/wasabideck_lab/wasabideck_lab/demo.py
@@ -11,7 +11,8 @@
 import orjson
 from attrs import frozen
 from wasabideck_entry.show import show_report
-from wasabideck_entry.timeline import show_timeline
+from wasabideck_entry.timeline import merge_events, show_timeline
+from wasabideck_platform.vocabulary import KINDS
 
 from .launcher import CALLER_TOKEN, OPERATOR_TOKEN, Lab
 from .toml import to_toml
@@ -22,6 +23,7 @@
 CHUNKS = 64
 CHUNK_BYTES = 16 * 1024
 IN_FORCE_SECONDS = 20.0
+ORDER_KEY = "order-77"
 SERVICES = [
     {"name": "drafting", "kind": "model"},
     {
@@ -48,6 +50,7 @@
     order: list[dict]
     events: list[Path]
     exit_codes: dict[str, int]
+    order_runs: dict[str, int]
 
 
 async def run_session(folder: Path) -> Session:
@@ -67,11 +70,35 @@
             report = await wait_in_force(session, 1, 2)
             await wait_serving(session, 3)
             draft = await call(session, "drafting", "brief", "a banner for the fair")
-            order = await call(session, "orders", "print", "20 banners", "order-77")
+            order = await call(session, "orders", "print", "20 banners", ORDER_KEY)
     finally:
         codes = await lab.close()
     events = [process.events for process in lab.processes.values()]
-    return Session(ticket, report, draft, order, events, codes)
+    runs = dict(lab.plains["order-1"].runs)
+    return Session(ticket, report, draft, order, events, codes, runs)
+
+
+def wrong_in(session: Session) -> list[str]:
+    """What is not as promised in a session; empty when all is."""
+    merged = merge_events(str(path) for path in session.events)
+    kinds = {event["message_type"] for event in merged.events}
+    bytes_got = [sum(row["sources"].values()) for row in session.report]
+    words = "".join(line.get("text", "") for line in session.draft).split()
+    found = {
+        f"exit codes {session.exit_codes}": any(session.exit_codes.values()),
+        f"bytes received {bytes_got}": set(bytes_got) != {CHUNKS * CHUNK_BYTES},
+        f"draft {words}": {word.split("-")[1] for word in words} != {"v1"},
+        f"draft's end {session.draft[-1]}": not _answered(session.draft),
+        f"order's end {session.order[-1]}": not _answered(session.order),
+        f"runs of the order {session.order_runs}": session.order_runs != {ORDER_KEY: 1},
+        f"unreadable events {merged.unreadable}": bool(merged.unreadable),
+        f"unknown events {kinds - KINDS.keys()}": not kinds <= KINDS.keys(),
+    }
+    return [what for what, wrong in found.items() if wrong]
+
+
+def _answered(lines: list[dict]) -> bool:
+    return lines[-1].get("outcome") == "answered"
 
 
 def first_ticket(folder: Path, digest: str) -> Path:
@@ -150,10 +177,10 @@
         show_report(session.report)
         print("== time line")
         show_timeline([str(path) for path in session.events], json=False)
+        wrong = wrong_in(session)
     print("== answers")
     print("".join(line.get("text", "") for line in session.draft).strip())
     print("".join(line.get("text", "") for line in session.order))
-    failed = {vm: code for vm, code in session.exit_codes.items() if code}
-    if failed:
-        print(f"failed: exit codes {failed}")
-    return 1 if failed else 0
+    for what in wrong:
+        print(f"wrong: {what}")
+    return 1 if wrong else 0
--- /dev/null
+++ b/packages/wasabideck_platform/wasabideck_platform/vocabulary.py
@@ -0,0 +1,102 @@
+"""The vocabulary of events: every kind that a process may write, and its meaning.
+
+The fields ``ticket``, ``request``, ``attempt`` and ``manifest`` name the cause of an
+event; they are the same in every process that has to do with it.
+"""
+
+from __future__ import annotations
+
+from attrs import frozen
+
+__all__ = ["CAUSES", "KINDS", "Kind"]
+
+CAUSES = ("ticket", "request", "attempt", "manifest")
+
+
+@frozen
+class Kind:
+    """What an event says.
+
+    Attributes
+    ----------
+    todo : str
+        What an operator does about it; empty where nothing is wrong.
+    """
+
+    meaning: str
+    todo: str = ""
+
+
+KINDS: dict[str, Kind] = {
+    "attempt.final": Kind("an agent ended an attempt, with this outcome"),
+    "attempt.orphaned": Kind(
+        "no entry reads an attempt any more, and it was given up",
+        "nothing for one; many mean that entries die or are cut off",
+    ),
+    "attempt.resumed": Kind(
+        "a connection broke or went silent, and another one goes on",
+        "nothing for one; many mean a bad link between two VMs",
+    ),
+    "attempt.sent": Kind("an entry sent a try of a request to a server"),
+    "cancel.failed": Kind(
+        "an engine could not be told to stop an attempt",
+        "see whether the engine answers; the attempt ends at its deadline",
+    ),
+    "claim.taken": Kind("the table's verdict on a call that may not be repeated"),
+    "claim.unrecorded": Kind(
+        "a call ran, and its answer is not yet in the table",
+        "see the table service; a repeat meanwhile is answered unknown",
+    ),
+    "claim.unsettled": Kind(
+        "a claim's end could not be written yet",
+        "see the table service; it is tried again",
+    ),
+    "engine.reverted": Kind(
+        "an engine serves less than its ticket and is ordered again",
+        "find who else orders this engine, or why it restarted",
+    ),
+    "keys.reread": Kind("replaced key files are in use"),
+    "keys.unusable": Kind(
+        "replaced key files are wrong; the former ones stay in use",
+        "put certificate, key and authority that belong together in place",
+    ),
+    "members.unavailable": Kind(
+        "the membership list cannot be read; the last one stays in use",
+        "see the platform; VMs that start now are not found",
+    ),
+    "order.lost": Kind(
+        "an engine's answer to an order was lost; it is read back first",
+        "nothing for one; the engine is slow or restarts when it goes on",
+    ),
+    "order.refused": Kind(
+        "an engine refused an order",
+        "a newer order reached it: compare its ticket with the ticket list",
+    ),
+    "order.sent": Kind("an agent ordered its engine to serve a version"),
+    "process.leaving": Kind("a process stops gracefully and takes no new work"),
+    "process.ready": Kind("a process listens"),
+    "process.stopped": Kind("a process has finished everything and ends"),
+    "reconcile.failed": Kind(
+        "a VM could not be brought to its ticket, and tries again",
+        "read why: origin, table or engine; it goes on by itself",
+    ),
+    "request.final": Kind("an entry told a caller the outcome of a request"),
+    "request.received": Kind("an entry took a caller's request"),
+    "server.died": Kind(
+        "a backend server died or went silent with a request on it",
+        "see the server; a request that crashes servers is quarantined",
+    ),
+    "table.unavailable": Kind(
+        "the table service cannot be read or written",
+        "see 'The table service is down' below",
+    ),
+    "ticket.accepted": Kind("an operator's ticket stands in the table"),
+    "ticket.seen": Kind("a process heard of a newer ticket"),
+    "transfer.begun": Kind("an agent begins to fetch a ticket's weights"),
+    "transfer.corrupt": Kind(
+        "a chunk's bytes were wrong; it was dropped and its source set back",
+        "one source again and again: replace that VM, or check the origin",
+    ),
+    "transfer.verified": Kind("all chunks are held and verified, from these sources"),
+    "version.in-force": Kind("an engine serves what its ticket names"),
+}
--- a/tests/sessions/test_demo_session.py
+++ b/tests/sessions/test_demo_session.py
@@ -13,7 +13,7 @@
 
 def test_first_rollout_draft_and_order(tmp_path, data_regression):
     session = asyncio.run(run_session(tmp_path))
-    events = merge_events(str(path) for path in session.events)
+    events = merge_events(str(path) for path in session.events).events
     counts = Counter((e["vm"], e["message_type"]) for e in events)
     session_shown = {
         "ticket": {k: session.ticket[k] for k in ("number", "operator", "sequence")},
