--- a/packages/wasabideck_agent/wasabideck_agent/agent.py
+++ b/packages/wasabideck_agent/wasabideck_agent/agent.py
@@ -35,6 +35,8 @@
 from .chunks_service import ChunksService
 from .claim_store import ClaimStore
 from .delivery_rows import DeliveryRows
+from .links import Link, Links, give_way_to_live
+from .manifest_reader import ManifestReader
 from .orders import Orders
 from .reconcile import MODEL, Reconciler
 from .runs import Runner, RunsService
@@ -62,6 +64,7 @@
     runner: Runner
     store: ChunkStore
     chunks: ChunksService
+    links: Links
     metrics: Metrics
     rows: DeliveryRows
     members: list[Member] = field(factory=list)
@@ -105,19 +108,31 @@
 
     def make_transfer(self, manifest: Manifest) -> Transfer:
         """A transfer of a manifest into this agent's store."""
+        place = self.cfg.process
         return Transfer(
-            self.vm,
+            Member(self.vm, AGENT, "", place.region, place.data_centre),
             manifest,
             self.store,
             self.chunks,
             self.platform.origin,
             self.channels,
+            self.links,
             self.events,
             self.peers,
-            self.cfg.fetches,
+            self.cfg.weights,
             random.Random(f"{self.cfg.seed}/{self.vm}"),
         )
 
+    def manifests(self) -> ManifestReader:
+        """Reads manifests from peers or from the origin."""
+        return ManifestReader(
+            self.vm,
+            self.platform.origin,
+            self.channels,
+            self.peers,
+            random.Random(f"{self.cfg.seed}/{self.vm}/manifests"),
+        )
+
     async def read_members(self) -> None:
         """Read the platform's list; keep the last one when it is down."""
         try:
@@ -155,6 +170,12 @@
             return
         self.load, self.load_at = report["load"], report["at"]
 
+    def count_links(self) -> None:
+        """Bring the links' metrics up to date."""
+        for name in ("up", "down", "region"):
+            passed = getattr(self.links, name).passed
+            self.metrics.link.set({"direction": name}, passed)
+
     async def forget_old(self) -> None:
         """Forget attempts that ended long ago."""
         self.runner.attempts.forget_old(time.monotonic())
@@ -169,6 +190,7 @@
         events.listeners.append(agent.metrics.count)
         server = InnerServer(_services(agent))
         observe_clock(server, events.clock)
+        give_way_to_live(server, agent.links)
         host, port = split_address(cfg.process.inner)
         await server.start(host, port, ssl=keys and keys.inner_server)
         http = await _serve_http(agent, file, keys)
@@ -204,6 +226,8 @@
         claims=ClaimStore(platform.table),
     )
     store = ChunkStore()
+    rate = cfg.weights.link_rate
+    links = Links(Link(rate), Link(rate), Link(cfg.weights.region_rate))
     return Agent(
         cfg,
         events,
@@ -212,7 +236,8 @@
         Spread(cfg.process.vm, events),
         runner,
         store,
-        ChunksService(store, cfg.uploads),
+        ChunksService(store, links, cfg.weights.uploads),
+        links,
         Metrics(),
         DeliveryRows(platform.table),
     )
@@ -258,7 +283,7 @@
         agent.runner.engine,
         orders,
         agent.spread,
-        agent.platform.origin,
+        agent.manifests().read,
         agent.rows,
         agent.store,
         agent.events,
@@ -289,6 +314,7 @@
     async def metrics(req: web.Request) -> web.Response:
         agent.metrics.in_progress.set({}, len(agent.runner.attempts.in_progress()))
         agent.metrics.events_lost.set({}, file.lost)
+        agent.count_links()
         body, headers = render_metrics(agent.metrics, req.headers.get("accept", ""))
         return web.Response(body=body, headers=headers)
 
--- a/packages/wasabideck_agent/wasabideck_agent/reconcile.py
+++ b/packages/wasabideck_agent/wasabideck_agent/reconcile.py
@@ -12,7 +12,6 @@
 from wasabideck_platform.metrics import Metrics
 from wasabideck_platform.servers import Engine
 from wasabideck_platform.spread import Spread
-from wasabideck_platform.weights import Origin
 from wasabideck_policy.deliveries import Delivery
 from wasabideck_policy.manifests import CorruptManifest, Manifest
 from wasabideck_policy.orders import matches
@@ -54,7 +53,7 @@
     engine: Engine
     orders: Orders
     spread: Spread
-    origin: Origin
+    read_manifest: Callable[[str], Awaitable[Manifest]]
     rows: DeliveryRows
     store: ChunkStore
     events: Events
@@ -98,6 +97,7 @@
             for slot in SLOTS:
                 if wanted := self.wanted(slot):
                     await self._bring(wanted)
+            self._forget_superseded()
             return True
         except _FAILURES as exc:
             self.events.emit("reconcile.failed", why=str(exc))
@@ -128,6 +128,16 @@
             self._in_force(wanted)
         await self._finish(wanted, delivery)
 
+    def _forget_superseded(self) -> None:
+        """Drop the chunks of weights that no ticket names any more.
+
+        Only once all that is wanted is whole and in force: until then the chunks of
+        the version in force may be shared by the next one, and peers may want them.
+        """
+        wanted = [self.wanted(slot) for slot in SLOTS]
+        kept = {w.change.manifest for w in wanted if w and w.change.manifest}
+        self.store.keep_only({*kept, self.orders.serving.manifest})
+
     def _found(self, wanted: Assignment) -> None:
         """Note what was in force before this process had anything to do with it."""
         if self._done.get(MODEL) == wanted.ticket:
@@ -161,7 +171,7 @@
 
     async def _fetch(self, wanted: Assignment, delivery: Delivery) -> Manifest:
         digest = wanted.change.manifest
-        manifest = self.store.manifest(digest) or await self.origin.manifest(digest)
+        manifest = self.store.manifest(digest) or await self.read_manifest(digest)
         self.store.know(manifest)
         transfer = self.make_transfer(manifest)
         try:
--- a/tests/product/test_settings.py
+++ b/tests/product/test_settings.py
@@ -110,8 +110,10 @@
     [
         (("server", "capacity"), 0),
         (("server", "kind"), "plane"),
-        (("fetches",), 0),
-        (("uploads",), 1.5),
+        (("weights", "fetches"), 0),
+        (("weights", "uploads"), 1.5),
+        (("weights", "profile"), "fast"),
+        (("weights", "region_rate"), -1),
         (("services",), []),
     ],
 )
@@ -233,6 +235,8 @@
     found = [agent.server.service for agent in agents]
     assert {name: found.count(name) for name in set(found)} == counts
     assert {agent.process.region for agent in agents} == regions
+    profile = {"printing": "time", "rent": "origin-bytes"}[deployment]
+    assert {agent.weights.profile for agent in agents} == {profile}
     entries = [
         load_entry_settings(str(p)) for p in (SAMPLES / deployment).glob("entry-*.toml")
     ]
