Go on after a typed failure of a repeated step

Cause: the loops caught an unavailable platform only. A refusal (a gateway's 404 for the membership list) ended the loop and with it the process, on every VM at the same moment; an engine's load report without its fields did the same.

Change: a typed failure of a repeated step is an event (loop.failed) and the step is tried again; an untyped one still ends the process. Load reports are read through the typed conversion.

--- a/packages/wasabideck_agent/wasabideck_agent/agent.py
+++ b/packages/wasabideck_agent/wasabideck_agent/agent.py
@@ -12,13 +12,13 @@
 from wasabideck_platform.channels import LINK_FAILURES, Channels, observe_clock
 from wasabideck_platform.clients import Platform, connect_platform
 from wasabideck_platform.events import EventFile, Events, open_events
-from wasabideck_platform.http import HttpClient, PlatformUnavailable
+from wasabideck_platform.http import HttpClient, PlatformUnavailable, understood
 from wasabideck_platform.inner_limits import InnerServer
 from wasabideck_platform.metrics import Metrics, render_metrics
 from wasabideck_platform.process import (
     announce_ready,
-    every,
     first_of,
+    repeating,
     reread_keys,
 )
 from wasabideck_platform.servers import Engine, PlainService
@@ -166,9 +166,9 @@
             return
         try:
             report = await self.runner.engine.load()
+            self.load, self.load_at = understood(self.cfg.server.url, report, _load)
         except PlatformUnavailable:
             return
-        self.load, self.load_at = report["load"], report["at"]
 
     def count_links(self) -> None:
         """Bring the links' metrics up to date."""
@@ -249,6 +249,7 @@
 
 
 def _loops(agent: Agent) -> list:
+    every = repeating(agent.events)
     loops = [
         every(agent.cfg.platform.poll_seconds, agent.read_members),
         every(SYNC_SECONDS, agent.hear_state),
@@ -295,6 +296,10 @@
     return reconciler
 
 
+def _load(report: dict) -> tuple[float, float]:
+    return float(report["load"]), float(report["at"])
+
+
 async def _drain(agent: Agent) -> None:
     """Refuse new work, and finish what is in progress."""
     agent.runner.gate.leaving = True
--- a/packages/wasabideck_entry/wasabideck_entry/entry.py
+++ b/packages/wasabideck_entry/wasabideck_entry/entry.py
@@ -18,8 +18,8 @@
 from wasabideck_platform.metrics import Metrics
 from wasabideck_platform.process import (
     announce_ready,
-    every,
     first_of,
+    repeating,
     reread_keys,
 )
 from wasabideck_platform.settings import EntrySettings, split_address
@@ -190,6 +190,7 @@
 
 
 def _loops(entry: Entry) -> list:
+    every = repeating(entry.events)
     return [
         every(entry.cfg.platform.poll_seconds, entry.read_members),
         every(HEAD_SECONDS, entry.poll_head),
--- a/packages/wasabideck_platform/wasabideck_platform/process.py
+++ b/packages/wasabideck_platform/wasabideck_platform/process.py
@@ -6,14 +6,25 @@
 import signal
 import sys
 from collections.abc import Awaitable, Callable, Coroutine
+from functools import partial
 
 import orjson
 import uvloop
+from wasabideck_policy.outcomes import WasabideckError
 
 from .events import Events
 from .tls import Keys, KeysUnusable
 
-__all__ = ["announce_ready", "every", "first_of", "reread_keys", "run_process"]
+__all__ = [
+    "announce_ready",
+    "every",
+    "first_of",
+    "repeating",
+    "reread_keys",
+    "run_process",
+]
+
+Step = Callable[[], Awaitable[None]]
 
 STOPS = (signal.SIGTERM, signal.SIGINT)
 KEYS_SECONDS = 1.0
@@ -73,10 +84,31 @@
     sys.stdout.flush()
 
 
-async def every(seconds: float, step: Callable[[], Awaitable[None]]) -> None:
-    """Repeat a step for ever, with a pause between the end and the next begin."""
+def repeating(events: Events) -> Callable[[float, Step], Coroutine]:
+    """A form of ``every`` that writes an event for a step's typed failure."""
+
+    def failed(exc: WasabideckError) -> None:
+        events.emit("loop.failed", why=f"{type(exc).__name__}: {exc}")
+
+    return partial(every, failed=failed)
+
+
+async def every(
+    seconds: float,
+    step: Step,
+    failed: Callable[[WasabideckError], None] = lambda exc: None,
+) -> None:
+    """Repeat a step for ever, with a pause between the end and the next begin.
+
+    A typed failure is told to ``failed``, and the next step is tried: what the
+    platform or a peer answers must not end the process, least of all on every VM at
+    the same moment. Any other error is a fault of the program and goes on up.
+    """
     while True:
-        await step()
+        try:
+            await step()
+        except WasabideckError as exc:
+            failed(exc)
         await asyncio.sleep(seconds)
 
 
--- a/packages/wasabideck_platform/wasabideck_platform/vocabulary.py
+++ b/packages/wasabideck_platform/wasabideck_platform/vocabulary.py
@@ -60,6 +60,10 @@
         "replaced key files are wrong; the former ones stay in use",
         "put certificate, key and authority that belong together in place",
     ),
+    "loop.failed": Kind(
+        "a repeated step of a process failed, and is tried again",
+        "read why; the same one on many VMs is the platform's answer to all",
+    ),
     "members.unavailable": Kind(
         "the membership list cannot be read; the last one stays in use",
         "see the platform; VMs that start now are not found",
--- a/tests/product/test_events.py
+++ b/tests/product/test_events.py
@@ -19,7 +19,10 @@
     open_events,
 )
 from wasabideck_platform.inner_limits import InnerServer
+from wasabideck_platform.process import repeating
+from wasabideck_platform.settings import TlsSettings
 from wasabideck_platform.spread import PeersService
+from wasabideck_platform.tls import KeysUnusable
 from wasabideck_wire import inner_pb2 as pb
 from wasabideck_wire.inner_grpc import PeersStub
 
@@ -111,3 +114,21 @@
 def test_a_file_that_cannot_be_opened_ends_the_start(tmp_path):
     with pytest.raises(EventsUnwritable):
         open_events("vm", str(tmp_path))
+
+
+def test_a_typed_failure_does_not_end_a_loop():
+    # The platform's gateway answers 404 for a moment. The step that reads the list
+    # raised, the loop ended, and every process of the fleet exited with it.
+    said, steps = [], iter([KeysUnusable, None, ZeroDivisionError])
+
+    async def step():
+        if kind := next(steps):
+            raise kind(TlsSettings("c", "k", "a"), "x")
+
+    class Heard:
+        def emit(self, kind, **fields):
+            said.append((kind, fields["why"]))
+
+    with pytest.raises(ZeroDivisionError):
+        asyncio.run(repeating(Heard())(0, step))
+    assert said == [("loop.failed", "KeysUnusable: c, a: x")]
