--- a/packages/wasabideck_agent/wasabideck_agent/agent.py
+++ b/packages/wasabideck_agent/wasabideck_agent/agent.py
@@ -12,7 +12,7 @@
 from wasabideck_platform.channels import LINK_FAILURES, Channels, observe_clock
 from wasabideck_platform.clients import Platform, connect_platform
 from wasabideck_platform.events import EventFile, Events, open_events
-from wasabideck_platform.http import HttpClient, PlatformUnavailable, understood
+from wasabideck_platform.http import HttpClient, PlatformUnavailable
 from wasabideck_platform.inner_limits import InnerServer
 from wasabideck_platform.metrics import Metrics, render_metrics
 from wasabideck_platform.process import (
@@ -26,6 +26,7 @@
 from wasabideck_platform.spread import PeersService, Spread
 from wasabideck_platform.tls import Keys
 from wasabideck_policy.admission import Gate
+from wasabideck_policy.concurrency import AdaptiveLimit
 from wasabideck_policy.manifests import Manifest
 from wasabideck_policy.membership import AGENT, Member, Watch, watched
 from wasabideck_policy.orders import OrderBook
@@ -36,6 +37,7 @@
 from .claim_store import ClaimStore
 from .delivery_rows import DeliveryRows
 from .links import Link, Links, give_way_to_live
+from .load import LOAD_SECONDS, LoadReader
 from .manifest_reader import ManifestReader
 from .orders import Orders
 from .reconcile import MODEL, Reconciler
@@ -46,7 +48,6 @@
 __all__ = ["serve_agent"]
 
 SYNC_SECONDS = 1.0
-LOAD_SECONDS = 0.5
 ROWS_SECONDS = 1.0
 FORGET_SECONDS = 5.0
 DRAIN_SECONDS = 60.0
@@ -66,12 +67,11 @@
     chunks: ChunksService
     links: Links
     metrics: Metrics
+    load: LoadReader
     rows: DeliveryRows
     members: list[Member] = field(factory=list)
     watch: Watch = field(factory=Watch)
     orders: Orders | None = None
-    load: float = 0.0
-    load_at: float = 0.0
 
     @property
     def vm(self) -> str:
@@ -88,9 +88,12 @@
             and m.service == self.cfg.server.service
         ]
 
-    def status(self) -> pb.StatusReply:
+    def status(self, req: pb.StatusRequest) -> pb.StatusReply:
         """What this agent tells entries about its server."""
         gate = self.runner.gate
+        prefixes, changes = self.load.prefixes(time.monotonic())
+        # The set is some hundred bytes, and is only told to who lacks it.
+        told = [] if req.cache_changes == changes else prefixes
         return pb.StatusReply(
             vm=self.vm,
             service=self.cfg.server.service,
@@ -102,8 +105,11 @@
             in_progress=gate.running,
             waiting=gate.waiting,
             capacity=gate.capacity,
-            load=self.load,
-            load_at=self.load_at,
+            load=self.load.value,
+            load_at=self.load.at,
+            service_time=gate.service_time,
+            cached_prefixes=told,
+            cache_changes=changes,
         )
 
     def make_transfer(self, manifest: Manifest) -> Transfer:
@@ -160,16 +166,6 @@
             self.channels.drop(member.address)
             self.watch.failed(member.vm, time.monotonic())
 
-    async def read_load(self) -> None:
-        """Read the engine's lagging load report."""
-        if self.runner.engine is None or not self.cfg.server.reports_load:
-            return
-        try:
-            report = await self.runner.engine.load()
-            self.load, self.load_at = understood(self.cfg.server.url, report, _load)
-        except PlatformUnavailable:
-            return
-
     def count_links(self) -> None:
         """Bring the links' metrics up to date."""
         for name in ("up", "down", "region"):
@@ -225,6 +221,9 @@
         plain=PlainService(http) if plain else None,
         claims=ClaimStore(platform.table),
     )
+    if not cfg.server.reports_load:
+        most = cfg.server.capacity
+        runner.slots.limit = AdaptiveLimit(limit=most, most=most)
     store = ChunkStore()
     rate = cfg.weights.link_rate
     links = Links(Link(rate), Link(rate), Link(cfg.weights.region_rate))
@@ -239,6 +238,7 @@
         ChunksService(store, links, cfg.weights.uploads),
         links,
         Metrics(),
+        LoadReader(runner.engine if cfg.server.reports_load else None),
         DeliveryRows(platform.table),
     )
 
@@ -253,7 +253,7 @@
     loops = [
         every(agent.cfg.platform.poll_seconds, agent.read_members),
         every(SYNC_SECONDS, agent.hear_state),
-        every(LOAD_SECONDS, agent.read_load),
+        every(LOAD_SECONDS, agent.load.read),
         every(FORGET_SECONDS, agent.forget_old),
     ]
     if agent.runner.engine:
@@ -296,10 +296,6 @@
     return reconciler
 
 
-def _load(report: dict) -> tuple[float, float]:
-    return float(report["load"]), float(report["at"])
-
-
 async def _drain(agent: Agent) -> None:
     """Refuse new work, and finish what is in progress."""
     agent.runner.gate.leaving = True
--- a/packages/wasabideck_entry/wasabideck_entry/entry.py
+++ b/packages/wasabideck_entry/wasabideck_entry/entry.py
@@ -38,7 +38,6 @@
 
 __all__ = ["serve_entry"]
 
-STATUS_SECONDS = 0.25
 HEAD_SECONDS = 0.5
 HEAD_PATIENCE = 2.0
 COMPARE_SECONDS = 1.0
@@ -121,7 +120,7 @@
         self.metrics.events_lost.set({}, self.events_lost())
         return self.metrics
 
-    def status(self) -> pb.StatusReply:
+    def status(self, req: pb.StatusRequest) -> pb.StatusReply:
         """What this entry tells other processes of itself."""
         return pb.StatusReply(
             vm=self.cfg.process.vm,
@@ -167,11 +166,11 @@
     keys: Keys | None,
 ) -> Entry:
     channels = Channels(events.clock, keys and keys.inner_client)
-    fleet = Fleet(cfg.process.vm, channels)
+    fleet = Fleet(cfg.process.vm, channels, cfg.process.region)
     rng = random.Random(f"{cfg.seed}/{cfg.process.vm}/{time.time_ns()}")
     spread = Spread(cfg.process.vm, events)
     entry: Entry
-    peers = PeersService(spread, lambda: entry.status())
+    peers = PeersService(spread, lambda req: entry.status(req))
     pusher = Pusher(cfg.process.data_centre, spread, peers, fleet, channels, rng)
     spread.listen(pusher.note)
     entry = Entry(
@@ -196,7 +195,7 @@
         every(HEAD_SECONDS, entry.poll_head),
         every(COMPARE_SECONDS, entry.compare),
         entry.pusher.run(),
-        every(STATUS_SECONDS, entry.fleet.ask_all),
+        entry.fleet.keep_asking(),
     ]
 
 
--- a/packages/wasabideck_lab/wasabideck_lab/__main__.py
+++ b/packages/wasabideck_lab/wasabideck_lab/__main__.py
@@ -15,6 +15,7 @@
 from .distribute_command import distribute
 from .faults import FAULTS
 from .faults_run import SCENARIOS, run_scenario
+from .load_command import load
 from .overhead import measure_overhead
 from .samples import write_samples
 
@@ -81,6 +82,7 @@
             sys.exit(f"faults: {dirty} scenarios are not clean")
 
     distribute = staticmethod(distribute)
+    load = staticmethod(load)
 
     def capacity(self, only: str = "all", json: bool = False) -> None:
         """Measure the slopes that docs/CAPACITY.md is worked out from.
--- a/tests/product/test_events.py
+++ b/tests/product/test_events.py
@@ -66,7 +66,7 @@
     async def body():
         ahead, behind = Clock(wall=lambda: 1020.0), Clock(wall=lambda: 1000.0)
 
-        def status():
+        def status(req):
             ahead.tick(1020.0)
             return pb.StatusReply()
 
--- a/tests/product/test_limits.py
+++ b/tests/product/test_input_limits.py
@@ -124,7 +124,7 @@
 @pytest.fixture
 def serving():
     async def serve(body):
-        server = InnerServer([PeersService(None, lambda: pb.StatusReply(vm="one"))])
+        server = InnerServer([PeersService(None, lambda _: pb.StatusReply(vm="one"))])
         await server.start("127.0.0.1", 0)
         host, port = server._server.sockets[0].getsockname()
         channels = Channels(Clock())
--- a/tests/product/test_tls.py
+++ b/tests/product/test_tls.py
@@ -28,7 +28,7 @@
 
 
 async def serving(context):
-    server = Server([PeersService(None, lambda: pb.StatusReply(vm="one"))])
+    server = Server([PeersService(None, lambda req: pb.StatusReply(vm="one"))])
     await server.start("127.0.0.1", 0, ssl=context)
     host, port = server._server.sockets[0].getsockname()
     return server, f"{host}:{port}"
