--- a/packages/wasabideck_agent/wasabideck_agent/load.py
+++ b/packages/wasabideck_agent/wasabideck_agent/load.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable
 
 from attrs import define, field
-from wasabideck_platform.http import PlatformUnavailable
+from wasabideck_platform.http import PlatformUnavailable, understood
 from wasabideck_platform.servers import Engine
 from wasabideck_policy.affinity import CacheView
 
@@ -42,12 +42,17 @@
         try:
             report = await self.engine.load()
             events = await self.engine.cache_events(self.cache.sequence)
+            url = self.engine.http.base
+            self.value, self.at = understood(url, report, _numbers)
+            understood(url, events, lambda told: self.cache.apply(told, self.clock()))
         except PlatformUnavailable:
             return
-        self.value, self.at = report["load"], report["at"]
-        self.cache.apply(events, self.clock())
 
     def prefixes(self, now: float) -> tuple[list[str], int]:
         """Prefixes that the engine is believed to hold, and their set's number."""
         held = self.cache.held(now)
         return held, self.cache.changes
+
+
+def _numbers(report: dict) -> tuple[float, float]:
+    return float(report["load"]), float(report["at"])
