Tell an operator whose ticket lost every race that it is not accepted

Cause: after twenty lost races the answer was "unknown", though no write of the ticket could stand. Change: TicketRaced, certain, after fifty; "unknown" only with a lost answer open. The two tests of stale reads now expect the certain refusal, which is stricter; a new test moves the head before each try.

--- a/packages/wasabideck_platform/wasabideck_platform/ticket_store.py
+++ b/packages/wasabideck_platform/wasabideck_platform/ticket_store.py
@@ -22,6 +22,7 @@
 __all__ = [
     "Accepted",
     "Head",
+    "TicketRaced",
     "TicketUnknown",
     "accept_ticket",
     "assignments_of",
@@ -35,7 +36,7 @@
 HEAD = "head"
 TICKETS = "tickets"
 STATE = "state"
-MOST_RACES = 20
+MOST_RACES = 50
 READS_AT_ONCE = 32
 
 
@@ -50,6 +51,17 @@
         self.number = number
 
 
+class TicketRaced(WasabideckError):
+    """Others were first each time; certainly not accepted, submit it again."""
+
+    status = 503
+    retry_after = 1.0
+
+    def __init__(self, number: int):
+        super().__init__(f"ticket {number}: {MOST_RACES} races lost to other tickets")
+        self.number = number
+
+
 @frozen
 class Accepted:
     """A ticket stands in the table.
@@ -96,8 +108,9 @@
         A later ticket holds something that this one touches.
     TicketUnknown
         The table's answer was lost and could not be read back.
-    PlatformUnavailable
-        The table is down; certainly nothing was accepted.
+    TicketRaced, PlatformUnavailable
+        Others were always first, or the table is down; certainly nothing was
+        accepted.
     """
     ticket = evolve(ticket, operator=operator, accepted_at=now)
     doubt: PlatformUnavailable | None = None
@@ -121,7 +134,9 @@
         if failed.check.table == TICKETS and failed.found:
             return _judge(failed.found, ticket)
         doubt = None
-    raise TicketUnknown(ticket.number, "too many races with other tickets")
+    if doubt:
+        raise TicketUnknown(ticket.number, str(doubt)) from doubt
+    raise TicketRaced(ticket.number)
 
 
 async def _look(
--- a/tests/tickets/test_acceptance.py
+++ b/tests/tickets/test_acceptance.py
@@ -5,6 +5,7 @@
 import pytest
 from wasabideck_platform.http import PlatformUnavailable
 from wasabideck_platform.ticket_store import (
+    TicketRaced,
     TicketUnknown,
     read_changes,
     read_ticket,
@@ -114,7 +115,7 @@
     before = table.snapshot()
     accept(make_ticket(7, "b"))
     table.stale = before
-    with pytest.raises(TicketUnknown):
+    with pytest.raises(TicketRaced):
         accept(make_ticket(6, "b"))
     assert table.rows["state", "b#model"]["ticket"] == 7
 
@@ -128,11 +129,29 @@
     before = table.snapshot()
     accept(make_ticket(7, "b"))
     table.stale = before | {("head", "head"): table.rows["head", "head"]}
-    with pytest.raises(TicketUnknown):
+    with pytest.raises(TicketRaced):
         accept(make_ticket(6, "b"))
     assert table.rows["state", "b#model"]["ticket"] == 7
 
 
+def test_a_ticket_that_always_loses_the_race_is_certainly_not_accepted(
+    table, accept, make_ticket, monkeypatch
+):
+    """Somebody moves the head before each try. No write of this ticket can stand,
+    so its operator is told that, and not that it is unknown."""
+    write = type(table).transact
+
+    async def transact(self, checks, writes):
+        sequence = self.rows.get(("head", "head"), {"sequence": 0})["sequence"]
+        self.rows["head", "head"] = {"sequence": sequence + 1, "newest": 0}
+        return await write(self, checks, writes)
+
+    monkeypatch.setattr(type(table), "transact", transact)
+    with pytest.raises(TicketRaced):
+        accept(make_ticket(1, "a"))
+    assert ("tickets", f"{1:020d}") not in table.rows
+
+
 def test_changes_are_read_above_a_place(table, accept, make_ticket):
     accept(make_ticket(1, "a", "b"))
     accept(make_ticket(2, "a", version="v2"))
