--- a/packages/wasabideck_lab/wasabideck_lab/stage_tickets.py
+++ b/packages/wasabideck_lab/wasabideck_lab/stage_tickets.py
@@ -126,7 +126,7 @@
     late = sorted(_behind(stage, number, without))
     expect(stage, done, f"ticket {number} is not in force on {late}")
     expect(stage, took <= seconds, f"ticket {number} in force after {took:.2f} s")
-    stage.figures[f"in_force_{number}"] = round(took, 3)
+    stage.figures.setdefault(f"in_force_{number}", round(took, 3))
     return took
 
 
