--- a/packages/wasabideck_agent/wasabideck_agent/links.py
+++ b/packages/wasabideck_agent/wasabideck_agent/links.py
@@ -33,31 +33,41 @@
 
     async def send(self, size: int) -> None:
         """Wait for the link's turn, and until this many bytes have gone out."""
-        now = self.clock()
-        await self._pass(size, max(now, self._free_at), now)
+        await _wait(self.send_seconds(size, self.clock()))
 
     async def receive(self, size: int) -> None:
-        """Wait until the link could have carried the bytes that have just come.
+        """Wait until the link could have carried the bytes that have just come."""
+        await _wait(self.receive_seconds(size, self.clock()))
+
+    def send_seconds(self, size: int, now: float) -> float:
+        """Seconds until bytes that are sent now, in turn, have gone out."""
+        return self._pass(size, max(now, self._free_at), now)
+
+    def receive_seconds(self, size: int, now: float) -> float:
+        """Seconds by which bytes that came now came faster than the link allows.
 
         They were under way while the sender sent them, so a link that was idle as
         long as they take delays them no further.
         """
-        now = self.clock()
         began = now - size / self.rate if self.rate else now
-        await self._pass(size, max(began, self._free_at), now)
+        return self._pass(size, max(began, self._free_at), now)
 
-    def give_way(self, size: int) -> None:
+    def give_way(self, size: int, now: float) -> None:
         """Count live bytes: they never wait, the weights behind them do."""
         if self.rate:
-            self._free_at = max(self.clock(), self._free_at) + size / self.rate
+            self._free_at = max(now, self._free_at) + size / self.rate
 
-    async def _pass(self, size: int, begin: float, now: float) -> None:
+    def _pass(self, size: int, begin: float, now: float) -> float:
         self.passed += size
         if not self.rate:
-            return
+            return 0.0
         self._free_at = begin + size / self.rate
-        if self._free_at > now:
-            await asyncio.sleep(self._free_at - now)
+        return max(0.0, self._free_at - now)
+
+
+async def _wait(seconds: float) -> None:
+    if seconds > 0:
+        await asyncio.sleep(seconds)
 
 
 @define
@@ -80,11 +90,11 @@
 
     async def sent(event: SendMessage) -> None:
         if isinstance(event.message, pb.RunEvent):
-            links.up.give_way(event.message.ByteSize())
+            links.up.give_way(event.message.ByteSize(), links.up.clock())
 
     async def received(event: RecvMessage) -> None:
         if isinstance(event.message, pb.RunRequest):
-            links.down.give_way(event.message.ByteSize())
+            links.down.give_way(event.message.ByteSize(), links.down.clock())
 
     listen(server, SendMessage, sent)
     listen(server, RecvMessage, received)
