--- a/packages/wasabideck_lab/wasabideck_lab/samples.py
+++ b/packages/wasabideck_lab/wasabideck_lab/samples.py
@@ -19,6 +19,8 @@
 FIRST_AGENT_HOST = 20
 ORGANISATIONS = 10
 KEYS = "/etc/wasabideck"
+# Half of ten megabits a second: the link between regions is shared by all traffic.
+REGION_RATE = 625_000.0
 
 # The three networks that are set aside for documentation, one for each region.
 NETWORKS = ("192.0.2", "198.51.100", "203.0.113")
@@ -40,13 +42,15 @@
         The first one holds the platform's store.
     placement : dict of str to tuple of str
         Service to the region of each of its servers.
+    profile : str
+        What counts most: ``time`` to N replicas, or ``origin-bytes``.
     """
 
     name: str
     regions: tuple[str, ...]
     services: list[dict]
     placement: dict[str, tuple[str, ...]]
-    profile_note: str
+    profile: str
 
 
 _MUSCAT, _SOHAR, _SALALAH = "muscat", "sohar", "salalah"
@@ -84,7 +88,7 @@
         "orders": (_MUSCAT, _SOHAR, _SALALAH),
         "shop-floor": (_MUSCAT,),
     },
-    "time to N replicas counts most",
+    "time",
 )
 
 _BANGKOK, _CHIANG_MAI, _KHON_KAEN = "bangkok", "chiang-mai", "khon-kaen"
@@ -117,7 +121,7 @@
         "ledger": (_BANGKOK, _CHIANG_MAI, _KHON_KAEN),
         "portal": (_BANGKOK,),
     },
-    "bytes read from the origin count most",
+    "origin-bytes",
 )
 
 
@@ -126,8 +130,7 @@
     files = {}
     for deployment in (PRINTING, RENT):
         for name, table in _tables(deployment):
-            text = HEADER + f"# {deployment.profile_note}.\n\n" + to_toml(table)
-            files[f"{deployment.name}/{name}.toml"] = text
+            files[f"{deployment.name}/{name}.toml"] = HEADER + to_toml(table)
     return files
 
 
@@ -181,7 +184,13 @@
         "url": f"http://127.0.0.1:{SERVER_PORT}",
         "reports_load": service["name"] not in ("shop-floor", "portal"),
     }
-    return _common(deployment, vm, region, host) | {"server": server}
+    weights = {
+        "profile": deployment.profile,
+        "region_rate": REGION_RATE,
+        "origin_region": deployment.regions[0],
+    }
+    common = _common(deployment, vm, region, host)
+    return common | {"server": server, "weights": weights}
 
 
 def _common(deployment: Deployment, vm: str, region: str, host: int) -> dict:
