--- /dev/null
+++ b/tests/weights/test_rollout.py
@@ -0,0 +1,12 @@
+"""One small rollout by the experiment, with real processes."""
+
+import asyncio
+
+from wasabideck_lab.distribute import Plan, run_distribute
+
+
+def test_a_rollout_over_two_regions_ends_whole_on_every_vm():
+    plan = Plan(replicas=2, regions=2, chunks=16, copy_seconds=0.5, live_before=0.2)
+    row = asyncio.run(run_distribute(plan))
+    assert (row["finished"], row["verified"], row["mixed"]) == (True, 2, 0)
+    assert row["origin_copies"] >= 1.0
