Believe a peer that holds less than before

Cause: what a peer once held was kept for as long as it answered. A VM that was replaced under its name within seconds comes back empty and is not lost; whoever wanted a chunk that only it had held asked it for ever, and nobody read the origin again. The focused test (test_a_vm_that_came_back_empty_holds_nothing) fails before and passes after.

Change: the newest word replaces the older one, also in refusals. A message that says nothing of reads under way no longer wipes what is known of them.

--- a/packages/wasabideck_agent/wasabideck_agent/transfer.py
+++ b/packages/wasabideck_agent/wasabideck_agent/transfer.py
@@ -222,7 +222,7 @@
         async with stub.Fetch.open(timeout=limit) as stream:
             await stream.send_message(req, end=True)
             async for part in stream:
-                if part.holdings:
+                if part.holdings or part.refused:
                     self._heard(fetch.source, from_bitmap(part.holdings), part.sent)
                 if part.refused:
                     raise _Refused(fetch.source)
@@ -273,7 +273,9 @@
             return address
         raise ConnectionRefusedError(vm)
 
-    def _heard(self, vm: str, held: int, sent: int = 0, reading: int = 0) -> None:
+    def _heard(
+        self, vm: str, held: int, sent: int = 0, reading: int | None = None
+    ) -> None:
         hear(self.view, vm, held, self.clock(), sent, reading)
         # A view that is full of fetches cannot use the news; each wake-up costs.
         if held & self.view.wanted and self.view.active.bit_count() < self.cfg.fetches:
--- a/packages/wasabideck_policy/wasabideck_policy/views.py
+++ b/packages/wasabideck_policy/wasabideck_policy/views.py
@@ -217,19 +217,33 @@
 
 
 def hear(
-    view: View, vm: str, held: int, now: float, sent: int = 0, reading: int = 0
+    view: View,
+    vm: str,
+    held: int,
+    now: float,
+    sent: int = 0,
+    reading: int | None = None,
 ) -> None:
-    """Take in what a peer says of itself."""
+    """Take in what a peer says of itself.
+
+    It may hold less than before: a VM that is replaced under its name comes back
+    empty. Were the old word kept, nobody would read again what only it held.
+    """
     peer = view.peers.get(vm)
     if peer is None:
         return
-    peer.held |= held & view.whole
-    peer.reading = reading & view.whole
+    dropped = peer.held & ~held
+    peer.held = held & view.whole
+    if reading is not None:
+        peer.reading = reading & view.whole
     peer.sent = max(peer.sent, sent)
     peer.heard_at = now
     peer.lost = False
     if peer.held:
         view.holders[vm] = peer
+    if dropped:
+        view.holders = {vm: p for vm, p in view.holders.items() if p.held}
+        _see_again(view)
     new = peer.held & ~view.seen
     view.seen |= peer.held
     if peer.region == view.region:
--- a/tests/weights/driver.py
+++ b/tests/weights/driver.py
@@ -18,6 +18,7 @@
     hear,
     lose,
     origin_failed,
+    refused,
     set_members,
 )
 
@@ -41,9 +42,12 @@
     holds: dict[float, int] = field(factory=dict)
     corrupt: int = 0
     cut: tuple[float, float] = (0.0, 0.0)
+    restarts: float = 1e9
 
     def held(self, now):
         mask = 0
+        if now >= self.restarts:
+            return mask
         for since, more in self.holds.items():
             mask |= more if since <= now else 0
         return mask
@@ -131,6 +135,10 @@
         if peer and peer.silent(now):
             lose(self.view, peer.vm, now)
             return f"lost {peer.vm}"
+        if peer and not peer.held(now) >> fetch.index & 1:
+            hear(self.view, peer.vm, peer.held(now), now)
+            refused(self.view, fetch, now, self.rng)
+            return f"refused by {peer.vm}"
         if peer and peer.corrupt >> fetch.index & 1:
             data = hashlib.sha256(data).digest()
         try:
--- a/tests/weights/test_failures.py
+++ b/tests/weights/test_failures.py
@@ -50,6 +50,15 @@
     assert run.log[-1].endswith("whole")
 
 
+def test_a_vm_that_came_back_empty_holds_nothing(session):
+    # A rollout never ends: the one VM that held a chunk was replaced under its name
+    # within seconds. Its agent answers, so it is not lost, and everyone went on
+    # taking it for the chunk's holder; nobody read the origin again.
+    run = session(FakePeer("b", holds={0.0: ALL}, restarts=0.15))
+    run.run(60.0)
+    assert run.log[-1].endswith("whole")
+
+
 def test_a_stalled_link_is_left_for_another_peer(session):
     # One VM stays behind all others: the link to the peer that it fetches from went
     # silent, and it went on waiting for that one peer.
