Start the load generator's fleet under the stricter settings again

Cause: settings now refuse repeatable_routes beside repeatable = true and names with a blank, and the lab's commands are planned before they run, which a command that stands in a module of its own (load, distribute) was not: it ran while the line was read, its output swallowed, and was then called missing.

--- a/packages/wasabideck_lab/wasabideck_lab/load_mix.py
+++ b/packages/wasabideck_lab/wasabideck_lab/load_mix.py
@@ -71,7 +71,8 @@
             kinds = [k for k in self.kinds if k.service == service["name"]]
             service["priorities"] = {k.route: k.priority for k in kinds}
             service["repeatable"] = all(k.repeatable for k in kinds)
-            service["repeatable_routes"] = [k.route for k in kinds if k.repeatable]
+            if not service["repeatable"]:
+                service["repeatable_routes"] = [k.route for k in kinds if k.repeatable]
         return found
 
 
@@ -91,7 +92,7 @@
 )
 RENT = Deployment(
     "rent",
-    ("Bangkok", "Chiang Mai", "Khon Kaen"),
+    ("Bangkok", "Chiang-Mai", "Khon-Kaen"),
     6,
     {"ledger": 3, "portal": 1},
     (
--- a/packages/wasabideck_platform/wasabideck_platform/command_line.py
+++ b/packages/wasabideck_platform/wasabideck_platform/command_line.py
@@ -56,6 +56,9 @@
     for name, function in list(vars(cls).items()):
         if inspect.isfunction(function) and not name.startswith("_"):
             setattr(cls, name, _command(function))
+        elif isinstance(function, staticmethod) and not name.startswith("_"):
+            # A command that stands in a module of its own.
+            setattr(cls, name, staticmethod(_command(function.__func__)))
     return cls
 
 
--- a/packages/wasabideck_platform/wasabideck_platform/settings.py
+++ b/packages/wasabideck_platform/wasabideck_platform/settings.py
@@ -215,7 +215,7 @@
     callers: list[CallerSettings] = field(factory=list)
     tls: TlsSettings | None = None
     plain_text: bool = False
-    routing: str = "two-choices"
+    routing: str = "priced"
     body_bytes: int = field(default=1 << 20, validator=at_least(1))
     seed: int = field(default=0, validator=instance_of(int))
 
