--- a/tests/test_load.py
+++ b/tests/test_load.py
@@ -10,10 +10,11 @@
 from wasabideck_platform.command_line import commands, run_commands
 
 
-@pytest.mark.parametrize("deployment", DEPLOYMENTS.values(), ids=str)
-def test_a_deployments_settings_are_in_order(deployment, tmp_path):
+@pytest.mark.parametrize("name", DEPLOYMENTS)
+def test_a_deployments_settings_are_in_order(name, tmp_path):
     # The checks of settings became stricter, and the generator's entries no longer
     # started; only a run would have shown it.
+    deployment = DEPLOYMENTS[name]
     platform = dict.fromkeys(("table", "members", "weights"), "http://127.0.0.1:1")
     for region in deployment.regions:
         place = {"vm": "entry-0", "region": region, "data_centre": f"{region}-1"}
