--- a/packages/wasabideck_lab/wasabideck_lab/__main__.py
+++ b/packages/wasabideck_lab/wasabideck_lab/__main__.py
@@ -8,6 +8,7 @@
 
 import orjson
 from wasabideck_platform.command_line import commands, run_commands
+from wasabideck_platform.process import run_process
 
 from . import scenarios_answers, scenarios_tickets  # noqa: F401  (they register)
 from .capacity import MEASUREMENTS, measure_all
@@ -17,6 +18,7 @@
 from .faults_run import SCENARIOS, run_scenario
 from .load_command import load
 from .overhead import measure_overhead
+from .playground import run_playground
 from .samples import write_samples
 
 __all__ = ["main"]
@@ -35,6 +37,18 @@
         if code:
             sys.exit(code)
 
+    def playground(self, folder: str = "playground", seed: int = 0) -> None:
+        """Run a small fleet until Ctrl-C, to try the commands on.
+
+        Parameters
+        ----------
+        folder : str
+            Folder that gets settings, tickets, access file and event files.
+        seed : int
+            Seed of the made-up weights.
+        """
+        run_process(lambda stop: run_playground(Path(folder), stop, seed))
+
     def write_samples(self, folder: str = "samples") -> None:
         """Write the sample settings of the two users' deployments.
 
--- /dev/null
+++ b/packages/wasabideck_lab/wasabideck_lab/playground.py
@@ -0,0 +1,66 @@
+"""A small fleet that stays up, to try the operators' commands on."""
+
+from __future__ import annotations
+
+import asyncio
+from pathlib import Path
+
+from .demo import CHUNK_BYTES, CHUNKS, SERVICES, first_ticket
+from .launcher import CALLER_TOKEN, OPERATOR_TOKEN, Lab
+from .toml import to_toml
+from .weights import make_weights
+
+__all__ = ["run_playground"]
+
+
+async def run_playground(folder: Path, stop: asyncio.Event, seed: int = 0) -> None:
+    """Run stand-ins, an entry, two engines and a plain service until the stop.
+
+    Prints what to type; the access file, two tickets and the event files are in
+    the folder.
+    """
+    folder.mkdir(parents=True, exist_ok=True)
+    lab = Lab(folder, seed)
+    await lab.start_platform()
+    digests = [
+        lab.publish(*make_weights("drafter", version, CHUNKS, CHUNK_BYTES, seed))
+        for version in ("v1", "v2")
+    ]
+    try:
+        entry = await lab.start_entry("entry-1", SERVICES)
+        await asyncio.gather(
+            lab.start_engine_vm("draft-1", "drafting"),
+            lab.start_engine_vm("draft-2", "drafting"),
+            lab.start_plain_vm("order-1", "orders"),
+        )
+        _write_files(folder, entry.http, digests)
+        print(_how_to(folder, entry.http), flush=True)
+        await stop.wait()
+    finally:
+        await lab.close()
+
+
+def _write_files(folder: Path, address: str, digests: list[str]) -> None:
+    access = {
+        "entry": f"http://{address}",
+        "token": OPERATOR_TOKEN,
+        "plain_text": True,
+    }
+    (folder / "access.toml").write_text(to_toml(access))
+    first = first_ticket(folder, digests[0]).read_text()
+    second = first.replace("number = 1", "number = 2").replace('"v1"', '"v2"')
+    second = second.replace(digests[0], digests[1]).replace('"first"', '"second"')
+    (folder / "ticket-2.toml").write_text(second)
+
+
+def _how_to(folder: Path, address: str) -> str:
+    return f"""\
+The fleet is up; Ctrl-C stops it. In another terminal:
+
+    export WASABIDECK_ACCESS={folder}/access.toml
+    wasabideck ticket submit {folder}/ticket-1.toml
+    wasabideck ticket status 1
+    wasabideck report
+    curl -H "authorization: Bearer {CALLER_TOKEN}" \\
+         -d "a banner for the fair" http://{address}/v1/services/drafting/brief
+    wasabideck timeline {folder}/*.events"""
--- a/tests/product/test_timeline.py
+++ b/tests/product/test_timeline.py
@@ -132,3 +132,20 @@
     for number in range(10_050):
         metrics.count("attempt.sent", {"request": str(number)})
     assert len(metrics._tried) == 10_000
+
+
+def errors():
+    """Names of all typed errors, and the reasons of all failures."""
+    for file in (ROOT / "packages").glob("wasabideck_[!l]*/*/*.py"):
+        for node in ast.walk(ast.parse(file.read_text())):
+            if isinstance(node, ast.ClassDef) and not node.name.startswith("_"):
+                if any(getattr(b, "id", "").endswith("Error") for b in node.bases):
+                    yield node.name
+            if isinstance(node, ast.Call) and getattr(node.func, "id", "") == "Failure":
+                if isinstance(node.args[0], ast.Constant):
+                    yield node.args[0].value
+
+
+def test_operations_says_what_to_do_about_every_error():
+    text = (ROOT / "docs" / "OPERATIONS.md").read_text()
+    assert [name for name in errors() if f"`{name}`" not in text] == []
