--- a/packages/wasabideck_lab/wasabideck_lab/demo.py
+++ b/packages/wasabideck_lab/wasabideck_lab/demo.py
@@ -23,6 +23,21 @@
 CHUNKS = 64
 CHUNK_BYTES = 16 * 1024
 IN_FORCE_SECONDS = 20.0
+FED = {
+    "entry-1": (
+        'wasabideck_requests_total{outcome="Answered",service="drafting"} 1',
+        'wasabideck_requests_total{outcome="Answered",service="orders"} 1',
+        "wasabideck_ticket_seen 1",
+        "wasabideck_requests_in_progress ",
+    ),
+    "draft-1": (
+        "wasabideck_ticket_in_force 1",
+        "wasabideck_transferred_bytes_total{",
+        "wasabideck_weight_link_bytes_total{",
+    ),
+    "draft-2": ("wasabideck_ticket_in_force 1",),
+    "order-1": ('wasabideck_claims_total{verdict="run"} 1',),
+}
 ORDER_KEY = "order-77"
 SERVICES = [
     {"name": "drafting", "kind": "model"},
@@ -51,6 +66,7 @@
     events: list[Path]
     exit_codes: dict[str, int]
     order_runs: dict[str, int]
+    metrics: dict[str, str]
 
 
 async def run_session(folder: Path) -> Session:
@@ -71,11 +87,12 @@
             await wait_serving(session, 3)
             draft = await call(session, "drafting", "brief", "a banner for the fair")
             order = await call(session, "orders", "print", "20 banners", ORDER_KEY)
+            metrics = {vm: await scrape(p.http) for vm, p in lab.processes.items()}
     finally:
         codes = await lab.close()
     events = [process.events for process in lab.processes.values()]
     runs = dict(lab.plains["order-1"].runs)
-    return Session(ticket, report, draft, order, events, codes, runs)
+    return Session(ticket, report, draft, order, events, codes, runs, metrics)
 
 
 def wrong_in(session: Session) -> list[str]:
@@ -93,10 +110,30 @@
         f"runs of the order {session.order_runs}": session.order_runs != {ORDER_KEY: 1},
         f"unreadable events {merged.unreadable}": bool(merged.unreadable),
         f"unknown events {kinds - KINDS.keys()}": not kinds <= KINDS.keys(),
+        f"metrics not fed {_unfed(session.metrics)}": bool(_unfed(session.metrics)),
     }
     return [what for what, wrong in found.items() if wrong]
 
 
+def _unfed(metrics: dict[str, str]) -> list[str]:
+    """Samples that the session must have left, and did not."""
+    return [
+        f"{vm}: {sample}"
+        for vm, samples in FED.items()
+        for sample in samples
+        if sample not in metrics[vm]
+    ]
+
+
+async def scrape(address: str) -> str:
+    """Metrics of a process, as Prometheus reads them."""
+    async with (
+        aiohttp.ClientSession() as session,
+        session.get(f"http://{address}/metrics") as answer,
+    ):
+        return await answer.text()
+
+
 def _answered(lines: list[dict]) -> bool:
     return lines[-1].get("outcome") == "answered"
 
--- a/tests/sessions/test_demo_session.py
+++ b/tests/sessions/test_demo_session.py
@@ -3,8 +3,9 @@
 import asyncio
 from collections import Counter
 
+from attrs import evolve
 from wasabideck_entry.timeline import merge_events
-from wasabideck_lab.demo import run_session
+from wasabideck_lab.demo import run_session, wrong_in
 
 # How many chunks came from which source, and how often something was tried, depend
 # on which of two agents was faster; everything else is the same in every run.
@@ -13,6 +14,14 @@
 
 def test_first_rollout_draft_and_order(tmp_path, data_regression):
     session = asyncio.run(run_session(tmp_path))
+    assert wrong_in(session) == []
+    for change in (
+        {"order_runs": {"order-77": 2}},
+        {"exit_codes": {"entry-1": 1}},
+        {"draft": session.draft[:-1]},
+        {"metrics": dict.fromkeys(session.metrics, "")},
+    ):
+        assert len(wrong_in(evolve(session, **change))) == 1
     events = merge_events(str(path) for path in session.events).events
     counts = Counter((e["vm"], e["message_type"]) for e in events)
     session_shown = {
