Name an address that cannot be listened on

Cause: a taken port ended a start with a trace of the libraries' inside. It is what an operator meets when a second agent is started on a VM, whose listen address is the guard against two of them.

--- a/packages/wasabideck_agent/wasabideck_agent/agent.py
+++ b/packages/wasabideck_agent/wasabideck_agent/agent.py
@@ -17,6 +17,7 @@
 from wasabideck_platform.metrics import Metrics, render_metrics
 from wasabideck_platform.process import (
     announce_ready,
+    binding,
     first_of,
     repeating,
     reread_keys,
@@ -188,7 +189,8 @@
         observe_clock(server, events.clock)
         give_way_to_live(server, agent.links)
         host, port = split_address(cfg.process.inner)
-        await server.start(host, port, ssl=keys and keys.inner_server)
+        with binding(cfg.process.inner):
+            await server.start(host, port, ssl=keys and keys.inner_server)
         http = await _serve_http(agent, file, keys)
         inner = server._server.sockets[0].getsockname()
         events.emit("process.ready", kind=AGENT)
@@ -328,6 +330,7 @@
     await runner.setup()
     host, port = split_address(agent.cfg.process.http)
     site = web.TCPSite(runner, host, port, ssl_context=keys and keys.http)
-    await site.start()
+    with binding(agent.cfg.process.http):
+        await site.start()
     bound = runner.addresses[0]
     return f"{bound[0]}:{bound[1]}"
--- a/packages/wasabideck_entry/wasabideck_entry/entry.py
+++ b/packages/wasabideck_entry/wasabideck_entry/entry.py
@@ -18,6 +18,7 @@
 from wasabideck_platform.metrics import Metrics
 from wasabideck_platform.process import (
     announce_ready,
+    binding,
     first_of,
     repeating,
     reread_keys,
@@ -140,7 +141,8 @@
         server = InnerServer([entry.peers])
         observe_clock(server, events.clock)
         host, port = split_address(cfg.process.inner)
-        await server.start(host, port, ssl=keys and keys.inner_server)
+        with binding(cfg.process.inner):
+            await server.start(host, port, ssl=keys and keys.inner_server)
         inner = server._server.sockets[0].getsockname()
         await entry.read_members()
         listener = Listener(cfg, entry.ready, entry.observe, keys)
--- a/packages/wasabideck_entry/wasabideck_entry/listener.py
+++ b/packages/wasabideck_entry/wasabideck_entry/listener.py
@@ -14,6 +14,7 @@
 from sanic.models.server_types import ConnInfo
 from sanic.server import AsyncioServer
 from wasabideck_platform.metrics import Metrics, render_metrics
+from wasabideck_platform.process import binding
 from wasabideck_platform.settings import EntrySettings, split_address
 from wasabideck_platform.tls import Keys
 from wasabideck_policy.outcomes import WasabideckError
@@ -78,7 +79,9 @@
 
     sanic runs inside this loop: its worker manager would start processes.
     """
-    sock = socket.create_server(split_address(listener.cfg.process.http))
+    address = listener.cfg.process.http
+    with binding(address):
+        sock = socket.create_server(split_address(address))
     server = await app.create_server(
         sock=sock,
         ssl=listener.keys.http if listener.keys else None,
--- a/packages/wasabideck_platform/wasabideck_platform/process.py
+++ b/packages/wasabideck_platform/wasabideck_platform/process.py
@@ -5,7 +5,8 @@
 import asyncio
 import signal
 import sys
-from collections.abc import Awaitable, Callable, Coroutine
+from collections.abc import Awaitable, Callable, Coroutine, Iterator
+from contextlib import contextmanager
 from functools import partial
 
 import orjson
@@ -16,7 +17,9 @@
 from .tls import Keys, KeysUnusable
 
 __all__ = [
+    "AddressUnusable",
     "announce_ready",
+    "binding",
     "every",
     "first_of",
     "repeating",
@@ -78,6 +81,23 @@
     return [every(KEYS_SECONDS, step)] if keys else []
 
 
+class AddressUnusable(WasabideckError):
+    """An address of the settings cannot be listened on; mostly it is taken."""
+
+    def __init__(self, address: str, why: str):
+        super().__init__(f"{address}: {why}")
+        self.address = address
+
+
+@contextmanager
+def binding(address: str) -> Iterator[None]:
+    """Turn a failure to listen on an address into ``AddressUnusable``."""
+    try:
+        yield
+    except OSError as exc:
+        raise AddressUnusable(address, exc.strerror or str(exc)) from exc
+
+
 def announce_ready(**fields: object) -> None:
     """Print the one line that says which addresses were bound."""
     sys.stdout.write(orjson.dumps({"ready": fields}).decode() + "\n")
--- a/tests/product/test_identity.py
+++ b/tests/product/test_identity.py
@@ -4,7 +4,9 @@
 
 import orjson
 import pytest
+from attrs import evolve
 from wasabideck_entry.identity import NotAuthorised, caller_of, check
+from wasabideck_platform.process import AddressUnusable
 from wasabideck_platform.settings import CallerSettings
 
 OPERATOR = "sample-operator-token"
@@ -69,3 +71,17 @@
 def test_no_other_form_of_a_credential_is_taken(header):
     with pytest.raises(NotAuthorised):
         caller_of(header, [CallerSettings("org", CALLER)])
+
+
+@pytest.mark.parametrize("port", ["inner", "http"])
+def test_a_taken_address_is_a_typed_error(entry_settings, run_entry, port):
+    async def body():
+        cfg = entry_settings()
+        async with run_entry(cfg) as entry:
+            taken = evolve(entry_settings().process, **{port: getattr(entry, port)})
+            with pytest.raises(AddressUnusable) as caught:
+                async with run_entry(entry_settings(process=taken)):
+                    pass
+        return caught.value.address == getattr(entry, port)
+
+    assert asyncio.run(body())
