--- a/packages/wasabideck_lab/wasabideck_lab/__main__.py
+++ b/packages/wasabideck_lab/wasabideck_lab/__main__.py
@@ -8,16 +8,19 @@
 
 import orjson
 from wasabideck_platform.command_line import commands, run_commands
+from wasabideck_platform.process import run_process
 
 from . import scenarios_answers, scenarios_tickets  # noqa: F401  (they register)
 from .capacity import MEASUREMENTS, measure_all
 from .claims_run import run_claims
 from .demo import DemoFailed, run_demo
-from .distribute_command import distribute
+from .distribute_command import decisions, distribute
 from .faults import FAULTS
 from .faults_run import SCENARIOS, run_scenario
+from .in_force import measure_in_force
 from .load_command import load
 from .overhead import measure_overhead
+from .playground import run_playground
 from .samples import write_samples
 
 __all__ = ["main"]
@@ -36,6 +39,18 @@
         if code:
             sys.exit(code)
 
+    def playground(self, folder: str = "playground", seed: int = 0) -> None:
+        """Run a small fleet until Ctrl-C, to try the commands on.
+
+        Parameters
+        ----------
+        folder : str
+            Folder that gets settings, tickets, access file and event files.
+        seed : int
+            Seed of the made-up weights.
+        """
+        run_process(lambda stop: run_playground(Path(folder), stop, seed))
+
     def write_samples(self, folder: str = "samples") -> None:
         """Write the sample settings of the two users' deployments.
 
@@ -101,6 +116,7 @@
             sys.exit(f"faults: {dirty} scenarios are not clean")
 
     distribute = staticmethod(distribute)
+    decisions = staticmethod(decisions)
     load = staticmethod(load)
 
     def capacity(self, only: str = "all", json: bool = False) -> None:
@@ -117,6 +133,17 @@
         for row in asyncio.run(measure_all(names)):
             print(orjson.dumps(row).decode() if json else row, flush=True)
 
+    def in_force(self, json: bool = False) -> None:
+        """Measure the time from a ticket's acceptance to in force, by fleet size.
+
+        Parameters
+        ----------
+        json : bool
+            Print JSON.
+        """
+        for row in asyncio.run(measure_in_force()):
+            print(orjson.dumps(row).decode() if json else row, flush=True)
+
     def overhead(self, json: bool = False) -> None:
         """Measure start-up, idle memory and added latency of the path.
 
--- a/packages/wasabideck_lab/wasabideck_lab/distribute.py
+++ b/packages/wasabideck_lab/wasabideck_lab/distribute.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import math
 import random
 import sys
@@ -33,8 +34,7 @@
 # Each engine host serves so many engines; their staging is not what is measured.
 ENGINES_PER_HOST = 43
 LIVE_PER_SECOND = 40.0
-LIVE_BEFORE_SECONDS = 8.0
-LIMIT_FACTOR = 4.0
+LIMIT_FACTOR = 3.0
 LIMIT_SECONDS = 30.0
 MEMBERS_LAG_SECONDS = 2.0
 # In the time in which a machine's link carries a copy, the origin's carries two and
@@ -51,6 +51,8 @@
     ----------
     copy_seconds : float
         Time in which a machine's link carries one copy.
+    live_before : float
+        Time for which live requests run before the transfer, to compare with.
     kill, corrupt : float
         Share of the agents killed during the transfer, and of the chunks that an
         agent sends with a flipped byte.
@@ -64,6 +66,7 @@
     chunks: int = 128
     chunk_bytes: int = 32 * 1024
     copy_seconds: float = 16.0
+    live_before: float = 8.0
     kill: float = 0.0
     corrupt: float = 0.0
 
@@ -155,12 +158,12 @@
     run.vms = [f"draft-{index + 1:04d}" for index in range(plan.replicas)]
     urls = await _start_engines(run)
     turns = asyncio.Semaphore(STARTS_AT_ONCE)
+    program = _corrupting(plan.corrupt) if plan.corrupt else ()
 
     async def start(index: int, vm: str) -> None:
         async with turns:
-            await lab.start_agent(
-                vm, _agent_settings(plan, urls[vm]), region=run.region(index)
-            )
+            settings = _agent_settings(plan, urls[vm])
+            await lab.start_agent(vm, settings, program, region=run.region(index))
 
     await asyncio.gather(*(start(i, vm) for i, vm in enumerate(run.vms)))
     _say(f"{len(run.vms)} agents run")
@@ -168,6 +171,10 @@
     await _wait(run, lambda: len(_rows(run, 1)) == plan.replicas, 60.0, "v1")
 
 
+def _corrupting(share: float) -> tuple[str, ...]:
+    return (sys.executable, "-m", "wasabideck_lab.faulty_agent", str(share))
+
+
 def _agent_settings(plan: Plan, url: str) -> dict:
     return {
         "platform": {"poll_seconds": 2.0, "timeout_seconds": 10.0},
@@ -227,7 +234,7 @@
         async with aiohttp.ClientSession(address) as session:
             await wait_serving(session, run.plan.replicas)
     live = asyncio.create_task(_live(run))
-    await asyncio.sleep(LIVE_BEFORE_SECONDS)
+    await asyncio.sleep(run.plan.live_before)
     before = await _link_bytes(run)
     cpu = _cpu_seconds(run)
     # Wall and monotonic time of one moment: events carry the one, requests the other.
@@ -245,11 +252,12 @@
     last = max(times.values(), default=math.nan)
     cpu = (_cpu_seconds(run) - cpu) / (time.time() - accepted)
     after = await _link_bytes(run)
-    in_force = await _wait_in_force(run)
-    begun = min(row["begun"] for row in _rows(run, 2).values())
+    in_force = await _wait_in_force(run) if finished else 0.0
+    begun = _begun(run)
     links = {vm: _grown(before.get(vm), row) for vm, row in after.items()}
     copies = [(row["up"] + row["down"]) / run.plan.total for row in links.values()]
-    window = (accepted_monotonic, accepted_monotonic + last - accepted)
+    ended = last if finished else time.time()
+    window = (accepted_monotonic, accepted_monotonic + ended - accepted)
     return {
         "policy": run.plan.policy,
         "profile": run.plan.profile,
@@ -262,11 +270,11 @@
         "corrupt": run.plan.corrupt,
         "finished": finished,
         "verified": len(times),
-        "time_to_n_s": round(last - begun, 3),
-        "accepted_to_n_s": round(last - accepted, 3),
+        "time_to_n_s": round(last - begun, 3) if finished else None,
+        "accepted_to_n_s": round(last - accepted, 3) if finished else None,
         "in_force_s": round(in_force - accepted, 3) if in_force else None,
         "lower_bound_s": round(bound, 3),
-        "ratio": round((last - begun) / bound, 3),
+        "ratio": round((last - begun) / bound, 3) if finished else None,
         "origin_copies": round(_origin_copies(run), 3),
         "inter_region_copies": round(_region_copies(run), 3),
         "max_machine_link_copies": round(max(copies), 3),
@@ -285,10 +293,11 @@
 
 
 def _limit(plan: Plan) -> float:
-    """Seconds after which a run is given up."""
-    if plan.policy == "origin":
-        return plan.replicas * plan.total / plan.origin_rate + LIMIT_SECONDS
-    return LIMIT_FACTOR * lower_bound(plan) + LIMIT_SECONDS
+    """Seconds after which a run is given up.
+
+    From the origin alone 64 replicas would take 32 times the bound.
+    """
+    return max(LIMIT_FACTOR * lower_bound(plan), LIMIT_SECONDS)
 
 
 async def _live(run: Run) -> None:
@@ -362,13 +371,24 @@
 
 
 def _verified(run: Run) -> dict[str, float]:
-    """Wall time at which each living VM had verified version 2, by its events."""
+    """Wall time at which each living VM had verified version 2."""
+    return _when(run, "transfer.verified")
+
+
+def _begun(run: Run) -> float:
+    """Wall time at which the first living VM began its transfer of version 2."""
+    return min(_when(run, "transfer.begun").values())
+
+
+def _when(run: Run, kind: str) -> dict[str, float]:
+    """Wall time of an event of ticket 2 at each living VM, by the events' files."""
     found = {}
+    mark = f'"{kind}"'.encode()
     for vm in run.vms:
         if vm in run.killed:
             continue
         for line in run.lab.processes[vm].events.read_bytes().splitlines():
-            if b'"transfer.verified"' not in line:
+            if mark not in line:
                 continue
             event = orjson.loads(line)
             if event["ticket"] == 2:
@@ -445,8 +465,8 @@
 
 
 async def _close(run: Run) -> None:
-    for vm in run.vms:
-        if vm in run.lab.processes:
+    for vm in set(run.vms) & run.lab.processes.keys() - run.killed:
+        with contextlib.suppress(ProcessLookupError):
             run.lab.processes[vm].kill()
     await run.lab.close()
     for child in run.children:
--- a/packages/wasabideck_platform/wasabideck_platform/settings.py
+++ b/packages/wasabideck_platform/wasabideck_platform/settings.py
@@ -110,10 +110,18 @@
 
 @frozen
 class CallerSettings:
-    """A caller's credential and the organisation that it stands for."""
+    """A caller's credential and the organisation that it stands for.
+
+    Attributes
+    ----------
+    most_connections : int
+        Open connections of the organisation at one entry; each carries one request
+        at a time.
+    """
 
     organisation: str = field(validator=is_name)
     token: str = field(validator=is_secret, repr=False)
+    most_connections: int = field(default=256, validator=at_least(1))
 
 
 @frozen
@@ -215,7 +223,7 @@
     callers: list[CallerSettings] = field(factory=list)
     tls: TlsSettings | None = None
     plain_text: bool = False
-    routing: str = "two-choices"
+    routing: str = "priced"
     body_bytes: int = field(default=1 << 20, validator=at_least(1))
     seed: int = field(default=0, validator=instance_of(int))
 
--- a/packages/wasabideck_platform/wasabideck_platform/table.py
+++ b/packages/wasabideck_platform/wasabideck_platform/table.py
@@ -3,11 +3,12 @@
 from __future__ import annotations
 
 from collections.abc import Sequence
+from functools import partial
 
 import orjson
 from attrs import define, frozen
 
-from .http import HttpClient, PlatformRefused, PlatformUnavailable
+from .http import HttpClient, PlatformRefused, PlatformUnavailable, understood
 
 __all__ = ["Check", "CheckFailed", "Table", "Write"]
 
@@ -48,7 +49,7 @@
         """One row, or None."""
         params = {"key": key}
         rows = await self.http.json("GET", f"/v1/tables/{table}", params=params)
-        return rows[0][1] if rows else None
+        return understood(table, rows, _only)
 
     async def scan(
         self, table: str, prefix: str = "", above: int = -1
@@ -56,7 +57,7 @@
         """Rows whose key has the prefix and whose ``sequence`` is above a number."""
         params = {"prefix": prefix, "above": str(above)}
         rows = await self.http.json("GET", f"/v1/tables/{table}", params=params)
-        return [(key, row) for key, row in rows]
+        return understood(table, rows, _pairs)
 
     async def transact(
         self, checks: Sequence[Check], writes: Sequence[Write]
@@ -83,5 +84,20 @@
             raise PlatformUnavailable(exc.url, str(exc), maybe_applied=True) from exc
         if status == 200:
             return None
-        answer = orjson.loads(data)
-        return CheckFailed(checks[answer["failed"]], answer["row"])
+        return understood("transact", data, partial(_check_failed, checks))
+
+
+def _only(rows: list) -> dict | None:
+    return _pairs(rows)[0][1] if rows else None
+
+
+def _pairs(rows: list) -> list[tuple[str, dict]]:
+    pairs = [(key, row) for key, row in rows]
+    if not all(type(key) is str and type(row) is dict for key, row in pairs):
+        raise TypeError("rows of JSON needed")
+    return pairs
+
+
+def _check_failed(checks: Sequence[Check], data: bytes) -> CheckFailed:
+    answer = orjson.loads(data)
+    return CheckFailed(checks[answer["failed"]], answer["row"])
--- a/packages/wasabideck_policy/wasabideck_policy/retry.py
+++ b/packages/wasabideck_policy/wasabideck_policy/retry.py
@@ -4,12 +4,15 @@
 
 from attrs import define
 
+from .admission import SHARE_USED
 from .outcomes import NotRun, Outcome, Unknown
 
 __all__ = ["RetryBudget", "costs_nothing", "may_retry"]
 
 # Refusals that another server would repeat, or that the caller itself asked for.
-_FINAL = frozenset({"Cancelled", "DeadlinePassed", "KeyReused", "Quarantined"})
+_FINAL = frozenset(
+    {"Cancelled", "DeadlinePassed", "KeyReused", "Quarantined", SHARE_USED}
+)
 # Refusals that put no work on any server: a try after one cannot feed a storm.
 _FREE = frozenset(
     {
