--- a/packages/wasabideck_agent/wasabideck_agent/attempts.py
+++ b/packages/wasabideck_agent/wasabideck_agent/attempts.py
@@ -203,14 +203,6 @@
         """Attempts without a final event."""
         return [a for a in self._known.values() if a.ended_at is None]
 
-    def unread(self) -> list[Attempt]:
-        """Attempts whose final event was not sent yet."""
-        return [
-            a
-            for a in self._known.values()
-            if a.ended_at is None or a._sent < a._first + len(a._events)
-        ]
-
     def orphans(self, limit: float) -> list[Attempt]:
         """Attempts in progress that nobody has read since a moment."""
         return [
