--- a/tests/answers_fakes.py
+++ b/tests/answers_fakes.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import copy
+import random
 
 from attrs import define, field
 from grpclib.server import Server
@@ -10,6 +11,10 @@
 from wasabideck_agent.once import Holder, Once
 from wasabideck_agent.runs import Runner
 from wasabideck_agent.runs_service import RunsService
+from wasabideck_entry.calls import Call, Caller, Ended, Part
+from wasabideck_entry.resolve import Resolver
+from wasabideck_entry.streams import AttemptStream
+from wasabideck_entry.suspects import Suspects
 from wasabideck_platform.channels import Channels
 from wasabideck_platform.events import Clock
 from wasabideck_platform.http import PlatformUnavailable
@@ -17,6 +22,8 @@
 from wasabideck_platform.table import CheckFailed
 from wasabideck_policy.admission import Gate
 from wasabideck_policy.arrivals import Arrivals
+from wasabideck_policy.quarantine import Quarantine
+from wasabideck_policy.routing import Server as Target
 from wasabideck_wire import inner_pb2 as pb
 
 
@@ -252,3 +259,104 @@
         deadline_ms=5000,
         **fields,
     )
+
+
+def engine_agent(vm="draft-1", **kw):
+    engine = kw.pop("engine", None) or FakeEngine(**kw.pop("engine_kw", {}))
+    return FakeAgent(vm, FakeTable(), engine=engine, **kw)
+
+
+class Gated(FakeEngine):
+    """An engine that waits before each word until a test lets it go on."""
+
+    def __init__(self):
+        super().__init__()
+        self.turn = asyncio.Semaphore(0)
+
+    async def generate(self, job):
+        async for line in super().generate(job):
+            await self.turn.acquire()
+            yield line
+
+
+def server_of(agent, manifest="m1", address=""):
+    return Target(
+        agent.vm,
+        "drafting",
+        address or agent.address,
+        manifest=manifest,
+        incarnation=agent.incarnation,
+    )
+
+
+async def nobody_knows():
+    return None
+
+
+def stream_to(server, req, now, silence=0.2):
+    return AttemptStream(
+        server,
+        req,
+        now.at + 50,
+        Channels(Clock()),
+        FakeEvents(),
+        nobody_knows,
+        now,
+        silence,
+    )
+
+
+class FakeFleet:
+    """Servers of one service."""
+
+    region = "region-1"
+
+    def __init__(self, *servers):
+        self.servers = servers
+
+    def observe(self, server, outcome):
+        pass
+
+    def candidates(self, service, without):
+        return [s for s in self.servers if s.vm not in without and s.serving]
+
+
+def caller_of(*servers, quarantine=None, now=None, table=None):
+    suspects = Suspects(quarantine or Quarantine(), wall=lambda: 1000.0)
+    return Caller(
+        FakeFleet(*servers),
+        Channels(Clock()),
+        FakeEvents(),
+        lambda servers, ask, now, rng: servers[0],
+        random.Random(7),
+        suspects,
+        Resolver(table or FakeTable()),
+        clock=now or Now(),
+        silence=0.2,
+    )
+
+
+def call(repeatable=True, body=b"a brief", key="", **kw):
+    return Call(
+        "r1",
+        "org-1",
+        "drafting",
+        "brief",
+        body,
+        key,
+        "digest",
+        repeatable,
+        1,
+        150.0,
+        **kw,
+    )
+
+
+async def answer(caller, a_call):
+    text, outcome = b"", None
+    async for item in caller.run(a_call):
+        if isinstance(item, Part):
+            text += item.data
+        if isinstance(item, Ended):
+            outcome = item.outcome
+    return text, outcome
--- a/tests/test_answers.py
+++ b/tests/test_answers.py
@@ -1,134 +1,27 @@
 """Every caller gets the whole answer to its own request, once."""
 
 import asyncio
-import random
 
 import pytest
 from answers_fakes import (
-    FakeAgent,
     FakeEngine,
-    FakeEvents,
-    FakePlain,
-    FakeTable,
-    Now,
+    Gated,
+    answer,
+    call,
+    caller_of,
     draft,
+    engine_agent,
+    server_of,
+    stream_to,
 )
 from wasabideck_agent import attempts
 from wasabideck_agent.attempts import UNSENT_BYTES
-from wasabideck_entry.calls import Call, Caller, Ended, Part
-from wasabideck_entry.resolve import Resolver
-from wasabideck_entry.streams import AttemptStream
-from wasabideck_entry.suspects import Suspects
+from wasabideck_entry.calls import Part
 from wasabideck_lab.relay import Relay
-from wasabideck_platform.channels import Channels
-from wasabideck_platform.events import Clock
-from wasabideck_policy.outcomes import Answered, NotRun, Unknown
-from wasabideck_policy.quarantine import Quarantine
-from wasabideck_policy.routing import Server
+from wasabideck_policy.outcomes import Answered, Unknown
 from wasabideck_wire import inner_pb2 as pb
 
 
-def engine_agent(vm="draft-1", **kw):
-    engine = kw.pop("engine", None) or FakeEngine(**kw.pop("engine_kw", {}))
-    return FakeAgent(vm, FakeTable(), engine=engine, **kw)
-
-
-class Gated(FakeEngine):
-    """An engine that waits before each word until a test lets it go on."""
-
-    def __init__(self):
-        super().__init__()
-        self.turn = asyncio.Semaphore(0)
-
-    async def generate(self, job):
-        async for line in super().generate(job):
-            await self.turn.acquire()
-            yield line
-
-
-def server_of(agent, manifest="m1", address=""):
-    return Server(
-        agent.vm,
-        "drafting",
-        address or agent.address,
-        manifest=manifest,
-        incarnation=agent.incarnation,
-    )
-
-
-async def nobody_knows():
-    return None
-
-
-def stream_to(server, req, now, silence=0.2):
-    return AttemptStream(
-        server,
-        req,
-        now.at + 50,
-        Channels(Clock()),
-        FakeEvents(),
-        nobody_knows,
-        now,
-        silence,
-    )
-
-
-class FakeFleet:
-    """Servers of one service."""
-
-    region = "region-1"
-
-    def __init__(self, *servers):
-        self.servers = servers
-
-    def observe(self, server, outcome):
-        pass
-
-    def candidates(self, service, without):
-        return [s for s in self.servers if s.vm not in without and s.serving]
-
-
-def caller_of(*servers, quarantine=None, now=None, table=None):
-    suspects = Suspects(quarantine or Quarantine(), wall=lambda: 1000.0)
-    return Caller(
-        FakeFleet(*servers),
-        Channels(Clock()),
-        FakeEvents(),
-        lambda servers, ask, now, rng: servers[0],
-        random.Random(7),
-        suspects,
-        Resolver(table or FakeTable()),
-        clock=now or Now(),
-        silence=0.2,
-    )
-
-
-def call(repeatable=True, body=b"a brief", key="", **kw):
-    return Call(
-        "r1",
-        "org-1",
-        "drafting",
-        "brief",
-        body,
-        key,
-        "digest",
-        repeatable,
-        1,
-        150.0,
-        **kw,
-    )
-
-
-async def answer(caller, a_call):
-    text, outcome = b"", None
-    async for item in caller.run(a_call):
-        if isinstance(item, Part):
-            text += item.data
-        if isinstance(item, Ended):
-            outcome = item.outcome
-    return text, outcome
-
-
 @pytest.mark.parametrize("fault", ["silence", "cut"])
 def test_a_stream_goes_on_where_its_connection_was_lost(fault):
     """Two words have come; then the connection goes silent for good, or breaks.
@@ -365,118 +258,3 @@
         attempt.task.cancel()
 
     asyncio.run(body())
-
-
-def test_a_crashing_request_stops_at_two_crashes_through_any_entries():
-    """A request kills each server that runs it; its caller sends it again, through
-    another entry each time. Two servers die of it, the third is spared, and the
-    caller's further tries get a final refusal at once.
-    """
-
-    async def body():
-        agents = [
-            await engine_agent(f"draft-{i}", engine_kw={"dies_at": 0}).serve()
-            for i in (1, 2, 3)
-        ]
-        shared = Quarantine()  # what the entries' spread amounts to
-        outcomes = []
-        for _ in range(3):
-            caller = caller_of(*map(server_of, agents), quarantine=shared)
-            outcomes.append((await answer(caller, call()))[1])
-            caller.channels.close()
-        crashes = sum(agent.runner.crashes for agent in agents)
-        assert crashes == 2
-        assert isinstance(outcomes[0], Unknown)
-        assert [o.failure.kind for o in outcomes[1:]] == ["Quarantined"] * 2
-        assert all(isinstance(o, NotRun) and not o.retry_after for o in outcomes[1:])
-        for agent in agents:
-            agent.close()
-
-    asyncio.run(body())
-
-
-def test_a_suspect_runs_beside_nothing_else():
-    """A request was on a server when it crashed; perhaps another was to blame.
-
-    It runs again, but alone: if it crashes that server too, nobody else is hit.
-    """
-
-    async def body():
-        one = engine_agent(engine=Gated())
-        first = one.runner.start(draft("d1"))
-        suspect = one.runner.start(draft("d2", b"suspect", alone=True))
-        later = one.runner.start(draft("d3", b"later"))
-        while not first.started:
-            await asyncio.sleep(0)
-        for _ in range(20):
-            await asyncio.sleep(0)
-        assert not suspect.started and not later.started
-        for _ in range(5):
-            one.engine.turn.release()
-        await one.final(first)
-        while not suspect.started:
-            await asyncio.sleep(0)
-        assert not later.started
-        for _ in range(10):
-            one.engine.turn.release()
-        await one.final(later)
-        assert suspect.ended_at is not None
-
-    asyncio.run(body())
-
-
-@pytest.mark.parametrize("moment", ["before the claim", "in the run", "recorded"])
-def test_an_order_whose_agent_is_lost_is_settled_by_its_claim(moment):
-    """An agent is lost with an order on it, and perhaps only paused.
-
-    Not yet claimed: it is barred, and another server runs it; the first wakes up and
-    must not. Recorded: the caller gets the stored receipt. In between: nobody knows.
-    """
-
-    async def body():
-        hold = asyncio.Event()
-        held, table = FakeTable(), FakeTable()
-        one = FakeAgent("order-1", held, plain=FakePlain())
-        two = FakeAgent("order-2", table, plain=FakePlain(), incarnation="inc-2")
-        held.rows = table.rows
-        if moment == "before the claim":
-            held.hold = hold
-        else:
-            one.plain.hold = hold
-        await one.serve()
-        await two.serve()
-        servers = server_of(one), server_of(two)
-        caller = caller_of(*servers, table=table)
-        asked = asyncio.create_task(answer(caller, call(False, key="k1")))
-        await (held if moment == "before the claim" else one.plain).entered.wait()
-        one.server.close()
-        if moment == "recorded":
-            hold.set()
-        text, outcome = await asked
-        hold.set()
-        for attempt in one.runner.attempts.in_progress():
-            await one.final(attempt)
-        runs = one.plain.runs.get("k1", 0) + two.plain.runs.get("k1", 0)
-        assert runs == 1
-        assert isinstance(outcome, Unknown if moment == "in the run" else Answered)
-        assert text == (b"" if moment == "in the run" else b"receipt of k1")
-        one.close(), two.close(), caller.channels.close()
-
-    asyncio.run(body())
-
-
-def test_a_resent_order_is_not_refused_for_what_its_first_try_may_have_done():
-    """An entry is killed with an order on it; the caller resends its key elsewhere.
-
-    The store is down, so this try does not run. "Not run" would be taken as said of
-    the order, whose first try may have printed it.
-    """
-
-    async def body():
-        caller = caller_of()
-        _, first = await answer(caller, call(repeatable=False))
-        _, again = await answer(caller, call(repeatable=False, again=True))
-        assert isinstance(first, NotRun)
-        assert isinstance(again, Unknown)
-
-    asyncio.run(body())
--- /dev/null
+++ b/tests/test_lost_and_crashing.py
@@ -0,0 +1,134 @@
+"""Requests that crash their servers, and orders whose agent is lost."""
+
+import asyncio
+
+import pytest
+from answers_fakes import (
+    FakeAgent,
+    FakePlain,
+    FakeTable,
+    Gated,
+    answer,
+    call,
+    caller_of,
+    draft,
+    engine_agent,
+    server_of,
+)
+from wasabideck_policy.outcomes import Answered, NotRun, Unknown
+from wasabideck_policy.quarantine import Quarantine
+
+
+def test_a_crashing_request_stops_at_two_crashes_through_any_entries():
+    """A request kills each server that runs it; its caller sends it again, through
+    another entry each time. Two servers die of it, the third is spared, and the
+    caller's further tries get a final refusal at once.
+    """
+
+    async def body():
+        agents = [
+            await engine_agent(f"draft-{i}", engine_kw={"dies_at": 0}).serve()
+            for i in (1, 2, 3)
+        ]
+        shared = Quarantine()  # what the entries' spread amounts to
+        outcomes = []
+        for _ in range(3):
+            caller = caller_of(*map(server_of, agents), quarantine=shared)
+            outcomes.append((await answer(caller, call()))[1])
+            caller.channels.close()
+        crashes = sum(agent.runner.crashes for agent in agents)
+        assert crashes == 2
+        assert isinstance(outcomes[0], Unknown)
+        assert [o.failure.kind for o in outcomes[1:]] == ["Quarantined"] * 2
+        assert all(isinstance(o, NotRun) and not o.retry_after for o in outcomes[1:])
+        for agent in agents:
+            agent.close()
+
+    asyncio.run(body())
+
+
+def test_a_suspect_runs_beside_nothing_else():
+    """A request was on a server when it crashed; perhaps another was to blame.
+
+    It runs again, but alone: if it crashes that server too, nobody else is hit.
+    """
+
+    async def body():
+        one = engine_agent(engine=Gated())
+        first = one.runner.start(draft("d1"))
+        suspect = one.runner.start(draft("d2", b"suspect", alone=True))
+        later = one.runner.start(draft("d3", b"later"))
+        while not first.started:
+            await asyncio.sleep(0)
+        for _ in range(20):
+            await asyncio.sleep(0)
+        assert not suspect.started and not later.started
+        for _ in range(5):
+            one.engine.turn.release()
+        await one.final(first)
+        while not suspect.started:
+            await asyncio.sleep(0)
+        assert not later.started
+        for _ in range(10):
+            one.engine.turn.release()
+        await one.final(later)
+        assert suspect.ended_at is not None
+
+    asyncio.run(body())
+
+
+@pytest.mark.parametrize("moment", ["before the claim", "in the run", "recorded"])
+def test_an_order_whose_agent_is_lost_is_settled_by_its_claim(moment):
+    """An agent is lost with an order on it, and perhaps only paused.
+
+    Not yet claimed: it is barred, and another server runs it; the first wakes up and
+    must not. Recorded: the caller gets the stored receipt. In between: nobody knows.
+    """
+
+    async def body():
+        hold = asyncio.Event()
+        held, table = FakeTable(), FakeTable()
+        one = FakeAgent("order-1", held, plain=FakePlain())
+        two = FakeAgent("order-2", table, plain=FakePlain(), incarnation="inc-2")
+        held.rows = table.rows
+        if moment == "before the claim":
+            held.hold = hold
+        else:
+            one.plain.hold = hold
+        await one.serve()
+        await two.serve()
+        servers = server_of(one), server_of(two)
+        caller = caller_of(*servers, table=table)
+        asked = asyncio.create_task(answer(caller, call(False, key="k1")))
+        await (held if moment == "before the claim" else one.plain).entered.wait()
+        one.server.close()
+        if moment == "recorded":
+            hold.set()
+        text, outcome = await asked
+        hold.set()
+        for attempt in one.runner.attempts.in_progress():
+            await one.final(attempt)
+        runs = one.plain.runs.get("k1", 0) + two.plain.runs.get("k1", 0)
+        assert runs == 1
+        assert isinstance(outcome, Unknown if moment == "in the run" else Answered)
+        assert text == (b"" if moment == "in the run" else b"receipt of k1")
+        one.close(), two.close(), caller.channels.close()
+
+    asyncio.run(body())
+
+
+def test_a_resent_order_is_not_refused_for_what_its_first_try_may_have_done():
+    """An entry is killed with an order on it; the caller resends its key elsewhere.
+
+    The store is down, so this try does not run. "Not run" would be taken as said of
+    the order, whose first try may have printed it.
+    """
+
+    async def body():
+        caller = caller_of()
+        _, first = await answer(caller, call(repeatable=False))
+        _, again = await answer(caller, call(repeatable=False, again=True))
+        assert isinstance(first, NotRun)
+        assert isinstance(again, Unknown)
+
+    asyncio.run(body())
