Leave a server that does not answer out of the turns at swapping

Each server counted the frozen one as not serving and waited its whole patience (2.2 s) for it. Change: a server that gives no answer is left out of the turns for ten seconds, and the others are asked again.

--- a/packages/wasabideck_agent/wasabideck_agent/agent.py
+++ b/packages/wasabideck_agent/wasabideck_agent/agent.py
@@ -43,7 +43,7 @@
 from .orders import Orders
 from .reconcile import Reconciler
 from .runs import Runner, RunsService
-from .swap_turns import SwapTurns
+from .swap_turns import SwapTurns, ask_status
 from .transfer import Transfer
 
 __all__ = ["serve_agent"]
@@ -276,8 +276,8 @@
     )
     turns = SwapTurns(
         agent.vm,
-        agent.channels,
         agent.peers,
+        ask_status(agent.vm, agent.channels),
         random.Random(f"{agent.cfg.seed}/{agent.vm}/turns"),
     )
     reconciler = Reconciler(
--- a/tests/tickets/test_turns.py
+++ b/tests/tickets/test_turns.py
@@ -1,6 +1,11 @@
 """Servers of a service swap in turn, and a floor of them goes on serving."""
 
+import asyncio
+import random
+
 import pytest
+from wasabideck_agent.swap_turns import SwapTurns
+from wasabideck_policy.membership import AGENT, Member
 from wasabideck_policy.turns import SLOT_SECONDS, WAVES, may_swap, own_turn
 
 STEP = 0.05
@@ -33,3 +38,54 @@
 def test_short_swaps_of_a_large_service_take_one_round():
     _, took = _roll_out(40, 0.05)
     assert took <= WAVES * SLOT_SECONDS + 2 * STEP
+
+
+@pytest.mark.parametrize("wall", [0.0, 0.25, 0.5])
+def test_a_frozen_server_does_not_hold_the_others_up(wall):
+    """One of three servers is frozen. A ticket was in force on the others only after
+    6.8 s: each waited its whole patience for the frozen one to serve again."""
+    now = [wall]
+
+    async def ask(peer):
+        if peer.vm == "frozen":
+            now[0] += 0.5
+            return None
+        return True
+
+    async def pause(seconds):
+        now[0] += seconds
+
+    peers = [Member(vm, AGENT, "h:1") for vm in ("frozen", "other")]
+    turns = SwapTurns(
+        "me",
+        lambda: peers,
+        ask,
+        random.Random(1),
+        clock=lambda: now[0],
+        wall=lambda: now[0],
+        pause=pause,
+    )
+    asyncio.run(turns.wait(7, 0.05))
+    assert now[0] - wall < 1.8
+
+
+def test_a_server_that_says_it_does_not_serve_is_waited_for():
+    now = [0.0]
+
+    async def ask(peer):
+        return now[0] > 1.5
+
+    async def pause(seconds):
+        now[0] += seconds
+
+    turns = SwapTurns(
+        "me",
+        lambda: [Member("other", AGENT, "h:1")],
+        ask,
+        random.Random(1),
+        clock=lambda: now[0],
+        wall=lambda: now[0],
+        pause=pause,
+    )
+    asyncio.run(turns.wait(7, 0.05))
+    assert now[0] > 1.5
