--- a/packages/wasabideck_agent/wasabideck_agent/transfer.py
+++ b/packages/wasabideck_agent/wasabideck_agent/transfer.py
@@ -86,6 +86,8 @@
         The agents that want or hold the same manifest, this one left out.
     sources : dict of str to int
         Bytes received per source.
+    refusals, asks : int
+        Fetches that a peer refused, and questions asked for holdings.
     """
 
     me: Member
@@ -101,6 +103,8 @@
     rng: random.Random
     clock: Callable[[], float] = time.monotonic
     sources: dict[str, int] = field(factory=dict)
+    refusals: int = 0
+    asks: int = 0
     view: View = field(init=False)
     _digest: str = field(init=False)
     _members: list[Member] = field(factory=list)
@@ -141,6 +145,12 @@
             for task in tasks:
                 task.cancel()
             await asyncio.gather(*tasks, return_exceptions=True)
+            self.events.emit(
+                "transfer.ended",
+                manifest=self._digest,
+                refusals=self.refusals,
+                asks=self.asks,
+            )
 
     async def _wait(self) -> None:
         """Wait for news, or for a set-back peer to be worth another try."""
@@ -182,6 +192,7 @@
             got_corrupt(self.view, fetch, self.clock())
             self.events.emit("transfer.corrupt", source=fetch.source, why=str(exc))
         except _Refused:
+            self.refusals += 1
             refused(self.view, fetch, self.clock(), self.rng)
         except LINK_FAILURES:
             self._lose(fetch.source)
@@ -255,6 +266,7 @@
         self.links.region.rate = self.cfg.region_rate / sharing
 
     async def _ask(self, vm: str) -> None:
+        self.asks += 1
         stub = ChunksStub(self.channels.get(self._address(vm)))
         req = pb.HoldingsRequest(
             manifest=self._digest, vm=self.me.vm, have=to_bitmap(self.view.held)
--- a/packages/wasabideck_lab/wasabideck_lab/distribute.py
+++ b/packages/wasabideck_lab/wasabideck_lab/distribute.py
@@ -287,6 +287,8 @@
         ),
         "live": len(run.traffic.results),
         "agents_cores": round(cpu, 2),
+        "asks_per_chunk": _per_chunk(run, "asks"),
+        "refusals_per_chunk": _per_chunk(run, "refusals"),
         "mixed": await _mixed(run),
         "curve": sorted(round(at - begun, 3) for at in times.values()),
     }
@@ -381,18 +383,29 @@
 
 
 def _when(run: Run, kind: str) -> dict[str, float]:
-    """Wall time of an event of ticket 2 at each living VM, by the events' files."""
-    found = {}
+    """Wall time of an event of ticket 2 at each living VM."""
+    rows = _events(run, kind)
+    return {row["vm"]: row["timestamp"] for row in rows if row["ticket"] == 2}
+
+
+def _per_chunk(run: Run, what: str) -> float:
+    """How often something happened for each chunk that a VM fetched."""
+    digest = run.manifest.digest
+    rows = _events(run, "transfer.ended")
+    counts = [row[what] for row in rows if row["manifest"] == digest]
+    return round(sum(counts) / max(len(counts) * run.plan.chunks, 1), 2)
+
+
+def _events(run: Run, kind: str) -> list[dict]:
+    """The living VMs' events of a kind, from the files that they write."""
+    found = []
     mark = f'"{kind}"'.encode()
     for vm in run.vms:
         if vm in run.killed:
             continue
         for line in run.lab.processes[vm].events.read_bytes().splitlines():
-            if mark not in line:
-                continue
-            event = orjson.loads(line)
-            if event["ticket"] == 2:
-                found[vm] = event["timestamp"]
+            if mark in line:
+                found.append(orjson.loads(line))
     return found
 
 
--- a/packages/wasabideck_platform/wasabideck_platform/settings.py
+++ b/packages/wasabideck_platform/wasabideck_platform/settings.py
@@ -197,7 +197,7 @@
     policy: str = field(
         default="swarm", validator=choice(("swarm", "origin", "tree", "random"))
     )
-    fetches: int = field(default=3, validator=at_least(1))
+    fetches: int = field(default=4, validator=at_least(1))
     uploads: int = field(default=3, validator=at_least(1))
     link_rate: float = field(default=0.0, validator=at_least(0))
     region_rate: float = field(default=0.0, validator=at_least(0))
