--- a/packages/wasabideck_entry/wasabideck_entry/listener.py
+++ b/packages/wasabideck_entry/wasabideck_entry/listener.py
@@ -14,6 +14,7 @@
 from sanic.models.server_types import ConnInfo
 from sanic.server import AsyncioServer
 from wasabideck_platform.metrics import Metrics, render_metrics
+from wasabideck_platform.process import binding
 from wasabideck_platform.settings import EntrySettings, split_address
 from wasabideck_platform.tls import Keys
 from wasabideck_policy.outcomes import WasabideckError
@@ -78,7 +79,9 @@
 
     sanic runs inside this loop: its worker manager would start processes.
     """
-    sock = socket.create_server(split_address(listener.cfg.process.http))
+    address = listener.cfg.process.http
+    with binding(address):
+        sock = socket.create_server(split_address(address))
     server = await app.create_server(
         sock=sock,
         ssl=listener.keys.http if listener.keys else None,
@@ -132,7 +135,9 @@
 
 
 def _most_bytes(listener: Listener, path: str) -> int:
-    return MAX_TICKET_BYTES if path == TICKETS_PATH else listener.cfg.body_bytes
+    # sanic takes a path with a slash at its end for the same route.
+    tickets = path.rstrip("/") == TICKETS_PATH
+    return MAX_TICKET_BYTES if tickets else listener.cfg.body_bytes
 
 
 def _refusal(
