--- a/packages/wasabideck_platform/wasabideck_platform/vocabulary.py
+++ b/packages/wasabideck_platform/wasabideck_platform/vocabulary.py
@@ -102,6 +102,6 @@
         "one source again and again: replace that VM, or check the origin",
     ),
     "transfer.verified": Kind("all chunks are held and verified, from these sources"),
-    "transfer.ended": Kind("a transfer has ended, whole or given up, after so many questions"),
+    "transfer.ended": Kind("a transfer has ended, whole or given up"),
     "version.in-force": Kind("an engine serves what its ticket names"),
 }
