--- a/packages/wasabideck_lab/wasabideck_lab/distribute_command.py
+++ b/packages/wasabideck_lab/wasabideck_lab/distribute_command.py
@@ -9,8 +9,9 @@
 import orjson
 
 from .decisions import measure_decisions
-from .distribute import POLICIES, Plan, run_distribute
+from .distribute import POLICIES, run_distribute
 from .plot import draw
+from .rollout import Plan
 
 __all__ = ["decisions", "distribute"]
 
--- a/tests/weights/test_lab_commands.py
+++ b/tests/weights/test_lab_commands.py
@@ -1,7 +1,7 @@
 """The lab's commands that live in modules of their own, and its picture."""
 
-from wasabideck_lab.distribute import Plan, lower_bound
 from wasabideck_lab.plot import draw
+from wasabideck_lab.rollout import Plan, lower_bound
 from wasabideck_platform.command_line import commands, run_commands
 
 
--- a/tests/weights/test_rollout.py
+++ b/tests/weights/test_rollout.py
@@ -2,7 +2,8 @@
 
 import asyncio
 
-from wasabideck_lab.distribute import Plan, run_distribute
+from wasabideck_lab.distribute import run_distribute
+from wasabideck_lab.rollout import Plan
 
 
 def test_a_rollout_over_two_regions_ends_whole_on_every_vm():
