Give up a read from the origin that stalls once a peer has the chunk

Cause: a read from the origin may take as long as its timeout of 60 s, which has to allow for a queue there. When it stalled, the next in rank read the chunk after its delay, but the first went on waiting and stayed behind all others. The focused test (test_a_read_that_stalls_is_given_up_when_a_peer_has_the_chunk) failed after 20 s before and passes after.

Change: a read is cancelled when a peer is heard to hold its chunk. A fetch's end is noted by the task's callback, since a task that is cancelled before its first step never gets to its own end.

--- a/packages/wasabideck_agent/wasabideck_agent/transfer.py
+++ b/packages/wasabideck_agent/wasabideck_agent/transfer.py
@@ -7,6 +7,7 @@
 import random
 import time
 from collections.abc import Callable
+from functools import partial
 
 from attrs import define, field
 from wasabideck_platform.channels import LINK_FAILURES, Channels
@@ -110,6 +111,7 @@
     _members: list[Member] = field(factory=list)
     _addresses: dict[str, str] = field(factory=dict)
     _tasks: set[asyncio.Task] = field(factory=set)
+    _reads: dict[int, asyncio.Task] = field(factory=dict)
     _news: asyncio.Event = field(factory=asyncio.Event)
 
     def __attrs_post_init__(self) -> None:
@@ -140,11 +142,11 @@
                 await self._wait()
         finally:
             del self.service.listeners[self._digest]
-            self.service.reading.pop(self._digest, None)
             tasks = [asking, *self._tasks]
             for task in tasks:
                 task.cancel()
             await asyncio.gather(*tasks, return_exceptions=True)
+            self.service.reading.pop(self._digest, None)
             self.events.emit(
                 "transfer.ended",
                 manifest=self._digest,
@@ -170,14 +172,21 @@
             self._begin(fetch)
             task = asyncio.create_task(self._fetch(fetch))
             self._tasks.add(task)
-            task.add_done_callback(self._tasks.discard)
+            # Not at the end of the task's own body: one that is cancelled before its
+            # first step never gets there, and its chunk would count as under way.
+            task.add_done_callback(partial(self._end, fetch))
+            if fetch.source == ORIGIN:
+                self._reads[fetch.index] = task
 
     def _begin(self, fetch: Fetch) -> None:
         begin(self.view, fetch)
         if fetch.far or fetch.source == ORIGIN:
             self.service.reading[self._digest] |= 1 << fetch.index
 
-    def _end(self, fetch: Fetch) -> None:
+    def _end(self, fetch: Fetch, task: asyncio.Task) -> None:
+        self._tasks.discard(task)
+        if fetch.source == ORIGIN:
+            del self._reads[fetch.index]
         end(self.view, fetch)
         if fetch.far or fetch.source == ORIGIN:
             self.service.reading[self._digest] &= ~(1 << fetch.index)
@@ -200,8 +209,6 @@
             origin_failed(self.view, self.clock())
         else:
             self._got(fetch, len(data))
-        finally:
-            self._end(fetch)
 
     def _got(self, fetch: Fetch, size: int) -> None:
         got(self.view, fetch, self.clock())
@@ -289,10 +296,23 @@
         self, vm: str, held: int, sent: int = 0, reading: int | None = None
     ) -> None:
         hear(self.view, vm, held, self.clock(), sent, reading)
+        self._give_up_reads()
         # A view that is full of fetches cannot use the news; each wake-up costs.
         if held & self.view.wanted and self.view.active.bit_count() < self.cfg.fetches:
             self._news.set()
 
+    def _give_up_reads(self) -> None:
+        """Stop reading from the origin what a peer has by now.
+
+        A read can stall for as long as its timeout, which has to allow for a queue
+        at the origin; by then another may have read the chunk in this VM's place.
+        """
+        if not POLICIES[self.cfg.policy].shares:
+            return
+        for index, task in self._reads.items():
+            if self.view.seen >> index & 1:
+                task.cancel()
+
     def _lose(self, vm: str) -> None:
         """Take a peer for lost, and the connection to it for silent."""
         lose(self.view, vm, self.clock())
--- a/tests/weights/test_transfer.py
+++ b/tests/weights/test_transfer.py
@@ -44,6 +44,15 @@
             raise PlatformUnavailable("origin", "down", maybe_applied=False)
 
 
+@define
+class StalledOrigin(FakeOrigin):
+    """An origin whose reads never end."""
+
+    async def chunk(self, digest, vm):
+        self.reads.append(digest)
+        await asyncio.Event().wait()
+
+
 class CorruptingService(ChunksService):
     """Sends every chunk with a flipped byte."""
 
@@ -58,7 +67,7 @@
 
 
 @asynccontextmanager
-async def serving(vm, cls=ChunksService, texts=TEXTS):
+async def serving(vm, cls=ChunksService, texts=TEXTS, with_store=False):
     store = ChunkStore()
     store.know(MANIFEST)
     for text in texts:
@@ -68,7 +77,8 @@
     await server.start("127.0.0.1", 0)
     port = server._server.sockets[0].getsockname()[1]
     try:
-        yield Member(vm, AGENT, f"127.0.0.1:{port}")
+        member = Member(vm, AGENT, f"127.0.0.1:{port}")
+        yield (member, store) if with_store else member
     finally:
         server.close()
         await server.wait_closed()
@@ -143,3 +153,25 @@
             return manifest
 
     assert asyncio.run(body()) == MANIFEST
+
+
+def test_a_read_that_stalls_is_given_up_when_a_peer_has_the_chunk(events):
+    # One VM serves the former version a minute longer than all others: its read from
+    # the origin stalled, another VM read the chunk in its place, and the first went
+    # on waiting for the origin until the read timed out.
+    async def body():
+        async with serving("b", texts=(), with_store=True) as (member, store):
+            origin = StalledOrigin()
+            transfer = transfer_from([member], origin, events)
+            running = asyncio.create_task(transfer.run())
+            while not origin.reads:
+                await asyncio.sleep(0)
+            for digest, text in zip(MANIFEST.chunks, TEXTS, strict=True):
+                store.add(digest, text.encode(), "")
+            await asyncio.wait_for(running, 20)
+            transfer.channels.close()
+            return transfer
+
+    transfer = asyncio.run(body())
+    assert transfer.store.whole(MANIFEST)
+    assert set(transfer.sources) == {"b"}
