Give the region's link back when a sender refuses

Cause: a gateway waits for its turn on the link into the region before it asks for the chunk; when the sender refused, the turn was lost and the link idled. Ruled out: to pace after the chunk has come, since a burst of chunks of real size would hold live requests on that link up for seconds.

--- a/packages/wasabideck_agent/wasabideck_agent/links.py
+++ b/packages/wasabideck_agent/wasabideck_agent/links.py
@@ -57,6 +57,12 @@
         if self.rate:
             self._free_at = max(now, self._free_at) + size / self.rate
 
+    def give_back(self, size: int) -> None:
+        """Take back what was counted for bytes that were not sent after all."""
+        self.passed -= size
+        if self.rate:
+            self._free_at -= size / self.rate
+
     def _pass(self, size: int, begin: float, now: float) -> float:
         self.passed += size
         if not self.rate:
--- a/packages/wasabideck_agent/wasabideck_agent/transfer.py
+++ b/packages/wasabideck_agent/wasabideck_agent/transfer.py
@@ -219,7 +219,13 @@
         if fetch.far:
             await self.links.region.send(self.manifest.chunk_bytes)
         if fetch.source != ORIGIN:
-            return await self._read_peer(fetch)
+            try:
+                return await self._read_peer(fetch)
+            except _Refused:
+                # Nothing came over the region's link for the turn that was waited for.
+                if fetch.far:
+                    self.links.region.give_back(self.manifest.chunk_bytes)
+                raise
         data = await self.origin.chunk(digest, self.me.vm)
         await self.links.down.receive(len(data))
         return data
--- a/tests/weights/test_links.py
+++ b/tests/weights/test_links.py
@@ -36,6 +36,16 @@
     assert link.receive_seconds(50, 10.0) == pytest.approx(0.5)
 
 
+def test_bytes_that_were_not_sent_take_no_time():
+    # The link into a region idles for a third of a rollout: a gateway waited for its
+    # turn, the sender refused, and the turn was gone.
+    link = Link(rate=100.0)
+    assert link.send_seconds(50, 10.0) == pytest.approx(0.5)
+    link.give_back(50)
+    assert link.send_seconds(50, 10.0) == pytest.approx(0.5)
+    assert link.passed == 50
+
+
 def test_a_link_without_a_rate_never_waits():
     link = Link()
     assert link.send_seconds(1 << 30, 1.0) == link.receive_seconds(1 << 30, 1.0) == 0
