--- a/packages/wasabideck_agent/wasabideck_agent/agent.py
+++ b/packages/wasabideck_agent/wasabideck_agent/agent.py
@@ -5,6 +5,7 @@
 import asyncio
 import random
 import time
+import uuid
 
 import aiohttp
 from aiohttp import web
@@ -27,12 +28,14 @@
 from wasabideck_platform.spread import PeersService, Spread
 from wasabideck_platform.tls import Keys
 from wasabideck_policy.admission import Gate
+from wasabideck_policy.arrivals import Arrivals
 from wasabideck_policy.concurrency import AdaptiveLimit
 from wasabideck_policy.manifests import Manifest
 from wasabideck_policy.membership import AGENT, Member, Watch, watched
 from wasabideck_policy.orders import OrderBook
 from wasabideck_wire import inner_pb2 as pb
 
+from .attempts import Attempts
 from .chunk_store import ChunkStore
 from .chunks_service import ChunksService
 from .claim_store import ClaimStore
@@ -40,9 +43,11 @@
 from .links import Link, Links, give_way_to_live
 from .load import LOAD_SECONDS, LoadReader
 from .manifest_reader import ManifestReader
+from .once import Holder, Once
 from .orders import Orders
 from .reconcile import Reconciler
-from .runs import Runner, RunsService
+from .runs import Runner
+from .runs_service import RunsService
 from .swap_turns import SwapTurns
 from .transfer import Transfer
 
@@ -52,6 +57,10 @@
 ROWS_SECONDS = 1.0
 FORGET_SECONDS = 5.0
 DRAIN_SECONDS = 60.0
+DRAIN_PAUSE = 0.02
+# Entries ask each agent for its status four times a second.
+LEAVING_SECONDS = 1.0
+QUIET_SECONDS = 0.3
 
 
 @define
@@ -111,6 +120,8 @@
             service_time=gate.service_time,
             cached_prefixes=told,
             cache_changes=changes,
+            incarnation=self.runner.attempts.arrivals.incarnation,
+            clock_ms=int(self.runner.clock() * 1000),
         )
 
     def make_transfer(self, manifest: Manifest) -> Transfer:
@@ -164,7 +175,7 @@
         try:
             await self.spread.sync(member.vm, channel, listed)
         except LINK_FAILURES:
-            self.channels.drop(member.address)
+            self.channels.drop(member.address, channel)
             self.watch.failed(member.vm, time.monotonic())
 
     def count_links(self) -> None:
@@ -176,6 +187,7 @@
     async def forget_old(self) -> None:
         """Forget attempts that ended long ago."""
         self.runner.attempts.forget_old(time.monotonic())
+        await self.runner.stop_orphans()
 
 
 async def serve_agent(cfg: AgentSettings, stop: asyncio.Event) -> None:
@@ -194,6 +206,7 @@
         http = await _serve_http(agent, file, keys)
         inner = server._server.sockets[0].getsockname()
         events.emit("process.ready", kind=AGENT)
+        agent.runner.once.holder.address = f"{inner[0]}:{inner[1]}"
         announce_ready(vm=agent.vm, inner=f"{inner[0]}:{inner[1]}", http=http)
         loops = [*_loops(agent), *reread_keys(keys, events)]
         tasks = [asyncio.create_task(loop) for loop in loops]
@@ -215,13 +228,21 @@
     platform = connect_platform(cfg.platform, session)
     http = HttpClient(cfg.server.url, cfg.platform.timeout_seconds, session)
     plain = cfg.server.kind == PLAIN
+    channels = Channels(events.clock, keys and keys.inner_client)
+    spread = Spread(cfg.process.vm, events)
+    # Never drawn from the seed: a process that starts again with the same settings
+    # must not pass for the one that died.
+    incarnation = uuid.uuid4().hex
+    holder = Holder(cfg.process.vm, "", incarnation)
     runner = Runner(
         vm=cfg.process.vm,
         gate=Gate(cfg.server.capacity),
         events=events,
         engine=None if plain else Engine(http),
         plain=PlainService(http) if plain else None,
-        claims=ClaimStore(platform.table),
+        once=Once(holder, ClaimStore(platform.table, events), channels, events),
+        attempts=Attempts(Arrivals(incarnation)),
+        quarantine=spread.quarantine,
     )
     if not cfg.server.reports_load:
         most = cfg.server.capacity
@@ -232,9 +253,9 @@
     return Agent(
         cfg,
         events,
-        Channels(events.clock, keys and keys.inner_client),
+        channels,
         platform,
-        Spread(cfg.process.vm, events),
+        spread,
         runner,
         store,
         ChunksService(store, links, cfg.weights.uploads),
@@ -299,12 +320,18 @@
 
 
 async def _drain(agent: Agent) -> None:
-    """Refuse new work, and finish what is in progress."""
+    """Refuse new work, and finish what is in progress.
+
+    The socket listens on until every entry has heard that this server leaves, by
+    asking for its status or by a refusal: a request that met a closing connection
+    would be neither run nor certainly not run.
+    """
     agent.runner.gate.leaving = True
     agent.events.emit("process.leaving", kind=AGENT)
     limit = time.monotonic() + DRAIN_SECONDS
-    while agent.runner.attempts.in_progress() and time.monotonic() < limit:
-        await asyncio.sleep(0.05)
+    await asyncio.sleep(LEAVING_SECONDS)
+    while not agent.runner.idle(QUIET_SECONDS) and time.monotonic() < limit:
+        await asyncio.sleep(DRAIN_PAUSE)
     if agent.orders:
         # The next agent beside this engine could not know of an order in flight.
         await agent.orders.finish()
--- a/packages/wasabideck_entry/wasabideck_entry/entry.py
+++ b/packages/wasabideck_entry/wasabideck_entry/entry.py
@@ -8,8 +8,9 @@
 from collections.abc import Callable
 
 import aiohttp
-from attrs import define, field
-from sanic import HTTPResponse, Request, Sanic
+from attrs import define
+from sanic import Request, Sanic
+from sanic.server import AsyncioServer
 from wasabideck_platform.channels import LINK_FAILURES, Channels, observe_clock
 from wasabideck_platform.clients import Platform, connect_platform
 from wasabideck_platform.events import Events, open_events
@@ -31,11 +32,14 @@
 from wasabideck_wire import inner_pb2 as pb
 
 from .calls import Caller
+from .connections import in_progress
 from .fleet import Fleet
 from .front import Front, add_caller_routes
 from .listener import Listener, close_http, make_app, serve_http
 from .operators import Operators, add_operator_routes
 from .pushes import Pusher
+from .resolve import Resolver
+from .suspects import Suspects
 
 __all__ = ["serve_entry"]
 
@@ -43,6 +47,8 @@
 HEAD_PATIENCE = 2.0
 COMPARE_SECONDS = 1.0
 DRAIN_SECONDS = 60.0
+READINESS_SECONDS = 1.0
+CANCELS_SECONDS = 2.0
 
 
 @define
@@ -62,7 +68,7 @@
     leaving: bool = False
     events_lost: Callable[[], int] = int
     poll_at: float = 0.0
-    in_progress: int = field(default=0)
+    http: AsyncioServer | None = None
 
     async def read_members(self) -> None:
         """Read the platform's list; keep the last one when it is down."""
@@ -105,7 +111,12 @@
         try:
             await self.spread.sync(member.vm, channel, listed)
         except LINK_FAILURES:
-            self.channels.drop(member.address)
+            self.channels.drop(member.address, channel)
+
+    async def tell_entries(self) -> None:
+        """Compare with the other entries at once, so that they hear of a crash."""
+        others = self.fleet.entries()
+        await asyncio.gather(*(self._sync(m, len(others)) for m in others))
 
     @property
     def _data_centre(self) -> str:
@@ -121,6 +132,11 @@
         self.metrics.events_lost.set({}, self.events_lost())
         return self.metrics
 
+    @property
+    def in_progress(self) -> int:
+        """Requests that callers have here, streamed answers to their last byte."""
+        return in_progress(self.http) if self.http else 0
+
     def status(self, req: pb.StatusRequest) -> pb.StatusReply:
         """What this entry tells other processes of itself."""
         return pb.StatusReply(
@@ -146,7 +162,10 @@
         inner = server._server.sockets[0].getsockname()
         await entry.read_members()
         listener = Listener(cfg, entry.ready, entry.observe, keys)
-        http, address = await serve_http(_app(entry, listener), listener)
+        # A balancer may send requests from now on: they need servers to go to.
+        await entry.fleet.ask_all()
+        app = _app(entry, listener)
+        entry.http, address = await serve_http(app, listener)
         events.emit("process.ready", kind=ENTRY)
         announce_ready(vm=cfg.process.vm, inner=f"{inner[0]}:{inner[1]}", http=address)
         loops = [*_loops(entry), *reread_keys(keys, events)]
@@ -155,7 +174,6 @@
         await _drain(entry)
         for task in tasks:
             task.cancel()
-        await close_http(http, DRAIN_SECONDS)
         server.close()
         entry.channels.close()
         events.emit("process.stopped", kind=ENTRY)
@@ -171,6 +189,9 @@
     fleet = Fleet(cfg.process.vm, channels, cfg.process.region)
     rng = random.Random(f"{cfg.seed}/{cfg.process.vm}/{time.time_ns()}")
     spread = Spread(cfg.process.vm, events)
+    platform = connect_platform(cfg.platform, session)
+    suspects = Suspects(spread.quarantine, wall=events.wall)
+    resolver = Resolver(platform.table)
     entry: Entry
     peers = PeersService(spread, lambda req: entry.status(req))
     pusher = Pusher(cfg.process.data_centre, spread, peers, fleet, channels, rng)
@@ -179,14 +200,17 @@
         cfg,
         events,
         channels,
-        connect_platform(cfg.platform, session),
+        platform,
         spread,
         peers,
         pusher,
         fleet,
-        Caller(fleet, channels, events, POLICIES[cfg.routing](), rng),
+        Caller(
+            fleet, channels, events, POLICIES[cfg.routing](), rng, suspects, resolver
+        ),
         Metrics(),
     )
+    suspects.tell = entry.tell_entries
     return entry
 
 
@@ -202,12 +226,16 @@
 
 
 async def _drain(entry: Entry) -> None:
-    """Turn readiness off, and finish what is in progress."""
+    """Turn readiness off, take no more callers, and finish what is in progress.
+
+    The socket listens on until the balancer has seen that this entry is not ready:
+    a caller that it still sends here would otherwise meet a refused connection.
+    """
     entry.leaving = True
     entry.events.emit("process.leaving", kind=ENTRY)
-    limit = time.monotonic() + DRAIN_SECONDS
-    while entry.in_progress and time.monotonic() < limit:
-        await asyncio.sleep(0.05)
+    await asyncio.sleep(READINESS_SECONDS)
+    await close_http(entry.http, DRAIN_SECONDS)
+    await entry.caller.settled(CANCELS_SECONDS)
 
 
 def _app(entry: Entry, listener: Listener) -> Sanic:
@@ -224,15 +252,14 @@
             entry.events,
         ),
     )
-    _count_requests(app, entry)
+    _close_connections(app, entry)
     return app
 
 
-def _count_requests(app: Sanic, entry: Entry) -> None:
+def _close_connections(app: Sanic, entry: Entry) -> None:
     @app.on_request
-    async def count(req: Request) -> None:
-        entry.in_progress += 1
-
-    @app.on_response
-    async def uncount(req: Request, res: HTTPResponse) -> None:
-        entry.in_progress -= 1
+    async def close_after(req: Request) -> None:
+        # The answer says so, and the caller sends its next request elsewhere rather
+        # than on a connection that is about to be closed.
+        if entry.leaving:
+            req.stream.keep_alive = False
--- a/packages/wasabideck_entry/wasabideck_entry/listener.py
+++ b/packages/wasabideck_entry/wasabideck_entry/listener.py
@@ -21,6 +21,7 @@
 from wasabideck_policy.tickets import MAX_TICKET_BYTES
 
 from .caller_limits import HeldConnections
+from .connections import close_idle
 from .front import problem
 from .identity import check
 
@@ -100,8 +101,7 @@
     server.close()
     limit = time.monotonic() + seconds
     while server.connections and time.monotonic() < limit:
-        for connection in list(server.connections):
-            connection.close_if_idle()
+        close_idle(server)
         await asyncio.sleep(CLOSE_STEP_SECONDS)
 
 
--- a/packages/wasabideck_lab/wasabideck_lab/faults.py
+++ b/packages/wasabideck_lab/wasabideck_lab/faults.py
@@ -23,6 +23,7 @@
     "lose_order": "engine: share of orders that take effect, then hang up",
     "ignore_fence": "engine: 1 carries out orders with old fencing numbers",
     "load_lag": "engine: seconds by which the load report is old",
+    "fail_after": "plain: share of calls that run, then answer 500",
     "cache_gaps": "engine: share of cache events that are never told",
     "silent": "engine, plain: requests run and are never answered",
 }
--- a/packages/wasabideck_lab/wasabideck_lab/traffic.py
+++ b/packages/wasabideck_lab/wasabideck_lab/traffic.py
@@ -87,21 +87,28 @@
         route: str,
         body: str,
         key: str,
+        again: bool = False,
     ) -> Result:
-        """One request; a connection that breaks is tried again at another entry."""
+        """One request; a connection that breaks is tried again at another entry.
+
+        ``again`` says that the key was sent before, as an honest caller does.
+        """
         self.sent += 1
         begun = time.monotonic()
         reason, status, data, headers = "", 0, b"", {}
-        for _ in range(CONNECTION_TRIES):
+        for number in range(1 + again, CONNECTION_TRIES + 1 + again):
             try:
                 status, data, headers = await self._post(
-                    session, service, route, body, key
+                    session, service, route, body, key, number
                 )
                 break
             except (TimeoutError, aiohttp.ClientError, OSError) as exc:
                 reason = type(exc).__name__
                 await asyncio.sleep(0.1)
-        lines = [orjson.loads(line) for line in data.splitlines() if line]
+        try:
+            lines = [orjson.loads(line) for line in data.splitlines() if line]
+        except orjson.JSONDecodeError:
+            lines, reason = [], f"Malformed{status}"
         tag = lines[-1] if lines else {"outcome": "unknown", "reason": reason}
         result = Result(
             key,
@@ -126,6 +133,7 @@
         route: str,
         body: str,
         key: str,
+        number: int,
     ) -> tuple[int, bytes, dict]:
         address = self.rng.choice(self.entries())
         url = f"http://{address}/v1/services/{service}/{route}"
@@ -133,6 +141,7 @@
             "authorization": f"Bearer {CALLER_TOKEN}",
             "idempotency-key": key,
             "x-deadline-ms": str(self.deadline_ms),
+            "x-try": str(number),
         }
         limit = aiohttp.ClientTimeout(total=CALL_SECONDS)
         req = session.post(url, data=body.encode(), headers=headers, timeout=limit)
--- a/packages/wasabideck_platform/wasabideck_platform/http.py
+++ b/packages/wasabideck_platform/wasabideck_platform/http.py
@@ -148,6 +148,9 @@
             raise PlatformUnavailable(url, why, maybe_applied=True) from exc
         if answer.status == 503:
             raise PlatformUnavailable(url, "status 503", maybe_applied=False)
+        if answer.status >= 500:
+            # A gateway's 500, 502 or 504 may hide a write that took effect.
+            raise PlatformUnavailable(url, f"status {answer.status}", True)
         return answer, data
 
     async def json(self, method: str, path: str, value: object = None, **kw) -> object:
--- a/packages/wasabideck_platform/wasabideck_platform/spread.py
+++ b/packages/wasabideck_platform/wasabideck_platform/spread.py
@@ -10,9 +10,15 @@
 from grpclib.client import Channel
 from grpclib.server import Stream
 from wasabideck_policy.membership import Heard
+from wasabideck_policy.quarantine import Quarantine
 from wasabideck_policy.tickets import Assignment, TicketState
 from wasabideck_wire import inner_pb2 as pb
-from wasabideck_wire.convert import assignments_from, entries_from
+from wasabideck_wire.convert import (
+    assignments_from,
+    crashes_from,
+    crashes_to,
+    entries_from,
+)
 from wasabideck_wire.inner_grpc import PeersBase, PeersStub
 
 from .events import Events
@@ -45,6 +51,7 @@
     state: TicketState = field(factory=TicketState)
     head_at: float = float("-inf")
     clock: Callable[[], float] = time.monotonic
+    quarantine: Quarantine = field(factory=Quarantine)
     _heard: Heard = field(factory=Heard)
     _waiters: list[asyncio.Event] = field(factory=list)
     _listeners: list[Callable[[list[Assignment]], None]] = field(factory=list)
@@ -97,12 +104,22 @@
             vm=self.vm,
             sequence=self.state.sequence,
             state_hash=self.state.state_hash(),
+            quarantined=self.crashes(),
         )
         reply = await PeersStub(channel).Sync(req, timeout=SYNC_TIMEOUT)
+        self.hear_crashes(reply.quarantined)
         if reply.heard:
             self.merge(assignments_from(reply.entries), reply.sequence)
             self._heard_from(vm, begun - reply.head_age_ms / 1000, listed)
 
+    def crashes(self) -> list[pb.Quarantined]:
+        """Messages for all crashes that count."""
+        return crashes_to(self.quarantine, self.events.wall())
+
+    def hear_crashes(self, messages: Iterable[pb.Quarantined]) -> None:
+        """Take in the crashes that another process tells of."""
+        crashes_from(self.quarantine, messages, self.events.wall())
+
     async def push(self, channel: Channel, changes: Iterable[Assignment]) -> None:
         """Tell another process of changes."""
         req = pb.SyncRequest(
@@ -148,6 +165,7 @@
         self.asked_at[req.vm] = self.spread.clock()
         if req.entries:
             self.spread.merge(assignments_from(req.entries))
+        self.spread.hear_crashes(req.quarantined)
         await stream.send_message(self._reply(req))
 
     async def Status(self, stream: Stream[pb.StatusRequest, pb.StatusReply]) -> None:
@@ -167,5 +185,6 @@
             state_hash=state.state_hash(),
             entries=entries_from(missing if self.spread.heard else []),
             heard=self.spread.heard,
+            quarantined=self.spread.crashes(),
             head_age_ms=int(min(self.spread.head_age(), OLDEST_SECONDS) * 1000),
         )
