Watch servers on streams, and be told at once of one that leaves

Change: one open stream for each server; a broken or silent one is followed by one question on a new connection, which decides as before. A leaving agent tells its watchers at once. The agent's clock is taken from its fastest word, since a word has no time of asking. Ruled out: fewer servers for each entry, which the smallest service needs.

--- a/packages/wasabideck_agent/wasabideck_agent/agent.py
+++ b/packages/wasabideck_agent/wasabideck_agent/agent.py
@@ -82,6 +82,7 @@
     members: list[Member] = field(factory=list)
     watch: Watch = field(factory=Watch)
     orders: Orders | None = None
+    teller: PeersService | None = None
 
     @property
     def vm(self) -> str:
@@ -267,8 +268,8 @@
 
 
 def _services(agent: Agent) -> list:
-    peers = PeersService(agent.spread, agent.status)
-    return [RunsService(agent.runner), peers, agent.chunks]
+    agent.teller = PeersService(agent.spread, agent.status)
+    return [RunsService(agent.runner), agent.teller, agent.chunks]
 
 
 def _loops(agent: Agent) -> list:
@@ -322,11 +323,12 @@
 async def _drain(agent: Agent) -> None:
     """Refuse new work, and finish what is in progress.
 
-    The socket listens on until every entry has heard that this server leaves, by
-    asking for its status or by a refusal: a request that met a closing connection
-    would be neither run nor certainly not run.
+    Whoever watches is told at once. The socket listens on until every entry has
+    heard that this server leaves, by its word or by a refusal: a request that met a
+    closing connection would be neither run nor certainly not run.
     """
     agent.runner.gate.leaving = True
+    agent.teller.tell()
     agent.events.emit("process.leaving", kind=AGENT)
     limit = time.monotonic() + DRAIN_SECONDS
     await asyncio.sleep(LEAVING_SECONDS)
--- a/packages/wasabideck_entry/wasabideck_entry/entry.py
+++ b/packages/wasabideck_entry/wasabideck_entry/entry.py
@@ -40,6 +40,7 @@
 from .pushes import Pusher
 from .resolve import Resolver
 from .suspects import Suspects
+from .watching import Watching
 
 __all__ = ["serve_entry"]
 
@@ -221,7 +222,7 @@
         every(HEAD_SECONDS, entry.poll_head),
         every(COMPARE_SECONDS, entry.compare),
         entry.pusher.run(),
-        entry.fleet.keep_asking(),
+        Watching(entry.fleet, entry.caller.rng).run(),
     ]
 
 
--- a/packages/wasabideck_entry/wasabideck_entry/fleet.py
+++ b/packages/wasabideck_entry/wasabideck_entry/fleet.py
@@ -14,7 +14,7 @@
 from wasabideck_policy.outcomes import Answered, Outcome, Unknown
 from wasabideck_policy.outliers import Outliers
 from wasabideck_policy.routing import Server
-from wasabideck_policy.subsets import OTHER_REGION, OWN_REGION, poll_pause, subset
+from wasabideck_policy.subsets import OTHER_REGION, OWN_REGION, subset
 from wasabideck_wire import inner_pb2 as pb
 from wasabideck_wire.inner_grpc import PeersStub
 
@@ -84,42 +84,34 @@
         elif isinstance(outcome, Unknown) and outcome.crash:
             self.outliers.failed(server.vm, self.clock())
 
-    async def keep_asking(self) -> None:
-        """Ask the servers for their status for ever, spread over each round."""
-        while True:
-            pause = poll_pause(len(self.servers))
-            await asyncio.gather(
-                asyncio.sleep(pause),
-                *(
-                    self._ask_after(server, pause * place / len(self.servers))
-                    for place, server in enumerate(self.servers.values())
-                ),
-            )
-
     async def ask_all(self) -> None:
         """Ask every server for its status, at once."""
-        await asyncio.gather(*(self._ask(s) for s in self.servers.values()))
-
-    async def _ask_after(self, server: Server, seconds: float) -> None:
-        await asyncio.sleep(seconds)
-        await self._ask(server)
+        await asyncio.gather(*(self.ask(s) for s in self.servers.values()))
 
-    async def _ask(self, server: Server) -> None:
-        asked_at = self.clock()
+    async def ask(self, server: Server) -> bool:
+        """Ask a server for its status; whether it answered."""
         reply = await self._status(server, STATUS_TIMEOUT)
         if reply is None:
             # A connection that went silent says nothing of its server: were it out
             # at once, such a moment on all links would leave no server at all. A
             # frozen agent accepts the new connection as well and answers nothing: it
             # is left alone until the first question that it answers.
-            asked_at = self.clock()
             reply = await self._status(server, AGAIN_TIMEOUT)
         if reply is None:
             server.serving = False
-            return
-        self._take(server, reply, asked_at)
+            return False
+        self.take(server, reply)
+        return True
+
+    def question(self, server: Server, pause: float = 0.0) -> pb.StatusRequest:
+        """What a server is asked; ``pause`` is the seconds between words of a watch."""
+        seen = self._cache_seen.get(server.vm, 0)
+        return pb.StatusRequest(
+            vm=self.vm, cache_changes=seen, pause_ms=int(pause * 1000)
+        )
 
-    def _take(self, server: Server, reply: pb.StatusReply, asked_at: float) -> None:
+    def take(self, server: Server, reply: pb.StatusReply) -> None:
+        """Take in what a server says of itself."""
         now = self.clock()
         observed = self._observed.get(server.vm)
         if observed is None or reply.vm != server.vm:
@@ -131,8 +123,7 @@
         server.load, server.load_at = reply.load, reply.load_at
         server.capacity = reply.capacity
         server.manifest = reply.manifest
-        server.incarnation = reply.incarnation
-        server.clock_ahead = reply.clock_ms / 1000 - asked_at
+        _take_clock(server, reply, now)
         server.reported = reply.in_progress + reply.waiting
         server.own_reported = server.in_progress
         server.heard_at = now
@@ -144,10 +135,8 @@
     async def _status(self, server: Server, timeout: float) -> pb.StatusReply | None:
         """A server's status; None when its connection failed and was dropped."""
         channel = self.channels.get(server.address)
-        req = pb.StatusRequest(
-            vm=self.vm, cache_changes=self._cache_seen.get(server.vm, 0)
-        )
         try:
+            req = self.question(server)
             return await PeersStub(channel).Status(req, timeout=timeout)
         except LINK_FAILURES:
             self.channels.drop(server.address, channel)
@@ -184,3 +173,16 @@
             )
         server.leaving = observed.leaving
         return server
+
+
+def _take_clock(server: Server, reply: pb.StatusReply, now: float) -> None:
+    """Estimate how far the agent's clock is ahead of this one.
+
+    A word that was long under way makes it look less far ahead than it is, and a
+    request's last moment of arrival too early; so the largest estimate counts.
+    """
+    ahead = reply.clock_ms / 1000 - now
+    if reply.incarnation == server.incarnation:
+        ahead = max(ahead, server.clock_ahead)
+    server.incarnation = reply.incarnation
+    server.clock_ahead = ahead
--- /dev/null
+++ b/packages/wasabideck_entry/wasabideck_entry/watching.py
@@ -0,0 +1,82 @@
+"""Hears from each server of an entry, on a stream of its own.
+
+A word on an open stream costs a tenth of a question and its answer: no headers are
+coded. A stream that breaks or goes silent is followed by one question on a new
+connection, which decides whether the server is out.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import random
+
+from attrs import define, field
+from wasabideck_platform.channels import LINK_FAILURES
+from wasabideck_policy.routing import Server
+from wasabideck_policy.subsets import poll_pause
+from wasabideck_wire.inner_grpc import PeersStub
+
+from .fleet import STATUS_TIMEOUT, Fleet
+
+__all__ = ["Watching"]
+
+LOOK_SECONDS = 0.25
+
+
+@define
+class Watching:
+    """Keeps a watch on every server that a fleet uses."""
+
+    fleet: Fleet
+    rng: random.Random
+    _watches: dict[str, tuple[Server, asyncio.Task]] = field(factory=dict)
+
+    async def run(self) -> None:
+        """Begin and end watches as servers come and go, for ever."""
+        try:
+            while True:
+                self._follow_fleet()
+                await asyncio.sleep(LOOK_SECONDS)
+        finally:
+            for _, task in self._watches.values():
+                task.cancel()
+
+    def _follow_fleet(self) -> None:
+        servers = self.fleet.servers
+        for vm, (server, task) in list(self._watches.items()):
+            # A server at another address is another one, of the same name.
+            if servers.get(vm) is not server:
+                task.cancel()
+                del self._watches[vm]
+        for vm, server in servers.items():
+            if vm not in self._watches:
+                task = asyncio.create_task(self._watch(server))
+                self._watches[vm] = server, task
+
+    async def _watch(self, server: Server) -> None:
+        while True:
+            answered = await self.fleet.ask(server)
+            # All watches begin with the entry. Their words would come all at once
+            # for as long as it runs, and between them nothing.
+            await asyncio.sleep(self._pause() * self.rng.random())
+            if answered:
+                await self._listen(server)
+
+    async def _listen(self, server: Server) -> None:
+        """Take a server's words in until its stream breaks or goes silent."""
+        channel = self.fleet.channels.get(server.address)
+        pause = self._pause()
+        try:
+            async with PeersStub(channel).Watch.open() as stream:
+                await stream.send_message(self.fleet.question(server, pause), end=True)
+                while True:
+                    async with asyncio.timeout(pause + STATUS_TIMEOUT):
+                        reply = await stream.recv_message()
+                    if reply is None:
+                        return
+                    self.fleet.take(server, reply)
+        except LINK_FAILURES:
+            self.fleet.channels.drop(server.address, channel)
+
+    def _pause(self) -> float:
+        return poll_pause(len(self.fleet.servers))
--- a/packages/wasabideck_lab/wasabideck_lab/capacity.py
+++ b/packages/wasabideck_lab/wasabideck_lab/capacity.py
@@ -12,7 +12,7 @@
 import sys
 import tempfile
 import time
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterable
 from pathlib import Path
 
 import aiohttp
@@ -52,19 +52,20 @@
 class _Ports:
     """Many addresses at which one process answers as agents or entries."""
 
-    service: PeersService
+    spread: Spread
     servers: list[Server] = field(factory=list)
 
-    async def open(self, count: int) -> list[str]:
-        """Listen on so many free ports."""
-        addresses = []
-        for _ in range(count):
-            server = Server([self.service])
-            await server.start("127.0.0.1", 0)
-            host, port = server._server.sockets[0].getsockname()
-            self.servers.append(server)
-            addresses.append(f"{host}:{port}")
-        return addresses
+    async def open(self, names: Iterable[str]) -> dict[str, str]:
+        """Listen on a free port for each VM; its address by its name."""
+        return {name: await self._listen(name) for name in names}
+
+    async def _listen(self, name: str) -> str:
+        status = pb.StatusReply(vm=name, serving=True, service="drafting", capacity=8)
+        server = Server([PeersService(self.spread, lambda req: status)])
+        await server.start("127.0.0.1", 0)
+        self.servers.append(server)
+        host, port = server._server.sockets[0].getsockname()
+        return f"{host}:{port}"
 
     def close(self) -> None:
         """Stop listening."""
@@ -75,15 +76,14 @@
 def _ports() -> _Ports:
     events = Events("ports", Clock(), time.time)
     spread = Spread("ports", events, heard=Heard(done=True))
-    status = pb.StatusReply(serving=True, service="drafting", capacity=8)
-    return _Ports(PeersService(spread, lambda req: status))
+    return _Ports(spread)
 
 
 async def entry_by_servers() -> list[dict]:
     """What an idle entry spends on control, by servers on the platform's list."""
     sizes, usages = (50, 100, 200, 400), []
     for size in sizes:
-        usages.append(await _watch_entry(size, AGENT))
+        usages.append(await _watch_entry(size, round(size * ENTRIES / SERVERS)))
     return _usage_slopes("idle entry by listed servers", sizes, usages, SERVERS)
 
 
@@ -91,7 +91,7 @@
     """What an idle entry spends on control, by entries on the platform's list."""
     sizes, usages = (25, 50, 100, 200), []
     for size in sizes:
-        usages.append(await _watch_entry(size, ENTRY))
+        usages.append(await _watch_entry(0, size))
     return _usage_slopes("idle entry by listed entries", sizes, usages, ENTRIES)
 
 
@@ -103,29 +103,33 @@
     return _usage_slopes("idle agent by listed servers", sizes, usages, SERVERS)
 
 
-async def _watch_entry(size: int, kind: str) -> Usage:
-    return await _watch(size, kind, lambda lab: lab.start_entry("entry-1", SERVICES))
+async def _watch_entry(servers: int, entries: int) -> Usage:
+    return await _watch(
+        servers, entries, lambda lab: lab.start_entry("entry-1", SERVICES)
+    )
 
 
-async def _watch_agent(size: int) -> Usage:
+async def _watch_agent(servers: int) -> Usage:
     return await _watch(
-        size, AGENT, lambda lab: lab.start_engine_vm("draft-1", "drafting")
+        servers, 0, lambda lab: lab.start_engine_vm("draft-1", "drafting")
     )
 
 
 async def _watch(
-    size: int, kind: str, start: Callable[[Lab], Awaitable[Process]]
+    servers: int, entries: int, start: Callable[[Lab], Awaitable[Process]]
 ) -> Usage:
-    """Usage of one idle process beside a list of so many VMs of a kind."""
+    """Usage of one idle process beside a list of so many VMs of each kind."""
     ports = _ports()
     with tempfile.TemporaryDirectory() as folder:
         lab = Lab(Path(folder))
         await lab.start_platform()
         try:
-            for index, address in enumerate(await ports.open(size)):
-                service = "drafting" if kind == AGENT else ""
-                member = Member(f"vm-{index}", kind, address, service=service)
-                lab.members.put(member)
+            agents = await ports.open(f"agent-{i}" for i in range(servers))
+            for vm, address in agents.items():
+                lab.members.put(Member(vm, AGENT, address, service="drafting"))
+            others = await ports.open(f"other-{i}" for i in range(entries))
+            for vm, address in others.items():
+                lab.members.put(Member(vm, ENTRY, address))
             process = await start(lab)
             await asyncio.sleep(SETTLE_SECONDS)
             return await usage_over(process.process.pid, WATCH_SECONDS)
--- a/packages/wasabideck_platform/wasabideck_platform/spread.py
+++ b/packages/wasabideck_platform/wasabideck_platform/spread.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import time
 from collections.abc import Callable, Iterable
 
@@ -30,6 +31,7 @@
 SYNC_TIMEOUT = 1.0
 WATCHER_SECONDS = 5.0
 OLDEST_SECONDS = 1e6
+SHORTEST_PAUSE = 0.1
 
 
 @define
@@ -152,6 +154,12 @@
     spread: Spread
     status: Callable[[pb.StatusRequest], pb.StatusReply]
     asked_at: dict[str, float] = field(factory=dict)
+    _changed: asyncio.Event = field(factory=asyncio.Event)
+
+    def tell(self) -> None:
+        """Send the status to all who watch at once, and not at their next turn."""
+        changed, self._changed = self._changed, asyncio.Event()
+        changed.set()
 
     def watchers(self) -> set[str]:
         """VMs that compared their state with this one lately."""
@@ -173,6 +181,19 @@
         req = await stream.recv_message()
         await stream.send_message(self.status(req))
 
+    async def Watch(self, stream: Stream[pb.StatusRequest, pb.StatusReply]) -> None:
+        """Send the status again and again, until the asker goes away."""
+        req = await stream.recv_message()
+        pause = max(req.pause_ms / 1000, SHORTEST_PAUSE)
+        while True:
+            changed = self._changed
+            reply = self.status(req)
+            await stream.send_message(reply)
+            req.cache_changes = reply.cache_changes
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(pause):
+                    await changed.wait()
+
     def _reply(self, req: pb.SyncRequest) -> pb.SyncReply:
         state = self.spread.state
         same = req.state_hash == state.state_hash()
--- a/packages/wasabideck_policy/wasabideck_policy/subsets.py
+++ b/packages/wasabideck_policy/wasabideck_policy/subsets.py
@@ -32,7 +32,7 @@
 OTHER_REGION = Width(least=4, coverage=1)
 # Questions of status a second that an entry sends: some 400 bytes each, so that they
 # take up half of the 15 KB/s that control may cost it.
-POLLS_PER_SECOND = 20.0
+POLLS_PER_SECOND = 8.0
 SHORTEST_PAUSE = 0.25
 
 
--- a/packages/wasabideck_wire/wasabideck_wire/inner_grpc.py
+++ b/packages/wasabideck_wire/wasabideck_wire/inner_grpc.py
@@ -82,6 +82,10 @@
     async def Status(self, stream: 'grpclib.server.Stream[wasabideck_wire.inner_pb2.StatusRequest, wasabideck_wire.inner_pb2.StatusReply]') -> None:
         pass
 
+    @abc.abstractmethod
+    async def Watch(self, stream: 'grpclib.server.Stream[wasabideck_wire.inner_pb2.StatusRequest, wasabideck_wire.inner_pb2.StatusReply]') -> None:
+        pass
+
     def __mapping__(self) -> typing.Dict[str, grpclib.const.Handler]:
         return {
             '/wasabideck.Peers/Sync': grpclib.const.Handler(
@@ -96,6 +100,12 @@
                 wasabideck_wire.inner_pb2.StatusRequest,
                 wasabideck_wire.inner_pb2.StatusReply,
             ),
+            '/wasabideck.Peers/Watch': grpclib.const.Handler(
+                self.Watch,
+                grpclib.const.Cardinality.UNARY_STREAM,
+                wasabideck_wire.inner_pb2.StatusRequest,
+                wasabideck_wire.inner_pb2.StatusReply,
+            ),
         }
 
 
@@ -114,6 +124,12 @@
             wasabideck_wire.inner_pb2.StatusRequest,
             wasabideck_wire.inner_pb2.StatusReply,
         )
+        self.Watch = grpclib.client.UnaryStreamMethod(
+            channel,
+            '/wasabideck.Peers/Watch',
+            wasabideck_wire.inner_pb2.StatusRequest,
+            wasabideck_wire.inner_pb2.StatusReply,
+        )
 
 
 class ChunksBase(abc.ABC):
--- /dev/null
+++ b/tests/test_watching.py
@@ -0,0 +1,132 @@
+"""An entry watches its servers over streams of the inner protocol."""
+
+import asyncio
+import random
+
+import pytest
+from grpclib.server import Server
+from wasabideck_entry.fleet import Fleet
+from wasabideck_entry.watching import Watching
+from wasabideck_platform.channels import Channels
+from wasabideck_platform.events import Clock
+from wasabideck_platform.spread import PeersService
+from wasabideck_policy.membership import AGENT, ENTRY, Member
+from wasabideck_wire import inner_pb2 as pb
+
+
+class Peers(PeersService):
+    """A service whose streams can go silent without an end."""
+
+    mute = False
+    muted = False
+
+    async def Watch(self, stream):
+        if not self.mute:
+            return await super().Watch(stream)
+        await stream.recv_message()
+        self.muted = True
+        await asyncio.Event().wait()
+
+
+class Agent:
+    """One agent's status, on a free port of loopback."""
+
+    def __init__(self):
+        self.reply = pb.StatusReply(vm="a", service="s", serving=True, capacity=8)
+        self.words = 0
+        self.service = Peers(None, self.status)
+        self.server = Server([self.service])
+
+    def status(self, req):
+        self.words += 1
+        return self.reply
+
+    async def start(self):
+        await self.server.start("127.0.0.1", 0)
+        host, port = self.server._server.sockets[0].getsockname()
+        return f"{host}:{port}"
+
+
+class AtOnce(random.Random):
+    """Draws the shortest delay."""
+
+    def random(self):
+        return 0.0
+
+
+async def until(condition):
+    async with asyncio.timeout(20):
+        while not condition():
+            await asyncio.sleep(0.005)
+
+
+@pytest.fixture
+def watched():
+    """Run a body with an agent, and a fleet that watches it."""
+
+    def run(body):
+        async def session():
+            agent = Agent()
+            address = await agent.start()
+            fleet = Fleet("entry-1", Channels(Clock()))
+            agents = [Member("a", AGENT, address, service="s")]
+            fleet.take_members([Member("entry-1", ENTRY, "e"), *agents])
+            task = asyncio.create_task(Watching(fleet, AtOnce()).run())
+            try:
+                await until(lambda: fleet.candidates("s", set()))
+                return await body(agent, fleet)
+            finally:
+                task.cancel()
+                agent.server.close()
+                fleet.channels.close()
+
+        return asyncio.run(session())
+
+    return run
+
+
+def test_a_leaving_agent_is_known_before_its_next_word_is_due(watched, monkeypatch):
+    # A VM is replaced, and requests go on reaching it until the entry's next
+    # question: with many servers to ask that was more than a second later.
+    monkeypatch.setattr("wasabideck_entry.watching.poll_pause", lambda servers: 60.0)
+
+    async def body(agent, fleet):
+        await until(lambda: agent.words >= 2)
+        agent.reply.leaving = True
+        agent.service.tell()
+        await until(lambda: not fleet.candidates("s", set()))
+        return agent.words
+
+    assert watched(body) == 3
+
+
+def test_a_stream_that_goes_silent_is_replaced(watched, monkeypatch):
+    # Something between the two ends forgets the connection. The entry would keep
+    # the last word for good, and send requests to a server that is long gone.
+    monkeypatch.setattr("wasabideck_entry.watching.STATUS_TIMEOUT", 0.05)
+    monkeypatch.setattr("wasabideck_entry.watching.poll_pause", lambda servers: 0.05)
+
+    async def body(agent, fleet):
+        agent.service.mute = True
+        fleet.channels.close()
+        await until(lambda: agent.service.muted)
+        agent.reply.serving = False
+        await until(lambda: not fleet.candidates("s", set()))
+
+    watched(body)
+
+
+def test_the_agents_clock_is_taken_from_its_fastest_word(watched):
+    # Words wait while an entry is frozen; the clock that they tell is that of long
+    # ago, and requests were refused as late until the next word.
+    async def body(agent, fleet):
+        server = fleet.servers["a"]
+        now = fleet.clock()
+        for ms in (1_000_000, 900_000):
+            reply = pb.StatusReply(
+                vm="a", serving=True, incarnation="x", clock_ms=int(now * 1000) + ms
+            )
+            fleet.take(server, reply)
+        return server.clock_ahead
+
+    assert watched(body) == pytest.approx(1000.0, abs=1.0)
