--- a/packages/wasabideck_lab/wasabideck_lab/distribute.py
+++ b/packages/wasabideck_lab/wasabideck_lab/distribute.py
@@ -169,10 +169,7 @@
     await _submit(run, 2, "v2", run.manifest.digest)
     faults = asyncio.create_task(_strike(run))
     bound = lower_bound(run.plan)
-    limit = (
-        LIMIT_FACTOR * bound * (1 + run.plan.replicas * (run.plan.policy == "origin"))
-    )
-    finished = await _wait_verified(run, limit + LIMIT_SECONDS)
+    finished = await _wait_verified(run, _limit(run.plan))
     live.cancel()
     await faults
     times = verified_at(run)
