Keep the weights' test data out of conftest, whose name others share

tests/weights and one other folder could not be collected together: both imported from a module called conftest. The whole run passed only by its order.

--- a/tests/weights/conftest.py
+++ b/tests/weights/conftest.py
@@ -1,13 +1,9 @@
 import random
 
 import pytest
-from driver import FakePeer, Session, manifest_of
+from driver import CHUNKS, TEXTS, FakePeer, Session, manifest_of
 from wasabideck_agent.chunk_store import ChunkStore
 
-CHUNKS = 8
-TEXTS = [f"chunk {i}" for i in range(CHUNKS)]
-ALL = (1 << CHUNKS) - 1
-
 
 @pytest.fixture
 def session():
--- a/tests/weights/driver.py
+++ b/tests/weights/driver.py
@@ -25,6 +25,9 @@
 SLOT = 0.1
 TICK = SLOT / 2
 FAR_SLOTS = 4
+CHUNKS = 8
+TEXTS = [f"chunk {i}" for i in range(CHUNKS)]
+ALL = (1 << CHUNKS) - 1
 
 
 def manifest_of(version, texts):
--- a/tests/weights/test_failures.py
+++ b/tests/weights/test_failures.py
@@ -1,8 +1,7 @@
 """Failures of a transfer: nothing is read twice, nothing waits for ever."""
 
 import pytest
-from conftest import ALL, TEXTS
-from driver import SLOT, FakePeer, manifest_of
+from driver import ALL, SLOT, TEXTS, FakePeer, manifest_of
 from wasabideck_policy.distribution import next_fetch
 from wasabideck_policy.membership import AGENT, Member
 from wasabideck_policy.views import Fetch, View, begin, bits, got_corrupt, set_members
--- a/tests/weights/test_sessions.py
+++ b/tests/weights/test_sessions.py
@@ -1,7 +1,6 @@
 """Golden files of whole transfer sessions of one VM."""
 
-from conftest import ALL, TEXTS
-from driver import FakePeer
+from driver import ALL, TEXTS, FakePeer
 
 
 def test_undisturbed(session, gaining, data_regression):
