--- a/packages/wasabideck_entry/wasabideck_entry/fleet.py
+++ b/packages/wasabideck_entry/wasabideck_entry/fleet.py
@@ -21,6 +21,7 @@
 __all__ = ["Fleet"]
 
 STATUS_TIMEOUT = 1.0
+AGAIN_TIMEOUT = 0.3
 # Refusals that tell of the server, and not of the request or of the load.
 SERVER_FAILURES = {"Unreachable", "ServerRefused", "ServerDied", "ServerSilent"}
 
@@ -80,7 +81,7 @@
             self.outliers.succeeded(server.vm)
         elif outcome.failure.kind in SERVER_FAILURES:
             self.outliers.failed(server.vm, self.clock())
-        elif isinstance(outcome, Unknown) and outcome.crashed:
+        elif isinstance(outcome, Unknown) and outcome.crash:
             self.outliers.failed(server.vm, self.clock())
 
     async def keep_asking(self) -> None:
@@ -104,22 +105,21 @@
         await self._ask(server)
 
     async def _ask(self, server: Server) -> None:
-        stub = PeersStub(self.channels.get(server.address))
-        req = pb.StatusRequest(
-            vm=self.vm, cache_changes=self._cache_seen.get(server.vm, 0)
-        )
-        try:
-            reply = await stub.Status(req, timeout=STATUS_TIMEOUT)
-        except LINK_FAILURES:
-            # A frozen agent accepts connections and answers nothing: it is left
-            # alone from the first question that it does not answer, and is back
-            # with the first that it does.
-            self.channels.drop(server.address)
+        asked_at = self.clock()
+        reply = await self._status(server, STATUS_TIMEOUT)
+        if reply is None:
+            # A connection that went silent says nothing of its server: were it out
+            # at once, such a moment on all links would leave no server at all. A
+            # frozen agent accepts the new connection as well and answers nothing: it
+            # is left alone until the first question that it answers.
+            asked_at = self.clock()
+            reply = await self._status(server, AGAIN_TIMEOUT)
+        if reply is None:
             server.serving = False
             return
-        self._take(server, reply)
+        self._take(server, reply, asked_at)
 
-    def _take(self, server: Server, reply: pb.StatusReply) -> None:
+    def _take(self, server: Server, reply: pb.StatusReply, asked_at: float) -> None:
         now = self.clock()
         observed = self._observed.get(server.vm)
         if observed is None or reply.vm != server.vm:
@@ -130,6 +130,9 @@
         server.leaving = observed.leaving
         server.load, server.load_at = reply.load, reply.load_at
         server.capacity = reply.capacity
+        server.manifest = reply.manifest
+        server.incarnation = reply.incarnation
+        server.clock_ahead = reply.clock_ms / 1000 - asked_at
         server.reported = reply.in_progress + reply.waiting
         server.own_reported = server.in_progress
         server.heard_at = now
@@ -138,6 +141,18 @@
             self._cache_seen[server.vm] = reply.cache_changes
             server.prefixes = list(reply.cached_prefixes)
 
+    async def _status(self, server: Server, timeout: float) -> pb.StatusReply | None:
+        """A server's status; None when its connection failed and was dropped."""
+        channel = self.channels.get(server.address)
+        req = pb.StatusRequest(
+            vm=self.vm, cache_changes=self._cache_seen.get(server.vm, 0)
+        )
+        try:
+            return await PeersStub(channel).Status(req, timeout=timeout)
+        except LINK_FAILURES:
+            self.channels.drop(server.address, channel)
+            return None
+
     def _subset(self) -> set[str]:
         entries = [m for m in self.members if m.kind == ENTRY and not m.leaving]
         local = [m.vm for m in entries if m.region == self.region]
--- a/packages/wasabideck_policy/wasabideck_policy/routing.py
+++ b/packages/wasabideck_policy/wasabideck_policy/routing.py
@@ -63,6 +63,10 @@
         The engine's lagging report, 0 idle to 1 full.
     load_at : float
         When the report was made, seconds.
+    incarnation : str
+        The agent process, as it named itself.
+    clock_ahead : float
+        At most so far is the agent's clock ahead of this process's, seconds.
     service_time : float
         Seconds that it takes for one request.
     prefixes : list of str
@@ -85,6 +89,9 @@
     prefixes: list[str] = field(factory=list)
     leaving: bool = False
     serving: bool = True
+    manifest: str = ""
+    incarnation: str = ""
+    clock_ahead: float = 0.0
 
     def pressed_by(self, now: float) -> float:
         """Requests on it now, as far as this entry can tell.
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -23,7 +23,7 @@
     def get(self, address):
         return address
 
-    def drop(self, address):
+    def drop(self, address, failed=None):
         pass
 
     def stub(self, address):
