--- a/packages/wasabideck_entry/wasabideck_entry/fleet.py
+++ b/packages/wasabideck_entry/wasabideck_entry/fleet.py
@@ -23,7 +23,13 @@
 STATUS_TIMEOUT = 1.0
 AGAIN_TIMEOUT = 0.3
 # Refusals that tell of the server, and not of the request or of the load.
-SERVER_FAILURES = {"Unreachable", "ServerRefused", "ServerDied", "ServerSilent"}
+SERVER_FAILURES = {
+    "ServerDied",
+    "ServerDown",
+    "ServerRefused",
+    "ServerSilent",
+    "Unreachable",
+}
 
 
 @define
