--- a/packages/wasabideck_agent/wasabideck_agent/manifest_reader.py
+++ b/packages/wasabideck_agent/wasabideck_agent/manifest_reader.py
@@ -67,19 +67,32 @@
         members = {m.vm: m for m in self.peers_of()}
         readers = rank(digest, members)[:READERS]
         drawn = self.rng.sample(sorted(members), min(ASKED, len(members)))
-        for vm in dict.fromkeys([*readers, *drawn]):
-            if manifest := await self._ask(members[vm], digest):
-                return manifest
+        asks = [
+            asyncio.create_task(self._ask(members[vm], digest))
+            for vm in dict.fromkeys([*readers, *drawn])
+        ]
+        # Side by side: a frozen peer answers nothing, and asked in turn it would hold
+        # up every VM of its service for as long as a call may take.
+        try:
+            for answer in asyncio.as_completed(asks, timeout=PATIENCE_SECONDS):
+                if manifest := await answer:
+                    return manifest
+        except TimeoutError:
+            return None
+        finally:
+            for ask in asks:
+                ask.cancel()
         return None
 
     async def _ask(self, member: Member, digest: str) -> Manifest | None:
-        stub = ChunksStub(self.channels.get(member.address))
+        channel = self.channels.get(member.address)
+        stub = ChunksStub(channel)
         req = pb.HoldingsRequest(manifest=digest, vm=self.vm, want_manifest=True)
         try:
             reply = await stub.Holdings(req, timeout=CALL_TIMEOUT)
             return manifest_from_json(reply.manifest_json, digest)
         except LINK_FAILURES:
-            self.channels.drop(member.address)
+            self.channels.drop(member.address, channel)
             return None
         except CorruptManifest:
             return None
--- a/tests/weights/test_transfer.py
+++ b/tests/weights/test_transfer.py
@@ -8,6 +8,7 @@
 from attrs import define, field
 from driver import manifest_of
 from grpclib.server import Server
+from wasabideck_agent import manifest_reader
 from wasabideck_agent.chunk_store import ChunkStore
 from wasabideck_agent.chunks_service import ChunksService
 from wasabideck_agent.links import Link, Links
@@ -18,6 +19,7 @@
 from wasabideck_platform.http import PlatformUnavailable
 from wasabideck_platform.settings import WeightsSettings
 from wasabideck_policy.membership import AGENT, Member
+from wasabideck_policy.rendezvous import rank
 
 TEXTS = [f"chunk {i}" for i in range(6)]
 MANIFEST = manifest_of("v1", TEXTS)
@@ -155,6 +157,30 @@
     assert asyncio.run(body()) == MANIFEST
 
 
+def test_a_frozen_peer_does_not_hold_up_the_manifest(events, monkeypatch):
+    # One agent of a service is frozen, and a ticket that is in force elsewhere within
+    # a second takes seven on every other VM of it: each asked for the manifest one
+    # peer after the other, and waited for the frozen one.
+    monkeypatch.setattr(manifest_reader, "CALL_TIMEOUT", 3600.0)
+    first, second = rank(MANIFEST.digest, ["b", "c"])
+
+    async def body():
+        frozen = await asyncio.start_server(lambda reader, writer: None, "127.0.0.1")
+        host, port = frozen.sockets[0].getsockname()[:2]
+        async with serving(second) as peer:
+            channels = Channels(events.clock)
+            peers = [Member(first, AGENT, f"{host}:{port}"), peer]
+            origin = FakeOrigin(down=True)
+            rng = random.Random(1)
+            reader = ManifestReader("a", origin, channels, lambda: peers, rng)
+            manifest = await asyncio.wait_for(reader.read(MANIFEST.digest), 20)
+            channels.close()
+        frozen.close()
+        return manifest
+
+    assert asyncio.run(body()) == MANIFEST
+
+
 def test_a_read_that_stalls_is_given_up_when_a_peer_has_the_chunk(events):
     # One VM serves the former version a minute longer than all others: its read from
     # the origin stalled, another VM read the chunk in its place, and the first went
