--- a/packages/wasabideck_agent/wasabideck_agent/__main__.py
+++ b/packages/wasabideck_agent/wasabideck_agent/__main__.py
@@ -7,7 +7,7 @@
 from wasabideck_platform.settings import AgentSettings
 from wasabideck_platform.settings_file import load_settings
 
-from .agent import serve_agent
+from .serving import serve_agent
 
 __all__ = ["main"]
 
--- /dev/null
+++ b/packages/wasabideck_agent/wasabideck_agent/assembly.py
@@ -0,0 +1,146 @@
+"""Puts an agent's parts together."""
+
+from __future__ import annotations
+
+import random
+import uuid
+
+import aiohttp
+from wasabideck_platform.channels import Channels
+from wasabideck_platform.clients import connect_platform
+from wasabideck_platform.events import Events
+from wasabideck_platform.http import HttpClient
+from wasabideck_platform.metrics import Metrics
+from wasabideck_platform.process import repeating
+from wasabideck_platform.servers import Engine, PlainService
+from wasabideck_platform.settings import PLAIN, AgentSettings
+from wasabideck_platform.spread import PeersService, Spread
+from wasabideck_platform.tls import Keys
+from wasabideck_policy.admission import Gate
+from wasabideck_policy.arrivals import Arrivals
+from wasabideck_policy.concurrency import AdaptiveLimit
+from wasabideck_policy.orders import OrderBook
+
+from .agent import Agent
+from .attempts import Attempts
+from .chunk_store import ChunkStore
+from .chunks_service import ChunksService
+from .claim_store import ClaimStore
+from .delivery_rows import DeliveryRows
+from .links import Link, Links
+from .load import LOAD_SECONDS, LoadReader
+from .once import Holder, Once
+from .orders import Orders
+from .reconcile import Reconciler
+from .runs import Runner
+from .runs_service import RunsService
+from .swap_turns import SwapTurns, ask_status
+
+__all__ = ["assemble_agent", "loops_of", "services_of"]
+
+SYNC_SECONDS = 1.0
+ROWS_SECONDS = 1.0
+FORGET_SECONDS = 5.0
+
+
+def assemble_agent(
+    cfg: AgentSettings,
+    events: Events,
+    session: aiohttp.ClientSession,
+    keys: Keys | None,
+) -> Agent:
+    """An agent made from its settings; nothing is sent or started yet."""
+    platform = connect_platform(cfg.platform, session)
+    http = HttpClient(cfg.server.url, cfg.platform.timeout_seconds, session)
+    plain = cfg.server.kind == PLAIN
+    channels = Channels(events.clock, keys and keys.inner_client)
+    spread = Spread(cfg.process.vm, events)
+    # Never drawn from the seed: a process that starts again with the same settings
+    # must not pass for the one that died.
+    incarnation = uuid.uuid4().hex
+    holder = Holder(cfg.process.vm, "", incarnation)
+    runner = Runner(
+        vm=cfg.process.vm,
+        gate=Gate(cfg.server.capacity),
+        events=events,
+        engine=None if plain else Engine(http),
+        plain=PlainService(http) if plain else None,
+        once=Once(holder, ClaimStore(platform.table, events), channels, events),
+        attempts=Attempts(Arrivals(incarnation)),
+        quarantine=spread.quarantine,
+    )
+    if not cfg.server.reports_load:
+        most = cfg.server.capacity
+        runner.slots.limit = AdaptiveLimit(limit=most, most=most)
+    store = ChunkStore()
+    rate = cfg.weights.link_rate
+    links = Links(Link(rate), Link(rate), Link(cfg.weights.region_rate))
+    return Agent(
+        cfg,
+        events,
+        channels,
+        platform,
+        spread,
+        runner,
+        store,
+        ChunksService(store, links, cfg.weights.uploads),
+        links,
+        Metrics(),
+        LoadReader(runner.engine if cfg.server.reports_load else None),
+        DeliveryRows(platform.table),
+    )
+
+
+def services_of(agent: Agent) -> list:
+    """Services of the inner protocol that an agent answers."""
+    agent.teller = PeersService(agent.spread, agent.status)
+    return [RunsService(agent.runner), agent.teller, agent.chunks]
+
+
+def loops_of(agent: Agent) -> list:
+    """What an agent does for ever, as coroutines to be run side by side."""
+    every = repeating(agent.events)
+    loops = [
+        every(agent.cfg.platform.poll_seconds, agent.read_members),
+        every(SYNC_SECONDS, agent.hear_state),
+        every(LOAD_SECONDS, agent.load.read),
+        every(FORGET_SECONDS, agent.forget_old),
+    ]
+    if agent.runner.engine:
+        reconciler = _reconciler(agent)
+        loops.append(reconciler.run())
+        loops.append(every(ROWS_SECONDS, reconciler.rows.write))
+    return loops
+
+
+def _reconciler(agent: Agent) -> Reconciler:
+    reconciler: Reconciler
+    orders = Orders(
+        agent.runner.engine,
+        agent.runner,
+        agent.events,
+        OrderBook(agent.cfg.server.checks_fencing),
+        lambda: reconciler.wanted(),
+    )
+    turns = SwapTurns(
+        agent.vm,
+        agent.peers,
+        ask_status(agent.vm, agent.channels),
+        random.Random(f"{agent.cfg.seed}/{agent.vm}/turns"),
+    )
+    reconciler = Reconciler(
+        agent.vm,
+        agent.cfg.server.service,
+        agent.runner.engine,
+        orders,
+        agent.spread,
+        agent.manifests().read,
+        agent.rows,
+        agent.store,
+        agent.events,
+        agent.metrics,
+        agent.make_transfer,
+        lambda ticket: turns.wait(ticket, orders.swap_seconds),
+    )
+    agent.orders = orders
+    return reconciler
--- /dev/null
+++ b/packages/wasabideck_agent/wasabideck_agent/serving.py
@@ -0,0 +1,108 @@
+"""Runs an agent from its start to its graceful stop."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+
+import aiohttp
+from aiohttp import web
+from wasabideck_platform.channels import observe_clock
+from wasabideck_platform.events import EventFile, open_events
+from wasabideck_platform.inner_limits import InnerServer
+from wasabideck_platform.metrics import render_metrics
+from wasabideck_platform.process import (
+    announce_ready,
+    binding,
+    first_of,
+    reread_keys,
+)
+from wasabideck_platform.settings import AgentSettings, split_address
+from wasabideck_platform.tls import Keys
+from wasabideck_policy.membership import AGENT
+
+from .agent import Agent
+from .assembly import assemble_agent, loops_of, services_of
+from .links import give_way_to_live
+
+__all__ = ["serve_agent"]
+
+DRAIN_SECONDS = 60.0
+DRAIN_PAUSE = 0.02
+# Who watches is told at once; this is for those whose stream is being replaced.
+LEAVING_SECONDS = 1.0
+QUIET_SECONDS = 0.3
+
+
+async def serve_agent(cfg: AgentSettings, stop: asyncio.Event) -> None:
+    """Serve until ``stop`` is set, then finish what is in progress."""
+    events, file = open_events(cfg.process.vm, cfg.process.events)
+    keys = Keys(cfg.tls) if cfg.tls else None
+    async with aiohttp.ClientSession() as session:
+        agent = assemble_agent(cfg, events, session, keys)
+        events.listeners.append(agent.metrics.count)
+        server = InnerServer(services_of(agent))
+        observe_clock(server, events.clock)
+        give_way_to_live(server, agent.links)
+        host, port = split_address(cfg.process.inner)
+        with binding(cfg.process.inner):
+            await server.start(host, port, ssl=keys and keys.inner_server)
+        http = await _serve_http(agent, file, keys)
+        inner = server._server.sockets[0].getsockname()
+        events.emit("process.ready", kind=AGENT)
+        agent.runner.once.holder.address = f"{inner[0]}:{inner[1]}"
+        announce_ready(vm=agent.vm, inner=f"{inner[0]}:{inner[1]}", http=http)
+        loops = [*loops_of(agent), *reread_keys(keys, events)]
+        tasks = [asyncio.create_task(loop) for loop in loops]
+        await first_of(stop, tasks)
+        await _drain(agent)
+        for task in tasks:
+            task.cancel()
+        server.close()
+        agent.channels.close()
+        events.emit("process.stopped", kind=AGENT)
+
+
+async def _drain(agent: Agent) -> None:
+    """Refuse new work, and finish what is in progress.
+
+    Whoever watches is told at once. The socket listens on until every entry has
+    heard that this server leaves, by its word or by a refusal: a request that met a
+    closing connection would be neither run nor certainly not run.
+    """
+    agent.runner.gate.leaving = True
+    agent.teller.tell()
+    agent.events.emit("process.leaving", kind=AGENT)
+    limit = time.monotonic() + DRAIN_SECONDS
+    await asyncio.sleep(LEAVING_SECONDS)
+    while not agent.runner.idle(QUIET_SECONDS) and time.monotonic() < limit:
+        await asyncio.sleep(DRAIN_PAUSE)
+    if agent.orders:
+        # The next agent beside this engine could not know of an order in flight.
+        await agent.orders.finish()
+    await agent.rows.write()
+
+
+async def _serve_http(agent: Agent, file: EventFile, keys: Keys | None) -> str:
+    """Serve /metrics and /ready; the bound address."""
+
+    async def metrics(req: web.Request) -> web.Response:
+        agent.metrics.in_progress.set({}, len(agent.runner.attempts.in_progress()))
+        agent.metrics.events_lost.set({}, file.lost)
+        agent.count_links()
+        body, headers = render_metrics(agent.metrics, req.headers.get("accept", ""))
+        return web.Response(body=body, headers=headers)
+
+    async def ready(req: web.Request) -> web.Response:
+        return web.Response(status=200 if agent.runner.gate.open else 503)
+
+    app = web.Application()
+    app.add_routes([web.get("/metrics", metrics), web.get("/ready", ready)])
+    runner = web.AppRunner(app, access_log=None)
+    await runner.setup()
+    host, port = split_address(agent.cfg.process.http)
+    site = web.TCPSite(runner, host, port, ssl_context=keys and keys.http)
+    with binding(agent.cfg.process.http):
+        await site.start()
+    bound = runner.addresses[0]
+    return f"{bound[0]}:{bound[1]}"
