Take a connection dropped meanwhile for a link failure; begin failed watches anew

The same moment would have been a 500 for a caller's request. Ruled out: catching AttributeError where calls are made, which would hide our own. Change: a stream is not opened on a connection that is closing, which is a link failure; and a watch that ended for whatever reason is begun again. Both tests failed on the former code, pass now.

--- a/packages/wasabideck_entry/wasabideck_entry/watching.py
+++ b/packages/wasabideck_entry/wasabideck_entry/watching.py
@@ -44,8 +44,9 @@
     def _follow_fleet(self) -> None:
         servers = self.fleet.servers
         for vm, (server, task) in list(self._watches.items()):
-            # A server at another address is another one, of the same name.
-            if servers.get(vm) is not server:
+            # A server at another address is another one, of the same name. A watch
+            # that failed is begun anew: without one, its server's last word stays.
+            if servers.get(vm) is not server or task.done():
                 task.cancel()
                 del self._watches[vm]
         for vm, server in servers.items():
--- a/packages/wasabideck_platform/wasabideck_platform/inner_limits.py
+++ b/packages/wasabideck_platform/wasabideck_platform/inner_limits.py
@@ -70,6 +70,10 @@
         create = connection.create_stream
 
         def create_stream(**options: object) -> object:
+            # Another call on this connection may have dropped it since it was made;
+            # grpclib then fails with an AttributeError, which no caller expects.
+            if connection.is_closing():
+                raise StreamTerminatedError("the connection was closed meanwhile")
             stream = create(**options)
             stream.recv_data = _bounded(stream.recv_data)
             return stream
--- a/tests/test_watching.py
+++ b/tests/test_watching.py
@@ -7,11 +7,12 @@
 from grpclib.server import Server
 from wasabideck_entry.fleet import Fleet
 from wasabideck_entry.watching import Watching
-from wasabideck_platform.channels import Channels
+from wasabideck_platform.channels import LINK_FAILURES, Channels
 from wasabideck_platform.events import Clock
 from wasabideck_platform.spread import PeersService
 from wasabideck_policy.membership import AGENT, ENTRY, Member
 from wasabideck_wire import inner_pb2 as pb
+from wasabideck_wire.inner_grpc import PeersStub
 
 
 class Peers(PeersService):
@@ -116,6 +117,47 @@
     watched(body)
 
 
+def test_a_connection_dropped_by_another_call_is_a_link_failure(watched):
+    # One of many calls on a connection finds it broken and closes it, in the moment
+    # between another call's connecting and its sending. That one ended in an
+    # AttributeError of grpclib, which nothing expects, and its watch with it.
+    async def body(agent, fleet):
+        channel = fleet.channels.get(fleet.servers["a"].address)
+        protocol = await channel.__connect__()
+
+        async def connected():
+            return protocol
+
+        protocol.connection.close()
+        channel.__connect__ = connected
+        with pytest.raises(LINK_FAILURES):
+            await PeersStub(channel).Status(pb.StatusRequest(), timeout=5)
+
+    watched(body)
+
+
+def test_a_watch_that_failed_is_begun_anew(watched, monkeypatch):
+    # Any error that nobody foresaw ends a watch. The server's last word would stay
+    # for good, "serving" for one that is long gone.
+    monkeypatch.setattr("wasabideck_entry.watching.poll_pause", lambda servers: 0.05)
+
+    async def body(agent, fleet):
+        ask, fails = fleet.ask, [ValueError("unforeseen")]
+
+        async def ask_or_fail(server):
+            if fails:
+                raise fails.pop()
+            return await ask(server)
+
+        monkeypatch.setattr(Fleet, "ask", lambda self, server: ask_or_fail(server))
+        fleet.channels.close()
+        await until(lambda: not fails)
+        agent.reply.serving = False
+        await until(lambda: not fleet.candidates("s", set()))
+
+    watched(body)
+
+
 def test_the_agents_clock_is_taken_from_its_fastest_word(watched):
     # Words wait while an entry is frozen; the clock that they tell is that of long
     # ago, and requests were refused as late until the next word.
