Ask a server that gave no answer again soon

Change: again after a quarter of a second, doubling to two; and a broken stream is replaced at once, only the first one of an entry waits for its place in the round.

--- a/packages/wasabideck_entry/wasabideck_entry/watching.py
+++ b/packages/wasabideck_entry/wasabideck_entry/watching.py
@@ -21,6 +21,9 @@
 __all__ = ["Watching"]
 
 LOOK_SECONDS = 0.25
+SHORTEST_DELAY = 0.05
+FIRST_BACKOFF = 0.25
+LONGEST_BACKOFF = 2.0
 
 
 @define
@@ -55,13 +58,20 @@
                 self._watches[vm] = server, task
 
     async def _watch(self, server: Server) -> None:
+        # All watches begin with the entry. Their words would come all at once for as
+        # long as it runs, and between them nothing.
+        delay = self._pause() * self.rng.random()
+        failed = 0
         while True:
-            answered = await self.fleet.ask(server)
-            # All watches begin with the entry. Their words would come all at once
-            # for as long as it runs, and between them nothing.
-            await asyncio.sleep(self._pause() * self.rng.random())
-            if answered:
+            if await self.fleet.ask(server):
+                await asyncio.sleep(delay)
                 await self._listen(server)
+                delay, failed = SHORTEST_DELAY, 0
+            else:
+                # Asked again soon: when all links were cut for a moment, no server
+                # is left until the first that answers.
+                await asyncio.sleep(_backoff(failed) * (0.5 + self.rng.random() / 2))
+                failed += 1
 
     async def _listen(self, server: Server) -> None:
         """Take a server's words in until its stream breaks or goes silent."""
@@ -81,3 +91,8 @@
 
     def _pause(self) -> float:
         return poll_pause(len(self.fleet.servers))
+
+
+def _backoff(failed: int) -> float:
+    """Seconds until a server that gave no answer is asked again."""
+    return min(LONGEST_BACKOFF, FIRST_BACKOFF * 2**failed)
