--- a/packages/wasabideck_policy/wasabideck_policy/subsets.py
+++ b/packages/wasabideck_policy/wasabideck_policy/subsets.py
@@ -30,8 +30,8 @@
 OWN_REGION = Width(least=12, coverage=3)
 # Only what spills goes to another region, and an entry there covers each server.
 OTHER_REGION = Width(least=4, coverage=1)
-# Questions of status a second that an entry sends: some 400 bytes each, so that they
-# take up half of the 15 KB/s that control may cost it.
+# Words of status a second that an entry hears. Each costs it about half a millisecond
+# of processor time, and all control together may cost it ten in a second.
 POLLS_PER_SECOND = 8.0
 SHORTEST_PAUSE = 0.25
 
@@ -57,7 +57,7 @@
 
 
 def poll_pause(servers: int) -> float:
-    """Seconds between two rounds of asking so many servers."""
+    """Seconds between two words of one of so many servers."""
     return max(SHORTEST_PAUSE, servers / POLLS_PER_SECOND)
 
 
