Prove that a barred order does not run when its agent wakes

Breaking either half of the bar in a scratch copy (not written; not heeded by the agent) went unnoticed: the other server had run the order by then, and a vanished reader stopped the first as well. The new test fails on each and passes with both.

--- a/tests/test_lost_and_crashing.py
+++ b/tests/test_lost_and_crashing.py
@@ -13,6 +13,7 @@
     caller_of,
     draft,
     engine_agent,
+    order,
     server_of,
 )
 from wasabideck_policy.outcomes import Answered, NotRun, Unknown
@@ -117,6 +118,35 @@
     asyncio.run(body())
 
 
+def test_a_barred_order_does_not_run_when_its_agent_wakes():
+    """The only server's agent is paused before it claims an order; the caller is
+    told "not run". The agent wakes, with time left, and still has the order.
+
+    Its attempt is barred in the claim's row, so it gives up; another try may run.
+    """
+
+    async def body():
+        held, table = FakeTable(hold=asyncio.Event()), FakeTable()
+        held.rows = table.rows
+        one = await FakeAgent("order-1", held, plain=FakePlain()).serve()
+        caller = caller_of(server_of(one), table=table)
+        asked = asyncio.create_task(answer(caller, call(False, key="k1")))
+        await held.entered.wait()
+        attempt = one.runner.attempts.in_progress()[0]
+        with attempt.reading(one.now):
+            one.server.close()
+            _, outcome = await asked
+            held.hold.set()
+            final = await one.final(attempt)
+        assert isinstance(outcome, NotRun) and outcome.settled
+        assert (final.reason, one.plain.runs) == ("Cancelled", {})
+        assert (await one.run(order("a2", digest="digest"))).settled is False
+        assert one.plain.runs == {"k1": 1}
+        one.close(), caller.channels.close()
+
+    asyncio.run(body())
+
+
 def test_a_resent_order_is_not_refused_for_what_its_first_try_may_have_done():
     """An entry is killed with an order on it; the caller resends its key elsewhere.
 
