--- a/tests/test_watching.py
+++ b/tests/test_watching.py
@@ -150,6 +150,7 @@
             return await ask(server)
 
         monkeypatch.setattr(Fleet, "ask", lambda self, server: ask_or_fail(server))
+        await until(lambda: agent.words >= 2)
         fleet.channels.close()
         await until(lambda: not fails)
         agent.reply.serving = False
