End the step in progress when an agent stops

Its exit code was 0 all the same. Now the step ends with its loop, and both processes wait (2 s at most) for what they cancelled before they close what it uses. The new test fails on the former code.

--- a/packages/wasabideck_agent/wasabideck_agent/reconcile.py
+++ b/packages/wasabideck_agent/wasabideck_agent/reconcile.py
@@ -69,12 +69,14 @@
         while True:
             changed.clear()
             step = asyncio.create_task(self._settle())
-            await self._until_superseded(step, changed)
-            # A newer ticket supersedes a transfer in progress: chunks that both
-            # versions share stay in the store, nothing else of it is kept. An
-            # order in flight is not cancelled by this.
-            step.cancel()
-            await asyncio.wait({step})
+            try:
+                await self._until_superseded(step, changed)
+            finally:
+                # A newer ticket supersedes a transfer in progress: chunks that both
+                # versions share stay in the store, nothing else of it is kept. An
+                # order in flight is not cancelled by this.
+                step.cancel()
+                await asyncio.wait({step})
 
     async def _until_superseded(
         self, step: asyncio.Task, changed: asyncio.Event
@@ -87,9 +89,11 @@
         aims = self.wanted(), self.standby()
         while aims == (self.wanted(), self.standby()):
             newer = asyncio.create_task(changed.wait())
-            await asyncio.wait({step, newer}, return_when=asyncio.FIRST_COMPLETED)
-            if step.done():
+            try:
+                await asyncio.wait({step, newer}, return_when=asyncio.FIRST_COMPLETED)
+            finally:
                 newer.cancel()
+            if step.done():
                 step.result()
             changed.clear()
 
--- a/packages/wasabideck_agent/wasabideck_agent/serving.py
+++ b/packages/wasabideck_agent/wasabideck_agent/serving.py
@@ -14,6 +14,7 @@
 from wasabideck_platform.process import (
     announce_ready,
     binding,
+    cancel_all,
     first_of,
     reread_keys,
 )
@@ -56,8 +57,7 @@
         tasks = [asyncio.create_task(loop) for loop in loops]
         await first_of(stop, tasks)
         await _drain(agent)
-        for task in tasks:
-            task.cancel()
+        await cancel_all(tasks)
         server.close()
         agent.channels.close()
         events.emit("process.stopped", kind=AGENT)
--- a/packages/wasabideck_entry/wasabideck_entry/entry.py
+++ b/packages/wasabideck_entry/wasabideck_entry/entry.py
@@ -20,6 +20,7 @@
 from wasabideck_platform.process import (
     announce_ready,
     binding,
+    cancel_all,
     first_of,
     repeating,
     reread_keys,
@@ -173,8 +174,7 @@
         tasks = [asyncio.create_task(loop) for loop in loops]
         await first_of(stop, tasks)
         await _drain(entry)
-        for task in tasks:
-            task.cancel()
+        await cancel_all(tasks)
         server.close()
         entry.channels.close()
         events.emit("process.stopped", kind=ENTRY)
--- a/packages/wasabideck_platform/wasabideck_platform/process.py
+++ b/packages/wasabideck_platform/wasabideck_platform/process.py
@@ -20,6 +20,7 @@
     "AddressUnusable",
     "announce_ready",
     "binding",
+    "cancel_all",
     "every",
     "first_of",
     "repeating",
@@ -31,6 +32,7 @@
 
 STOPS = (signal.SIGTERM, signal.SIGINT)
 KEYS_SECONDS = 1.0
+CANCEL_SECONDS = 2.0
 
 
 def run_process(main: Callable[[asyncio.Event], Awaitable[None]]) -> None:
@@ -139,3 +141,14 @@
     stopped.cancel()
     for task in done - {stopped}:
         task.result()
+
+
+async def cancel_all(tasks: list[asyncio.Task]) -> None:
+    """Cancel tasks and wait until they have ended, so that none uses what closes.
+
+    Not for ever: a task that swallows its cancellation must not keep a VM from
+    being replaced.
+    """
+    for task in tasks:
+        task.cancel()
+    await asyncio.wait(tasks, timeout=CANCEL_SECONDS)
--- a/tests/tickets/test_reconcile.py
+++ b/tests/tickets/test_reconcile.py
@@ -172,3 +172,20 @@
     assert server.ordered[1][2] == {WEIGHTS["v1"][0].digest: 2, tone: 2}
     assert server.rows == [("model", 1), ("adapter:tone", 2)]
     assert wanted_of(spread.state, "a", "vm-1").ticket == 3
+
+
+def test_a_stop_ends_the_step_in_progress(scene):
+    """A stopped agent's log ended in a traceback: its transfer went on after the
+    loops were cancelled, and met a closed session."""
+    server, spread, reconciler = scene
+
+    async def run():
+        spread.merge([names(1, "a", "v1")], 1)
+        task = asyncio.create_task(reconciler.run())
+        await server.until(lambda: server.begun)
+        task.cancel()
+        await asyncio.wait({task})
+        left = asyncio.all_tasks() - {asyncio.current_task()}
+        return [task.get_coro().__qualname__ for task in left]
+
+    assert asyncio.run(run()) == []
