--- a/packages/wasabideck_entry/wasabideck_entry/fleet.py
+++ b/packages/wasabideck_entry/wasabideck_entry/fleet.py
@@ -42,6 +42,8 @@
         The platform's last list.
     servers : dict of str to Server
         The servers that this entry uses, by VM.
+    changed : asyncio.Event
+        Set when the servers may have changed; whoever follows them clears it.
     """
 
     vm: str
@@ -51,6 +53,7 @@
     servers: dict[str, Server] = field(factory=dict)
     statuses: dict[str, pb.StatusReply] = field(factory=dict)
     outliers: Outliers = field(factory=Outliers)
+    changed: asyncio.Event = field(factory=asyncio.Event)
     clock: Callable[[], float] = time.monotonic
     _observed: dict[str, Observed] = field(factory=dict)
     _cache_seen: dict[str, int] = field(factory=dict)
@@ -62,6 +65,7 @@
         self._observed = join(self._observed, agents, self.clock())
         used = self._subset()
         self.servers = {vm: self._server(vm) for vm in sorted(used)}
+        self.changed.set()
         for known in (self.statuses, self._cache_seen):
             for vm in known.keys() - self.servers.keys():
                 del known[vm]
--- a/packages/wasabideck_entry/wasabideck_entry/watching.py
+++ b/packages/wasabideck_entry/wasabideck_entry/watching.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import random
 
 from attrs import define, field
@@ -38,8 +39,11 @@
         """Begin and end watches as servers come and go, for ever."""
         try:
             while True:
+                self.fleet.changed.clear()
                 self._follow_fleet()
-                await asyncio.sleep(LOOK_SECONDS)
+                with contextlib.suppress(TimeoutError):
+                    async with asyncio.timeout(LOOK_SECONDS):
+                        await self.fleet.changed.wait()
         finally:
             for _, task in self._watches.values():
                 task.cancel()
--- a/tests/test_watching.py
+++ b/tests/test_watching.py
@@ -136,6 +136,22 @@
     watched(body)
 
 
+def test_a_server_at_a_new_address_is_asked_at_once(watched, monkeypatch):
+    # All agents are replaced and the list has their new addresses. Every request was
+    # refused, NoServer, until the watches were looked through a quarter of a second
+    # later.
+    monkeypatch.setattr("wasabideck_entry.watching.LOOK_SECONDS", 3600.0)
+
+    async def body(agent, fleet):
+        other = Agent()
+        address = await other.start()
+        fleet.take_members([Member("a", AGENT, address, service="s")])
+        await until(lambda: other.words and fleet.candidates("s", set()))
+        other.server.close()
+
+    watched(body)
+
+
 def test_a_watch_that_failed_is_begun_anew(watched, monkeypatch):
     # Any error that nobody foresaw ends a watch. The server's last word would stay
     # for good, "serving" for one that is long gone.
