--- a/packages/wasabideck_agent/wasabideck_agent/__main__.py
+++ b/packages/wasabideck_agent/wasabideck_agent/__main__.py
@@ -2,10 +2,10 @@
 
 from __future__ import annotations
 
-from wasabideck_platform.command_line import commands, run_commands
-from wasabideck_platform.process import run_process
-from wasabideck_platform.settings import AgentSettings
-from wasabideck_platform.settings_file import load_settings
+from wasabideck_base.command_line import commands, run_commands
+from wasabideck_base.process import run_process
+from wasabideck_base.settings import AgentSettings
+from wasabideck_base.settings_file import load_settings
 
 from .serving import serve_agent
 
--- a/packages/wasabideck_agent/wasabideck_agent/agent.py
+++ b/packages/wasabideck_agent/wasabideck_agent/agent.py
@@ -7,13 +7,13 @@
 import time
 
 from attrs import define, field
-from wasabideck_platform.channels import LINK_FAILURES, Channels
-from wasabideck_platform.clients import Platform
-from wasabideck_platform.events import Events
-from wasabideck_platform.http import PlatformUnavailable
-from wasabideck_platform.metrics import Metrics
-from wasabideck_platform.settings import PLAIN, AgentSettings
-from wasabideck_platform.spread import PeersService, Spread
+from wasabideck_base.channels import LINK_FAILURES, Channels
+from wasabideck_base.clients import Platform
+from wasabideck_base.events import Events
+from wasabideck_base.http import PlatformUnavailable
+from wasabideck_base.metrics import Metrics
+from wasabideck_base.settings import PLAIN, AgentSettings
+from wasabideck_base.spread import PeersService, Spread
 from wasabideck_policy.manifests import Manifest
 from wasabideck_policy.membership import AGENT, Member, Watch, watched
 from wasabideck_wire import inner_pb2 as pb
--- a/packages/wasabideck_agent/wasabideck_agent/assembly.py
+++ b/packages/wasabideck_agent/wasabideck_agent/assembly.py
@@ -6,16 +6,16 @@
 import uuid
 
 import aiohttp
-from wasabideck_platform.channels import Channels
-from wasabideck_platform.clients import connect_platform
-from wasabideck_platform.events import Events
-from wasabideck_platform.http import HttpClient
-from wasabideck_platform.metrics import Metrics
-from wasabideck_platform.process import repeating
-from wasabideck_platform.servers import Engine, PlainService
-from wasabideck_platform.settings import PLAIN, AgentSettings
-from wasabideck_platform.spread import PeersService, Spread
-from wasabideck_platform.tls import Keys
+from wasabideck_base.channels import Channels
+from wasabideck_base.clients import connect_platform
+from wasabideck_base.events import Events
+from wasabideck_base.http import HttpClient
+from wasabideck_base.metrics import Metrics
+from wasabideck_base.process import repeating
+from wasabideck_base.servers import Engine, PlainService
+from wasabideck_base.settings import PLAIN, AgentSettings
+from wasabideck_base.spread import PeersService, Spread
+from wasabideck_base.tls import Keys
 from wasabideck_policy.admission import Gate
 from wasabideck_policy.arrivals import Arrivals
 from wasabideck_policy.concurrency import AdaptiveLimit
--- a/packages/wasabideck_agent/wasabideck_agent/claim_batch.py
+++ b/packages/wasabideck_agent/wasabideck_agent/claim_batch.py
@@ -6,8 +6,8 @@
 from collections.abc import Callable
 
 from attrs import define, field
-from wasabideck_platform.http import PlatformUnavailable
-from wasabideck_platform.table import Check, CheckFailed, Table, Write
+from wasabideck_base.http import PlatformUnavailable
+from wasabideck_base.table import Check, CheckFailed, Table, Write
 
 __all__ = ["ClaimBatch"]
 
--- a/packages/wasabideck_agent/wasabideck_agent/claim_store.py
+++ b/packages/wasabideck_agent/wasabideck_agent/claim_store.py
@@ -6,10 +6,10 @@
 import base64
 
 from attrs import asdict, define, evolve, field
-from wasabideck_platform.claim_rows import CLAIMS, claim_write, read_claim
-from wasabideck_platform.events import Events
-from wasabideck_platform.http import PlatformUnavailable
-from wasabideck_platform.table import Check, CheckFailed, Table, Write
+from wasabideck_base.claim_rows import CLAIMS, claim_write, read_claim
+from wasabideck_base.events import Events
+from wasabideck_base.http import PlatformUnavailable
+from wasabideck_base.table import Check, CheckFailed, Table, Write
 from wasabideck_policy.claims import (
     DONE,
     RELEASED,
--- a/packages/wasabideck_agent/wasabideck_agent/delivery_rows.py
+++ b/packages/wasabideck_agent/wasabideck_agent/delivery_rows.py
@@ -3,8 +3,8 @@
 from __future__ import annotations
 
 from attrs import asdict, define, field
-from wasabideck_platform.http import PlatformRefused, PlatformUnavailable
-from wasabideck_platform.table import Check, Table, Write
+from wasabideck_base.http import PlatformRefused, PlatformUnavailable
+from wasabideck_base.table import Check, Table, Write
 from wasabideck_policy.deliveries import Delivery, row_key
 
 __all__ = ["DeliveryRows"]
--- a/packages/wasabideck_agent/wasabideck_agent/load.py
+++ b/packages/wasabideck_agent/wasabideck_agent/load.py
@@ -6,8 +6,8 @@
 from collections.abc import Callable
 
 from attrs import define, field
-from wasabideck_platform.http import PlatformUnavailable, understood
-from wasabideck_platform.servers import Engine
+from wasabideck_base.http import PlatformUnavailable, understood
+from wasabideck_base.servers import Engine
 from wasabideck_policy.affinity import CacheView
 
 __all__ = ["LOAD_SECONDS", "LoadReader"]
--- a/packages/wasabideck_agent/wasabideck_agent/manifest_reader.py
+++ b/packages/wasabideck_agent/wasabideck_agent/manifest_reader.py
@@ -8,8 +8,8 @@
 from collections.abc import Callable
 
 from attrs import define
-from wasabideck_platform.channels import LINK_FAILURES, Channels
-from wasabideck_platform.weights import Origin
+from wasabideck_base.channels import LINK_FAILURES, Channels
+from wasabideck_base.weights import Origin
 from wasabideck_policy.manifests import CorruptManifest, Manifest, manifest_from_json
 from wasabideck_policy.membership import Member
 from wasabideck_policy.rendezvous import rank
--- a/packages/wasabideck_agent/wasabideck_agent/orders.py
+++ b/packages/wasabideck_agent/wasabideck_agent/orders.py
@@ -7,9 +7,9 @@
 from collections.abc import Awaitable, Callable, Mapping
 
 from attrs import define
-from wasabideck_platform.events import Events
-from wasabideck_platform.http import PlatformRefused, PlatformUnavailable
-from wasabideck_platform.servers import Engine, Loaded
+from wasabideck_base.events import Events
+from wasabideck_base.http import PlatformRefused, PlatformUnavailable
+from wasabideck_base.servers import Engine, Loaded
 from wasabideck_policy.orders import (
     OrderBook,
     gate_open,
--- a/packages/wasabideck_agent/wasabideck_agent/reconcile.py
+++ b/packages/wasabideck_agent/wasabideck_agent/reconcile.py
@@ -7,11 +7,11 @@
 from collections.abc import Awaitable, Callable
 
 from attrs import define, field
-from wasabideck_platform.events import Events
-from wasabideck_platform.http import PlatformRefused, PlatformUnavailable
-from wasabideck_platform.metrics import Metrics
-from wasabideck_platform.servers import Engine
-from wasabideck_platform.spread import Spread
+from wasabideck_base.events import Events
+from wasabideck_base.http import PlatformRefused, PlatformUnavailable
+from wasabideck_base.metrics import Metrics
+from wasabideck_base.servers import Engine
+from wasabideck_base.spread import Spread
 from wasabideck_policy.deliveries import Delivery
 from wasabideck_policy.manifests import CorruptManifest, Manifest
 from wasabideck_policy.orders import matches
--- a/packages/wasabideck_agent/wasabideck_agent/runs.py
+++ b/packages/wasabideck_agent/wasabideck_agent/runs.py
@@ -7,9 +7,9 @@
 from collections.abc import Callable
 
 from attrs import define, field
-from wasabideck_platform.events import Events
-from wasabideck_platform.http import PlatformRefused, PlatformUnavailable
-from wasabideck_platform.servers import (
+from wasabideck_base.events import Events
+from wasabideck_base.http import PlatformRefused, PlatformUnavailable
+from wasabideck_base.servers import (
     Engine,
     Generation,
     Loaded,
--- a/packages/wasabideck_agent/wasabideck_agent/serving.py
+++ b/packages/wasabideck_agent/wasabideck_agent/serving.py
@@ -7,19 +7,19 @@
 
 import aiohttp
 from aiohttp import web
-from wasabideck_platform.channels import observe_clock
-from wasabideck_platform.events import EventFile, open_events
-from wasabideck_platform.inner_limits import InnerServer
-from wasabideck_platform.metrics import render_metrics
-from wasabideck_platform.process import (
+from wasabideck_base.channels import observe_clock
+from wasabideck_base.events import EventFile, open_events
+from wasabideck_base.inner_limits import InnerServer
+from wasabideck_base.metrics import render_metrics
+from wasabideck_base.process import (
     announce_ready,
     binding,
     cancel_all,
     first_of,
     reread_keys,
 )
-from wasabideck_platform.settings import AgentSettings, split_address
-from wasabideck_platform.tls import Keys
+from wasabideck_base.settings import AgentSettings, split_address
+from wasabideck_base.tls import Keys
 from wasabideck_policy.membership import AGENT
 
 from .agent import Agent
--- a/packages/wasabideck_agent/wasabideck_agent/swap_turns.py
+++ b/packages/wasabideck_agent/wasabideck_agent/swap_turns.py
@@ -8,7 +8,7 @@
 from collections.abc import Awaitable, Callable
 
 from attrs import define, field
-from wasabideck_platform.channels import LINK_FAILURES, Channels
+from wasabideck_base.channels import LINK_FAILURES, Channels
 from wasabideck_policy.membership import Member
 from wasabideck_policy.turns import may_swap, own_turn, patience
 from wasabideck_wire import inner_pb2 as pb
--- a/packages/wasabideck_agent/wasabideck_agent/transfer.py
+++ b/packages/wasabideck_agent/wasabideck_agent/transfer.py
@@ -10,11 +10,11 @@
 from functools import partial
 
 from attrs import define, field
-from wasabideck_platform.channels import LINK_FAILURES, Channels
-from wasabideck_platform.events import Events
-from wasabideck_platform.http import PlatformRefused, PlatformUnavailable
-from wasabideck_platform.settings import WeightsSettings
-from wasabideck_platform.weights import Origin
+from wasabideck_base.channels import LINK_FAILURES, Channels
+from wasabideck_base.events import Events
+from wasabideck_base.http import PlatformRefused, PlatformUnavailable
+from wasabideck_base.settings import WeightsSettings
+from wasabideck_base.weights import Origin
 from wasabideck_policy.baselines import POLICIES
 from wasabideck_policy.manifests import CorruptChunk, Manifest
 from wasabideck_policy.membership import Member
--- a/packages/wasabideck_entry/wasabideck_entry/__main__.py
+++ b/packages/wasabideck_entry/wasabideck_entry/__main__.py
@@ -2,8 +2,8 @@
 
 from __future__ import annotations
 
-from wasabideck_platform.command_line import CommandError, commands, run_commands
-from wasabideck_platform.process import run_process
+from wasabideck_base.command_line import CommandError, commands, run_commands
+from wasabideck_base.process import run_process
 
 from .access import operator_client
 from .entry import serve_entry
--- a/packages/wasabideck_entry/wasabideck_entry/access.py
+++ b/packages/wasabideck_entry/wasabideck_entry/access.py
@@ -6,11 +6,11 @@
 from collections.abc import Mapping
 
 from attrs import evolve
-from wasabideck_platform.command_line import CommandError
-from wasabideck_platform.settings import AccessSettings
-from wasabideck_platform.settings_checks import CHECKS
-from wasabideck_platform.settings_file import load_settings
-from wasabideck_platform.settings_values import WrongValue
+from wasabideck_base.command_line import CommandError
+from wasabideck_base.settings import AccessSettings
+from wasabideck_base.settings_checks import CHECKS
+from wasabideck_base.settings_file import load_settings
+from wasabideck_base.settings_values import WrongValue
 
 from .operator_client import OperatorClient
 
--- a/packages/wasabideck_entry/wasabideck_entry/calls.py
+++ b/packages/wasabideck_entry/wasabideck_entry/calls.py
@@ -10,8 +10,8 @@
 from contextlib import aclosing
 
 from attrs import define, field, frozen
-from wasabideck_platform.channels import Channels
-from wasabideck_platform.events import Events
+from wasabideck_base.channels import Channels
+from wasabideck_base.events import Events
 from wasabideck_policy.affinity import prefix_name
 from wasabideck_policy.outcomes import Failure, NotRun, Outcome, Unknown
 from wasabideck_policy.retry import RetryBudget, costs_nothing, may_retry
--- a/packages/wasabideck_entry/wasabideck_entry/entry.py
+++ b/packages/wasabideck_entry/wasabideck_entry/entry.py
@@ -11,13 +11,13 @@
 from attrs import define
 from sanic import Request, Sanic
 from sanic.server import AsyncioServer
-from wasabideck_platform.channels import LINK_FAILURES, Channels, observe_clock
-from wasabideck_platform.clients import Platform, connect_platform
-from wasabideck_platform.events import Events, open_events
-from wasabideck_platform.http import PlatformUnavailable
-from wasabideck_platform.inner_limits import InnerServer
-from wasabideck_platform.metrics import Metrics
-from wasabideck_platform.process import (
+from wasabideck_base.channels import LINK_FAILURES, Channels, observe_clock
+from wasabideck_base.clients import Platform, connect_platform
+from wasabideck_base.events import Events, open_events
+from wasabideck_base.http import PlatformUnavailable
+from wasabideck_base.inner_limits import InnerServer
+from wasabideck_base.metrics import Metrics
+from wasabideck_base.process import (
     announce_ready,
     binding,
     cancel_all,
@@ -25,9 +25,9 @@
     repeating,
     reread_keys,
 )
-from wasabideck_platform.settings import EntrySettings, split_address
-from wasabideck_platform.spread import PeersService, Spread
-from wasabideck_platform.tls import Keys
+from wasabideck_base.settings import EntrySettings, split_address
+from wasabideck_base.spread import PeersService, Spread
+from wasabideck_base.tls import Keys
 from wasabideck_policy.membership import ENTRY, Member, polls
 from wasabideck_policy.routing import POLICIES
 from wasabideck_wire import inner_pb2 as pb
--- a/packages/wasabideck_entry/wasabideck_entry/entry_settings.py
+++ b/packages/wasabideck_entry/wasabideck_entry/entry_settings.py
@@ -2,9 +2,9 @@
 
 from __future__ import annotations
 
-from wasabideck_platform.settings import EntrySettings
-from wasabideck_platform.settings_checks import Wrong
-from wasabideck_platform.settings_file import load_settings
+from wasabideck_base.settings import EntrySettings
+from wasabideck_base.settings_checks import Wrong
+from wasabideck_base.settings_file import load_settings
 from wasabideck_policy.routing import POLICIES
 
 __all__ = ["load_entry_settings"]
--- a/packages/wasabideck_entry/wasabideck_entry/fleet.py
+++ b/packages/wasabideck_entry/wasabideck_entry/fleet.py
@@ -8,7 +8,7 @@
 from collections.abc import Callable
 
 from attrs import define, field
-from wasabideck_platform.channels import LINK_FAILURES, Channels
+from wasabideck_base.channels import LINK_FAILURES, Channels
 from wasabideck_policy.membership import AGENT, ENTRY, Member
 from wasabideck_policy.observation import Observed, join
 from wasabideck_policy.outcomes import Answered, Outcome, Unknown
--- a/packages/wasabideck_entry/wasabideck_entry/front.py
+++ b/packages/wasabideck_entry/wasabideck_entry/front.py
@@ -12,8 +12,8 @@
 from attrs import define
 from sanic import HTTPResponse, Request, Sanic
 from sanic.response import ResponseStream
-from wasabideck_platform.metrics import Metrics
-from wasabideck_platform.settings import EntrySettings, ServiceSettings
+from wasabideck_base.metrics import Metrics
+from wasabideck_base.settings import EntrySettings, ServiceSettings
 from wasabideck_policy.outcomes import (
     Answered,
     NotRun,
--- a/packages/wasabideck_entry/wasabideck_entry/identity.py
+++ b/packages/wasabideck_entry/wasabideck_entry/identity.py
@@ -5,7 +5,7 @@
 import hmac
 from collections.abc import Iterable, Mapping
 
-from wasabideck_platform.settings import (
+from wasabideck_base.settings import (
     CallerSettings,
     EntrySettings,
     OperatorSettings,
--- a/packages/wasabideck_entry/wasabideck_entry/operator_client.py
+++ b/packages/wasabideck_entry/wasabideck_entry/operator_client.py
@@ -10,8 +10,8 @@
 import aiohttp
 import orjson
 from attrs import define
-from wasabideck_platform.settings import AccessSettings
-from wasabideck_platform.tls import client_context
+from wasabideck_base.settings import AccessSettings
+from wasabideck_base.tls import client_context
 from wasabideck_policy.outcomes import WasabideckError
 from wasabideck_policy.tickets import MAX_TICKET_BYTES, TicketError
 
--- a/packages/wasabideck_entry/wasabideck_entry/operators.py
+++ b/packages/wasabideck_entry/wasabideck_entry/operators.py
@@ -9,10 +9,10 @@
 import orjson
 from attrs import asdict, define
 from sanic import HTTPResponse, Request, Sanic
-from wasabideck_platform.events import Events
-from wasabideck_platform.spread import Spread
-from wasabideck_platform.table import Table
-from wasabideck_platform.ticket_store import (
+from wasabideck_base.events import Events
+from wasabideck_base.spread import Spread
+from wasabideck_base.table import Table
+from wasabideck_base.ticket_store import (
     Accepted,
     accept_ticket,
     assignments_of,
--- a/packages/wasabideck_entry/wasabideck_entry/picture.py
+++ b/packages/wasabideck_entry/wasabideck_entry/picture.py
@@ -7,8 +7,8 @@
 from pathlib import Path
 
 from attrs import frozen
-from wasabideck_platform.events import MICROS, Stamp
-from wasabideck_platform.vocabulary import CAUSES, KINDS
+from wasabideck_base.events import MICROS, Stamp
+from wasabideck_base.vocabulary import CAUSES, KINDS
 
 from .timeline import EventsUnreadable, fields_of, merge_events
 
--- a/packages/wasabideck_entry/wasabideck_entry/pushes.py
+++ b/packages/wasabideck_entry/wasabideck_entry/pushes.py
@@ -7,8 +7,8 @@
 from collections.abc import Iterable
 
 from attrs import define, field
-from wasabideck_platform.channels import LINK_FAILURES, Channels
-from wasabideck_platform.spread import PeersService, Spread
+from wasabideck_base.channels import LINK_FAILURES, Channels
+from wasabideck_base.spread import PeersService, Spread
 from wasabideck_policy.membership import tell
 from wasabideck_policy.tickets import Assignment
 
--- a/packages/wasabideck_entry/wasabideck_entry/streams.py
+++ b/packages/wasabideck_entry/wasabideck_entry/streams.py
@@ -8,8 +8,8 @@
 
 from attrs import define, field
 from grpclib.client import Channel
-from wasabideck_platform.channels import LINK_FAILURES, Channels
-from wasabideck_platform.events import Events
+from wasabideck_base.channels import LINK_FAILURES, Channels
+from wasabideck_base.events import Events
 from wasabideck_policy.arrivals import ARRIVAL_SECONDS
 from wasabideck_policy.outcomes import Failure, NotRun, Outcome, Unknown
 from wasabideck_policy.routing import Server
--- a/packages/wasabideck_entry/wasabideck_entry/timeline.py
+++ b/packages/wasabideck_entry/wasabideck_entry/timeline.py
@@ -9,7 +9,7 @@
 
 import orjson
 from attrs import define, field
-from wasabideck_platform.events import MICROS, Stamp
+from wasabideck_base.events import MICROS, Stamp
 from wasabideck_policy.outcomes import WasabideckError
 
 __all__ = ["EventsUnreadable", "Timeline", "fields_of", "merge_events", "show_timeline"]
--- a/packages/wasabideck_entry/wasabideck_entry/watching.py
+++ b/packages/wasabideck_entry/wasabideck_entry/watching.py
@@ -12,7 +12,7 @@
 import random
 
 from attrs import define, field
-from wasabideck_platform.channels import LINK_FAILURES
+from wasabideck_base.channels import LINK_FAILURES
 from wasabideck_policy.routing import Server
 from wasabideck_policy.subsets import poll_pause
 from wasabideck_wire.inner_grpc import PeersStub
--- a/packages/wasabideck_lab/wasabideck_lab/__main__.py
+++ b/packages/wasabideck_lab/wasabideck_lab/__main__.py
@@ -7,8 +7,8 @@
 from pathlib import Path
 
 import orjson
-from wasabideck_platform.command_line import commands, run_commands
-from wasabideck_platform.process import run_process
+from wasabideck_base.command_line import commands, run_commands
+from wasabideck_base.process import run_process
 
 from . import scenarios_answers, scenarios_tickets  # noqa: F401  (they register)
 from .capacity import MEASUREMENTS, measure_all
--- a/packages/wasabideck_lab/wasabideck_lab/capacity.py
+++ b/packages/wasabideck_lab/wasabideck_lab/capacity.py
@@ -19,8 +19,8 @@
 import xxhash
 from attrs import define, field
 from grpclib.server import Server
-from wasabideck_platform.events import Clock, Events
-from wasabideck_platform.spread import PeersService, Spread
+from wasabideck_base.events import Clock, Events
+from wasabideck_base.spread import PeersService, Spread
 from wasabideck_policy.membership import AGENT, ENTRY, Heard, Member
 from wasabideck_policy.tickets import Assignment, Change, TicketState
 from wasabideck_wire import inner_pb2 as pb
--- a/packages/wasabideck_lab/wasabideck_lab/claims_run.py
+++ b/packages/wasabideck_lab/wasabideck_lab/claims_run.py
@@ -8,9 +8,9 @@
 
 import aiohttp
 from wasabideck_agent.claim_store import ClaimStore
-from wasabideck_platform.events import Clock, Events
-from wasabideck_platform.http import HttpClient
-from wasabideck_platform.table import Table
+from wasabideck_base.events import Clock, Events
+from wasabideck_base.http import HttpClient
+from wasabideck_base.table import Table
 from wasabideck_policy.claims import Claim
 
 from .faults import Faults
--- a/packages/wasabideck_lab/wasabideck_lab/demo.py
+++ b/packages/wasabideck_lab/wasabideck_lab/demo.py
@@ -10,9 +10,9 @@
 import aiohttp
 import orjson
 from attrs import frozen
+from wasabideck_base.vocabulary import KINDS
 from wasabideck_entry.show import show_report
 from wasabideck_entry.timeline import merge_events, show_timeline
-from wasabideck_platform.vocabulary import KINDS
 
 from .launcher import CALLER_TOKEN, OPERATOR_TOKEN, Lab
 from .toml import to_toml
--- a/packages/wasabideck_lab/wasabideck_lab/engine_host.py
+++ b/packages/wasabideck_lab/wasabideck_lab/engine_host.py
@@ -9,7 +9,7 @@
 import orjson
 from aiohttp import web
 from attrs import asdict
-from wasabideck_platform.process import announce_ready, run_process
+from wasabideck_base.process import announce_ready, run_process
 from wasabideck_policy.manifests import manifest_from_json
 
 from .faults import Faults
--- a/packages/wasabideck_lab/wasabideck_lab/in_force.py
+++ b/packages/wasabideck_lab/wasabideck_lab/in_force.py
@@ -10,7 +10,7 @@
 
 import aiohttp
 import orjson
-from wasabideck_platform.events import Stamp
+from wasabideck_base.events import Stamp
 
 from .demo import SERVICES
 from .launcher import OPERATOR_TOKEN, Lab
--- a/packages/wasabideck_lab/wasabideck_lab/standin_servers.py
+++ b/packages/wasabideck_lab/wasabideck_lab/standin_servers.py
@@ -13,7 +13,7 @@
 import orjson
 from aiohttp import web
 from attrs import asdict, define, field
-from wasabideck_platform.servers import Loaded
+from wasabideck_base.servers import Loaded
 from wasabideck_policy.manifests import Manifest
 
 from .faults import Faults
--- a/tests/answers_fakes.py
+++ b/tests/answers_fakes.py
@@ -11,15 +11,15 @@
 from wasabideck_agent.once import Holder, Once
 from wasabideck_agent.runs import Runner
 from wasabideck_agent.runs_service import RunsService
+from wasabideck_base.channels import Channels
+from wasabideck_base.events import Clock
+from wasabideck_base.http import PlatformUnavailable
+from wasabideck_base.servers import Loaded
+from wasabideck_base.table import CheckFailed
 from wasabideck_entry.calls import Call, Caller, Ended, Part
 from wasabideck_entry.resolve import Resolver
 from wasabideck_entry.streams import AttemptStream
 from wasabideck_entry.suspects import Suspects
-from wasabideck_platform.channels import Channels
-from wasabideck_platform.events import Clock
-from wasabideck_platform.http import PlatformUnavailable
-from wasabideck_platform.servers import Loaded
-from wasabideck_platform.table import CheckFailed
 from wasabideck_policy.admission import Gate
 from wasabideck_policy.arrivals import Arrivals
 from wasabideck_policy.quarantine import Quarantine
@@ -146,7 +146,7 @@
         self.jobs.append(job)
         for index in range(job.resume_from, self.words):
             if index == self.dies_at:
-                from wasabideck_platform.servers import ServerDied
+                from wasabideck_base.servers import ServerDied
 
                 raise ServerDied("fake", "died")
             self.produced += 1
--- a/tests/product/conftest.py
+++ b/tests/product/conftest.py
@@ -12,8 +12,7 @@
 from cryptography.hazmat.primitives import hashes, serialization
 from cryptography.hazmat.primitives.asymmetric import ec
 from cryptography.x509.oid import NameOID
-from wasabideck_entry import entry as entry_module
-from wasabideck_platform.settings import (
+from wasabideck_base.settings import (
     CallerSettings,
     EntrySettings,
     OperatorSettings,
@@ -22,6 +21,7 @@
     ServiceSettings,
     TlsSettings,
 )
+from wasabideck_entry import entry as entry_module
 
 # sanic knows its applications by name, so each test's entry has another one.
 NUMBERS = itertools.count()
--- a/tests/product/test_commands.py
+++ b/tests/product/test_commands.py
@@ -5,11 +5,11 @@
 
 import pytest
 from wasabideck_agent import __main__ as agent_main
+from wasabideck_base.command_line import run_commands
+from wasabideck_base.settings import AccessSettings
 from wasabideck_entry import __main__ as entry_main
 from wasabideck_entry.operator_client import AcceptanceUnknown, OperatorClient
 from wasabideck_entry.report import FilterError, ReportFilter, moment
-from wasabideck_platform.command_line import run_commands
-from wasabideck_platform.settings import AccessSettings
 
 TOKEN = "sample-operator-token"
 
--- a/tests/product/test_events.py
+++ b/tests/product/test_events.py
@@ -8,8 +8,8 @@
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
-from wasabideck_platform.channels import Channels, observe_clock
-from wasabideck_platform.events import (
+from wasabideck_base.channels import Channels, observe_clock
+from wasabideck_base.events import (
     MOST_DRIFT_SECONDS,
     Clock,
     EventFile,
@@ -18,11 +18,11 @@
     Stamp,
     open_events,
 )
-from wasabideck_platform.inner_limits import InnerServer
-from wasabideck_platform.process import repeating
-from wasabideck_platform.settings import TlsSettings
-from wasabideck_platform.spread import PeersService
-from wasabideck_platform.tls import KeysUnusable
+from wasabideck_base.inner_limits import InnerServer
+from wasabideck_base.process import repeating
+from wasabideck_base.settings import TlsSettings
+from wasabideck_base.spread import PeersService
+from wasabideck_base.tls import KeysUnusable
 from wasabideck_wire import inner_pb2 as pb
 from wasabideck_wire.inner_grpc import PeersStub
 
--- a/tests/product/test_identity.py
+++ b/tests/product/test_identity.py
@@ -5,9 +5,9 @@
 import orjson
 import pytest
 from attrs import evolve
+from wasabideck_base.process import AddressUnusable
+from wasabideck_base.settings import CallerSettings
 from wasabideck_entry.identity import NotAuthorised, caller_of, check
-from wasabideck_platform.process import AddressUnusable
-from wasabideck_platform.settings import CallerSettings
 
 OPERATOR = "sample-operator-token"
 CALLER = "sample-caller-token"
--- a/tests/product/test_input_limits.py
+++ b/tests/product/test_input_limits.py
@@ -9,14 +9,14 @@
 import pytest
 from grpclib.const import Cardinality, Status
 from grpclib.exceptions import GRPCError
+from wasabideck_base.channels import LINK_FAILURES, Channels
+from wasabideck_base.events import Clock
+from wasabideck_base.http import HttpClient, PlatformNonsense
+from wasabideck_base.inner_limits import MOST_MESSAGE, MOST_STREAMS, InnerServer
+from wasabideck_base.members import Members
+from wasabideck_base.settings import CallerSettings
+from wasabideck_base.spread import PeersService
 from wasabideck_entry.caller_limits import HeldConnections, TooManyConnections
-from wasabideck_platform.channels import LINK_FAILURES, Channels
-from wasabideck_platform.events import Clock
-from wasabideck_platform.http import HttpClient, PlatformNonsense
-from wasabideck_platform.inner_limits import MOST_MESSAGE, MOST_STREAMS, InnerServer
-from wasabideck_platform.members import Members
-from wasabideck_platform.settings import CallerSettings
-from wasabideck_platform.spread import PeersService
 from wasabideck_policy.tickets import MAX_TICKET_BYTES
 from wasabideck_wire import inner_pb2 as pb
 from wasabideck_wire.convert import MalformedMessage, assignments_from
--- a/tests/product/test_settings.py
+++ b/tests/product/test_settings.py
@@ -6,11 +6,11 @@
 from pathlib import Path
 
 import pytest
+from wasabideck_base.settings import AccessSettings, AgentSettings
+from wasabideck_base.settings_file import SettingsError, load_settings
 from wasabideck_entry.entry_settings import load_entry_settings
 from wasabideck_lab.samples import sample_files
 from wasabideck_lab.toml import to_toml
-from wasabideck_platform.settings import AccessSettings, AgentSettings
-from wasabideck_platform.settings_file import SettingsError, load_settings
 from wasabideck_policy.tickets import parse_ticket
 
 SAMPLES = Path(__file__).parents[2] / "samples"
--- a/tests/product/test_timeline.py
+++ b/tests/product/test_timeline.py
@@ -5,10 +5,10 @@
 
 import orjson
 import pytest
+from wasabideck_base.metrics import Metrics, render_metrics
+from wasabideck_base.vocabulary import KINDS
 from wasabideck_entry.picture import draw_timeline
 from wasabideck_entry.timeline import EventsUnreadable, merge_events, show_timeline
-from wasabideck_platform.metrics import Metrics, render_metrics
-from wasabideck_platform.vocabulary import KINDS
 
 ROOT = Path(__file__).parents[2]
 
--- a/tests/product/test_tls.py
+++ b/tests/product/test_tls.py
@@ -6,12 +6,12 @@
 import pytest
 from attrs import evolve
 from grpclib.server import Server
+from wasabideck_base.channels import LINK_FAILURES, Channels
+from wasabideck_base.events import Clock
+from wasabideck_base.settings import AccessSettings
+from wasabideck_base.spread import PeersService
+from wasabideck_base.tls import Keys, KeysUnusable
 from wasabideck_entry.operator_client import EntryRefused, OperatorClient
-from wasabideck_platform.channels import LINK_FAILURES, Channels
-from wasabideck_platform.events import Clock
-from wasabideck_platform.settings import AccessSettings
-from wasabideck_platform.spread import PeersService
-from wasabideck_platform.tls import Keys, KeysUnusable
 from wasabideck_wire import inner_pb2 as pb
 from wasabideck_wire.inner_grpc import PeersStub
 
--- a/tests/sessions/test_answers_session.py
+++ b/tests/sessions/test_answers_session.py
@@ -4,12 +4,12 @@
 import random
 
 from answers_fakes import FakeAgent, FakeEngine, FakeEvents, FakePlain, FakeTable, Now
+from wasabideck_base.channels import Channels
+from wasabideck_base.events import Clock
+from wasabideck_base.servers import ServerFailed
 from wasabideck_entry.calls import Call, Caller, Ended, Part, Started
 from wasabideck_entry.resolve import Resolver
 from wasabideck_entry.suspects import Suspects
-from wasabideck_platform.channels import Channels
-from wasabideck_platform.events import Clock
-from wasabideck_platform.servers import ServerFailed
 from wasabideck_policy.quarantine import Quarantine
 from wasabideck_policy.routing import Server
 
--- a/tests/test_load.py
+++ b/tests/test_load.py
@@ -3,11 +3,11 @@
 import random
 
 import pytest
+from wasabideck_base.command_line import commands, run_commands
 from wasabideck_entry.entry_settings import load_entry_settings
 from wasabideck_lab.load_mix import DEPLOYMENTS, arrivals
 from wasabideck_lab.load_report import fair_shares, fairness, percentiles
 from wasabideck_lab.toml import to_toml
-from wasabideck_platform.command_line import commands, run_commands
 
 
 @pytest.mark.parametrize("name", DEPLOYMENTS)
--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -3,11 +3,11 @@
 import asyncio
 
 import aiohttp
+from wasabideck_base.http import HttpClient
+from wasabideck_base.members import Members
 from wasabideck_lab.faults import Faults
 from wasabideck_lab.launcher import serve_standin
 from wasabideck_lab.standin_platform import MembersStandin
-from wasabideck_platform.http import HttpClient
-from wasabideck_platform.members import Members
 from wasabideck_policy.membership import Member
 
 
--- a/tests/test_once.py
+++ b/tests/test_once.py
@@ -5,8 +5,8 @@
 import pytest
 from answers_fakes import FakeAgent, FakePlain, FakeTable, order
 from wasabideck_agent.runs_service import RunsService
-from wasabideck_platform.claim_rows import stored_answer
-from wasabideck_platform.servers import ServerDied, ServerFailed, ServerRefused
+from wasabideck_base.claim_rows import stored_answer
+from wasabideck_base.servers import ServerDied, ServerFailed, ServerRefused
 from wasabideck_policy.claims import Claim, claim_key
 from wasabideck_wire import inner_pb2 as pb
 
--- a/tests/test_servers.py
+++ b/tests/test_servers.py
@@ -7,18 +7,18 @@
 from aiohttp import web
 from grpclib.client import Channel
 from sanic import Sanic
-from wasabideck_entry.connections import close_idle, in_progress
-from wasabideck_lab.launcher import serve_standin
-from wasabideck_platform.channels import Channels
-from wasabideck_platform.events import Clock
-from wasabideck_platform.http import HttpClient, PlatformUnavailable
-from wasabideck_platform.servers import (
+from wasabideck_base.channels import Channels
+from wasabideck_base.events import Clock
+from wasabideck_base.http import HttpClient, PlatformUnavailable
+from wasabideck_base.servers import (
     PlainService,
     ServerDied,
     ServerFailed,
     ServerRefused,
     ServerSilent,
 )
+from wasabideck_entry.connections import close_idle, in_progress
+from wasabideck_lab.launcher import serve_standin
 
 
 class Answers:
--- a/tests/test_watching.py
+++ b/tests/test_watching.py
@@ -5,11 +5,11 @@
 
 import pytest
 from grpclib.server import Server
+from wasabideck_base.channels import LINK_FAILURES, Channels
+from wasabideck_base.events import Clock
+from wasabideck_base.spread import PeersService
 from wasabideck_entry.fleet import Fleet
 from wasabideck_entry.watching import Watching
-from wasabideck_platform.channels import LINK_FAILURES, Channels
-from wasabideck_platform.events import Clock
-from wasabideck_platform.spread import PeersService
 from wasabideck_policy.membership import AGENT, ENTRY, Member
 from wasabideck_wire import inner_pb2 as pb
 from wasabideck_wire.inner_grpc import PeersStub
--- a/tests/tickets/conftest.py
+++ b/tests/tickets/conftest.py
@@ -4,7 +4,7 @@
 
 import pytest
 from fake_table import FakeTable
-from wasabideck_platform.ticket_store import accept_ticket
+from wasabideck_base.ticket_store import accept_ticket
 from wasabideck_policy.tickets import Change, Ticket
 
 NOW = 1_000.0
--- a/tests/tickets/fake_table.py
+++ b/tests/tickets/fake_table.py
@@ -4,8 +4,8 @@
 from collections import deque
 
 from attrs import define, field
-from wasabideck_platform.http import PlatformUnavailable
-from wasabideck_platform.table import CheckFailed
+from wasabideck_base.http import PlatformUnavailable
+from wasabideck_base.table import CheckFailed
 
 
 @define
--- a/tests/tickets/test_acceptance.py
+++ b/tests/tickets/test_acceptance.py
@@ -3,8 +3,8 @@
 import asyncio
 
 import pytest
-from wasabideck_platform.http import PlatformUnavailable
-from wasabideck_platform.ticket_store import (
+from wasabideck_base.http import PlatformUnavailable
+from wasabideck_base.ticket_store import (
     TicketRaced,
     TicketUnknown,
     read_changes,
--- a/tests/tickets/test_race_sessions.py
+++ b/tests/tickets/test_race_sessions.py
@@ -10,7 +10,7 @@
 import pytest
 from attrs import define, field
 from fake_table import FakeTable
-from wasabideck_platform.ticket_store import accept_ticket, settle_ticket
+from wasabideck_base.ticket_store import accept_ticket, settle_ticket
 from wasabideck_policy.outcomes import WasabideckError
 from wasabideck_policy.tickets import Change, Ticket
 
--- a/tests/tickets/test_reconcile.py
+++ b/tests/tickets/test_reconcile.py
@@ -6,8 +6,8 @@
 from attrs import define, field
 from wasabideck_agent.chunk_store import ChunkStore
 from wasabideck_agent.reconcile import Reconciler
+from wasabideck_base.spread import Spread
 from wasabideck_lab.weights import make_weights
-from wasabideck_platform.spread import Spread
 from wasabideck_policy.orders import Serving, ordered_by
 from wasabideck_policy.tickets import Assignment, Change
 from wasabideck_policy.wants import wanted_of
--- a/tests/tickets/test_spread.py
+++ b/tests/tickets/test_spread.py
@@ -4,8 +4,8 @@
 
 from fake_table import FakeTable
 from grpclib.testing import ChannelFor
-from wasabideck_platform.events import Clock, Events
-from wasabideck_platform.spread import PeersService, Spread
+from wasabideck_base.events import Clock, Events
+from wasabideck_base.spread import PeersService, Spread
 from wasabideck_policy.tickets import Assignment, Change
 
 
--- a/tests/weights/test_lab_commands.py
+++ b/tests/weights/test_lab_commands.py
@@ -1,8 +1,8 @@
 """The lab's commands that live in modules of their own, and its picture."""
 
+from wasabideck_base.command_line import commands, run_commands
 from wasabideck_lab.plot import draw
 from wasabideck_lab.rollout import Plan, lower_bound
-from wasabideck_platform.command_line import commands, run_commands
 
 
 def test_a_command_that_is_a_function_of_its_own_is_understood(capsys):
--- a/tests/weights/test_links.py
+++ b/tests/weights/test_links.py
@@ -9,7 +9,7 @@
 from wasabideck_agent.chunks_service import SHARE, ChunksService
 from wasabideck_agent.links import Link, Links
 from wasabideck_agent.transfer import limits_of
-from wasabideck_platform.settings import WeightsSettings
+from wasabideck_base.settings import WeightsSettings
 from wasabideck_wire import inner_pb2 as pb
 
 TEXTS = [f"chunk {i}" for i in range(4)]
--- a/tests/weights/test_transfer.py
+++ b/tests/weights/test_transfer.py
@@ -14,10 +14,10 @@
 from wasabideck_agent.links import Link, Links
 from wasabideck_agent.manifest_reader import ManifestReader
 from wasabideck_agent.transfer import Transfer
-from wasabideck_platform.channels import Channels
-from wasabideck_platform.events import Clock, Events
-from wasabideck_platform.http import PlatformUnavailable
-from wasabideck_platform.settings import WeightsSettings
+from wasabideck_base.channels import Channels
+from wasabideck_base.events import Clock, Events
+from wasabideck_base.http import PlatformUnavailable
+from wasabideck_base.settings import WeightsSettings
 from wasabideck_policy.membership import AGENT, Member
 from wasabideck_policy.rendezvous import rank
 
