--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 # Targets: install, demo, test, format. Everything goes into .venv here.
 PYTHON ?= python3.11
 BIN := .venv/bin
-PACKAGES := wire policy base entry agent lab
+PACKAGES := wire policy base forward entry agent lab
 EDITABLE := $(foreach name,$(PACKAGES),-e packages/wasabideck_$(name))
 
 .PHONY: install demo test format lint
--- /dev/null
+++ b/packages/wasabideck_agent/wasabideck_agent/node_agent.py
@@ -0,0 +1,331 @@
+"""The agent on a node: brings its engine to the weights that the operators named."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import time
+
+from attrs import define, field
+from wasabideck_base.deployment import Deployment
+from wasabideck_base.node import NodeSettings
+from wasabideck_base.node_process import NodeProcess, node_process
+from wasabideck_base.settings import WeightsSettings
+from wasabideck_policy.configuration import EngineModel
+from wasabideck_policy.deliveries import Delivery
+from wasabideck_policy.engine_state import EngineState, OrderAnswer
+from wasabideck_policy.manifests import Manifest
+from wasabideck_policy.membership import AGENT, Member
+from wasabideck_policy.outcomes import WasabideckError
+
+from .chunk_store import ChunkStore
+from .chunks_service import ChunksService
+from .deliveries_log import DeliveriesLog
+from .links import Link, Links
+from .origin_chunks import NumberedOrigin, OriginChunks
+from .staging import Engine, Staging
+from .transfer import Transfer
+
+__all__ = ["NodeAgent", "run_agent"]
+
+# The engine beside it is looked at so often: the look costs a millisecond of
+# processor, and a restarted engine is found empty by it (seconds).
+LOOK_SECONDS = 0.5
+# While an order is in progress, each look may end a wait of the whole service.
+ORDER_LOOK_SECONDS = 0.05
+RETRY_SECONDS = 0.3
+# What came meanwhile is staged so often during a transfer (seconds).
+STAGE_SECONDS = 0.4
+# A transfer that lasts longer than the links need may have a spoilt manifest, whose
+# chunks nobody has: it is read again then (seconds).
+MANIFEST_SECONDS = 3.0
+# A transfer is finished although a newer version is named when no more than this
+# part is missing: what it serves until then is worth more than the link's time.
+FINISH_PART = 0.3
+# Weights of the first version lie with the servers of a new deployment, and nobody
+# names it.
+FIRST_VERSION = 1
+FETCHES = 4
+UPLOADS = 3
+
+
+async def run_agent(cfg: NodeSettings, deployment: Deployment) -> None:
+    """Run an agent until it is told to stop."""
+    store = ChunkStore()
+    links = Links(Link(), Link(), Link())
+    chunks = ChunksService(store, links, UPLOADS)
+    async with node_process(cfg, AGENT, deployment, lambda p: (chunks,)) as process:
+        engine = deployment.open_engine(process.session, cfg.server_address)
+        agent = NodeAgent(
+            process,
+            deployment,
+            engine,
+            store,
+            chunks,
+            links,
+            Staging(engine, store, process.events),
+            DeliveriesLog(process.believer.store),
+        )
+        process.believer.on_version = lambda model, number: agent.news.set()
+        running = asyncio.create_task(agent.run())
+        stopping = asyncio.create_task(process.stop.wait())
+        await asyncio.wait({running, stopping}, return_when=asyncio.FIRST_COMPLETED)
+        for task in (running, stopping):
+            task.cancel()
+        if running.done() and not running.cancelled():
+            running.result()
+
+
+@define
+class NodeAgent:
+    """State of one agent on a node.
+
+    Attributes
+    ----------
+    news : Event
+        Set when a version was named.
+    """
+
+    process: NodeProcess
+    deployment: Deployment
+    engine: Engine
+    store: ChunkStore
+    chunks: ChunksService
+    links: Links
+    staging: Staging
+    log: DeliveriesLog
+    news: asyncio.Event = field(factory=asyncio.Event)
+    _manifests: dict[int, Manifest] = field(factory=dict)
+    _begun: dict[int, float] = field(factory=dict)
+    _sources: dict[int, dict[str, int]] = field(factory=dict)
+    _reported: set[tuple[int, int]] = field(factory=set)
+    _born: int = 0
+
+    async def run(self) -> None:
+        """Bring the engine to what is named, for ever."""
+        while True:
+            try:
+                settled = await self.step()
+            except WasabideckError as exc:
+                self._emit("reconcile.failed", why=f"{type(exc).__name__}: {exc}")
+                await asyncio.sleep(RETRY_SECONDS * self.process.rng.uniform(0.7, 1.3))
+                continue
+            if settled:
+                await self._wait(LOOK_SECONDS)
+
+    async def step(self) -> bool:
+        """One step towards the named version; whether nothing is left to do."""
+        model = self._model()
+        if model is None:
+            await self._wait(STAGE_SECONDS)
+            return False
+        version = self._named(model)
+        state = await self.engine.state()
+        if state.born != self._born:
+            self.staging.forget()
+            self._born = state.born
+        if _holds(state, model, version):
+            await self._settle(model, version, state)
+            return True
+        if state.busy:
+            await asyncio.sleep(ORDER_LOOK_SECONDS)
+            return False
+        manifest = await self._manifest(model, version)
+        if not await self._gather(model, manifest):
+            return False
+        await self._swap(model, manifest, state)
+        return False
+
+    def _model(self) -> EngineModel | None:
+        cfg = self.process.believer.beliefs.configuration
+        service = cfg.services.get(self.process.cfg.service) if cfg else None
+        return service.engine if service else None
+
+    def _named(self, model: EngineModel) -> int:
+        named = self.process.believer.beliefs.versions.get(model.model)
+        return named.number if named else FIRST_VERSION
+
+    async def _settle(
+        self, model: EngineModel, version: int, state: EngineState
+    ) -> None:
+        """Report what is in force, and hold its chunks for servers that lack them."""
+        key = (version, state.born)
+        if key not in self._reported:
+            self._reported.add(key)
+            self._report(model, version)
+        if failure := await self.log.try_write():
+            self._emit("table.unavailable", why=str(failure))
+        manifest = await self._manifest(model, version)
+        if not self.store.whole(manifest):
+            taken = await self.staging.take_up(manifest)
+            self._emit("staging.taken-up", version=version, pieces=taken)
+        self._forget_before(version)
+
+    async def _manifest(self, model: EngineModel, version: int) -> Manifest:
+        if version not in self._manifests:
+            manifest = await self._origin().manifest(model.model, version)
+            self._know(version, manifest)
+        return self._manifests[version]
+
+    def _know(self, version: int, manifest: Manifest) -> None:
+        self._manifests[version] = manifest
+        self.store.know(manifest)
+        self._emit("manifest.read", version=version, manifest=manifest.digest)
+
+    def _origin(self) -> NumberedOrigin:
+        place = self.process.believer.beliefs.configuration.origin()
+        address = place.address if place else ""
+        return self.deployment.open_origin(self.process.session, address)
+
+    async def _gather(self, model: EngineModel, manifest: Manifest) -> bool:
+        """Fetch a version's chunks and stage them; whether it is whole and wanted."""
+        version = int(manifest.version)
+        if self.store.whole(manifest):
+            await self.staging.place(manifest)
+            return True
+        await self.staging.take_up(manifest)
+        if version not in self._begun:
+            self._begun[version] = time.time()
+            self._emit("transfer.begun", manifest=manifest.digest, version=version)
+        await self.process.believer.read_members()
+        transfer = self._transfer(manifest)
+        fetching = asyncio.create_task(transfer.run())
+        try:
+            return await self._attend(model, manifest, transfer, fetching)
+        finally:
+            fetching.cancel()
+            await asyncio.gather(fetching, return_exceptions=True)
+            self._count(version, transfer.sources)
+
+    async def _attend(
+        self,
+        model: EngineModel,
+        manifest: Manifest,
+        transfer: Transfer,
+        fetching: asyncio.Task,
+    ) -> bool:
+        """Stage what comes until all is there, or something newer is wanted."""
+        version = int(manifest.version)
+        read_at = self.process.clock()
+        while not fetching.done():
+            await asyncio.wait({fetching}, timeout=STAGE_SECONDS)
+            await self.staging.place(manifest)
+            missing = transfer.view.wanted.bit_count()
+            superseded = self._named(model) != version
+            if superseded and missing > FINISH_PART * len(manifest.chunks):
+                self._emit("transfer.superseded", version=version, missing=missing)
+                return False
+            now = self.process.clock()
+            if now - read_at > MANIFEST_SECONDS:
+                read_at = now
+                if await self._reread(model, manifest):
+                    return False
+        fetching.result()
+        await self.staging.place(manifest)
+        self._emit(
+            "transfer.verified", manifest=manifest.digest, sources=transfer.sources
+        )
+        return True
+
+    async def _reread(self, model: EngineModel, manifest: Manifest) -> bool:
+        """Read a manifest again; whether it is another one than before."""
+        version = int(manifest.version)
+        with contextlib.suppress(WasabideckError):
+            again = await self._origin().manifest(model.model, version)
+            if again.digest != manifest.digest:
+                self._know(version, again)
+                return True
+        return False
+
+    async def _swap(
+        self, model: EngineModel, manifest: Manifest, state: EngineState
+    ) -> None:
+        """Order the engine to load what lies staged, and wait until it has."""
+        version = int(manifest.version)
+        await self.staging.mend(manifest)
+        answer = await self.engine.load(model.model, version, queue=True)
+        self._emit(
+            "order.sent",
+            version=version,
+            answer=answer.value,
+            running=state.running,
+            waiting=state.waiting,
+        )
+        if answer is OrderAnswer.REFUSED:
+            await asyncio.sleep(RETRY_SECONDS)
+
+    def _transfer(self, manifest: Manifest) -> Transfer:
+        cfg = self.process.cfg
+        return Transfer(
+            Member(cfg.vm, AGENT, cfg.inner_address, cfg.region, cfg.data_centre),
+            manifest,
+            self.store,
+            self.chunks,
+            OriginChunks(self._origin(), manifest),
+            self.process.channels,
+            self.links,
+            self.process.events,
+            self._peers,
+            WeightsSettings(fetches=FETCHES, uploads=UPLOADS, link_rate=cfg.link_rate),
+            self.process.rng,
+        )
+
+    def _peers(self) -> list[Member]:
+        cfg = self.process.cfg
+        return [
+            m
+            for m in self.process.believer.hearsay.members.values()
+            if m.kind == AGENT and m.vm != cfg.vm and m.service == cfg.service
+        ]
+
+    def _count(self, version: int, sources: dict[str, int]) -> None:
+        total = self._sources.setdefault(version, {})
+        for source, size in sources.items():
+            total[source] = total.get(source, 0) + size
+
+    def _report(self, model: EngineModel, version: int) -> None:
+        now = time.time()
+        manifest = self._manifests.get(version)
+        delivery = Delivery(
+            vm=self.process.cfg.vm,
+            service=self.process.cfg.service,
+            slot="model",
+            ticket=version,
+            model=model.model,
+            version=str(version),
+            manifest=manifest.digest if manifest else "",
+            begun=self._begun.get(version, now),
+            in_force=now,
+            sources=self._sources.get(version, {}),
+        )
+        self.log.add(delivery)
+        self._emit(
+            "version.in-force",
+            version=version,
+            seconds=round(now - delivery.begun, 3),
+            sources=delivery.sources,
+        )
+
+    def _forget_before(self, version: int) -> None:
+        old = [known for known in self._manifests if known < version]
+        for known in old:
+            del self._manifests[known]
+        if old:
+            self.store.keep_only({m.digest for m in self._manifests.values()})
+
+    def _emit(self, kind: str, **fields: object) -> None:
+        self.process.events.emit(kind, **fields)
+
+    async def _wait(self, seconds: float) -> None:
+        """Wait for news, at most so long."""
+        self.news.clear()
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(seconds):
+                await self.news.wait()
+
+
+def _holds(state: EngineState, model: EngineModel, version: int) -> bool:
+    return any(
+        part.version >= version and part.first == 0 and part.last >= model.layers
+        for part in state.loaded
+    )
--- /dev/null
+++ b/packages/wasabideck_agent/wasabideck_agent/staging.py
@@ -0,0 +1,116 @@
+"""Weights on their way into the engine beside an agent: staged, checked, loaded."""
+
+from __future__ import annotations
+
+from typing import Protocol
+
+from attrs import define, field
+from wasabideck_base.events import Events
+from wasabideck_policy.engine_state import EngineState, OrderAnswer
+from wasabideck_policy.manifests import CorruptChunk, Manifest, verify_chunk
+
+from .chunk_store import ChunkStore
+
+__all__ = ["Engine", "Staging"]
+
+
+class Engine(Protocol):
+    """The engine beside an agent."""
+
+    async def state(self) -> EngineState:
+        """What it holds and does."""
+
+    async def stage(self, model: str, index: int, data: bytes) -> None:
+        """Put a piece where it will load it from."""
+
+    async def staged(self, model: str) -> list[int]:
+        """Numbers of the pieces that lie there."""
+
+    async def staged_piece(self, model: str, index: int) -> bytes | None:
+        """Bytes of a piece that lies there."""
+
+    async def load(self, model: str, version: int, queue: bool) -> OrderAnswer:
+        """Load what lies there."""
+
+
+@define
+class Staging:
+    """Brings verified chunks into the engine, and orders it to load them.
+
+    Attributes
+    ----------
+    placed : set of int
+        Pieces of the present manifest that this agent has put there.
+    """
+
+    engine: Engine
+    store: ChunkStore
+    events: Events
+    placed: set[int] = field(factory=set)
+    _manifest: str = ""
+
+    async def place(self, manifest: Manifest) -> None:
+        """Put there what is held and was not put there yet."""
+        self._begin(manifest)
+        for index, digest in enumerate(manifest.chunks):
+            data = self.store.get(digest)
+            if data is not None and index not in self.placed:
+                await self.engine.stage(manifest.model, index, data)
+                self.placed.add(index)
+
+    async def mend(self, manifest: Manifest) -> int:
+        """Check what lies there against its digests, and put wrong pieces anew.
+
+        Pieces can turn bad where they lie: the engine takes them as they are, and
+        only this look, just before the order, keeps a spoilt one out.
+
+        Returns
+        -------
+        mended : int
+            Pieces that were wrong or missing.
+        """
+        mended = 0
+        for index, digest in enumerate(manifest.chunks):
+            lying = await self.engine.staged_piece(manifest.model, index)
+            if not _good(lying, digest):
+                mended += 1
+                await self.engine.stage(manifest.model, index, self.store.get(digest))
+        if mended:
+            self.events.emit("staging.mended", version=manifest.version, pieces=mended)
+        return mended
+
+    async def take_up(self, manifest: Manifest) -> int:
+        """Take good pieces that lie there already into the store; how many."""
+        self._begin(manifest)
+        taken = 0
+        for index in await self.engine.staged(manifest.model):
+            if not 0 <= index < len(manifest.chunks):
+                continue
+            digest = manifest.chunks[index]
+            if self.store.get(digest) is not None:
+                continue
+            lying = await self.engine.staged_piece(manifest.model, index)
+            if _good(lying, digest):
+                self.store.add(digest, lying, "staged")
+                self.placed.add(index)
+                taken += 1
+        return taken
+
+    def forget(self) -> None:
+        """Forget what was placed: the engine may have lost it."""
+        self.placed.clear()
+
+    def _begin(self, manifest: Manifest) -> None:
+        if manifest.digest != self._manifest:
+            self._manifest = manifest.digest
+            self.placed.clear()
+
+
+def _good(data: bytes | None, digest: str) -> bool:
+    if data is None:
+        return False
+    try:
+        verify_chunk(data, digest, "staged")
+    except CorruptChunk:
+        return False
+    return True
--- /dev/null
+++ b/packages/wasabideck_base/wasabideck_base/believer.py
@@ -0,0 +1,224 @@
+"""Turns rows of the store, and what peers tell, into a process's beliefs."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections.abc import Callable, Coroutine
+
+from attrs import define, field
+from wasabideck_policy.beliefs import Beliefs
+from wasabideck_policy.declarations import CONFIGURATION, Declaration
+from wasabideck_policy.membership import ENTRY, Member
+from wasabideck_policy.outcomes import WasabideckError
+
+from .channels import Channels
+from .deployment import Deployment
+from .events import Events
+from .hearsay import CALM_SECONDS, CUT_OFF_SECONDS, Hearsay
+from .http import PlatformRefused, PlatformUnavailable
+from .member_rows import MEMBERS, MalformedMember, member_of, member_row
+from .node import NodeSettings
+from .rows import Row, RowStore
+from .table_watch import TableWatch
+
+__all__ = ["Believer"]
+
+# The table of members is read again after these pauses: others start at the same
+# time, and later ones are heard of when they ask (seconds).
+MEMBERS_SOON = 1.5
+MEMBERS_LATER = 15.0
+
+
+@define
+class Believer:
+    """Keeps one process's beliefs up to date.
+
+    Attributes
+    ----------
+    on_version : callable
+        Told of each newer named version of a model's weights.
+    """
+
+    cfg: NodeSettings
+    me: Member
+    deployment: Deployment
+    store: RowStore
+    channels: Channels
+    events: Events
+    clock: Callable[[], float]
+    rng: random.Random
+    on_version: Callable[[str, int], None] = lambda model, number: None
+    beliefs: Beliefs = field(init=False)
+    hearsay: Hearsay = field(init=False)
+    operators: TableWatch = field(init=False)
+    servers: TableWatch = field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        """Put the watches together."""
+        self.beliefs = Beliefs(self.clock())
+        self.operators = self._watch(
+            self.deployment.operators, self._took_operators, lambda rows: None
+        )
+        self.servers = self._watch(
+            self.deployment.servers, self._took_servers, self._whole_servers
+        )
+        watches = {w.table: w for w in (self.operators, self.servers)}
+        self.hearsay = Hearsay(
+            self.me,
+            self.channels,
+            self.events,
+            self.clock,
+            self.rng,
+            self._changed,
+            {name: lambda w=watch: w.version for name, watch in watches.items()},
+            lambda table, version: (
+                watches[table].behind(version) if table in watches else None
+            ),
+            seeds=self.cfg.inner_seeds(),
+        )
+
+    def loops(self) -> list[Coroutine]:
+        """What has to run for as long as the process does."""
+        return [
+            self.operators.run(),
+            self.servers.run(),
+            self._keep_asking(),
+            self._keep_members(),
+        ]
+
+    async def read_members(self) -> None:
+        """Read who is there; what cannot be read is passed over with a line."""
+        try:
+            changes = await self.store.read(MEMBERS)
+        except (PlatformUnavailable, PlatformRefused) as exc:
+            self.events.emit("members.unavailable", why=str(exc))
+            return
+        for row in changes.rows:
+            try:
+                member = member_of(row)
+            except MalformedMember as exc:
+                self.events.emit("row.unreadable", why=str(exc))
+                continue
+            self.hearsay.members[member.vm] = member
+        members = self.hearsay.members.values()
+        self.beliefs.entries = max(1, sum(m.kind == ENTRY for m in members))
+
+    def _watch(self, table: str, took: Callable, whole: Callable) -> TableWatch:
+        return TableWatch(
+            self.store,
+            table,
+            took,
+            whole,
+            self._returned if table == self.deployment.servers else lambda: None,
+            self.clock,
+            self.events,
+            self.rng,
+        )
+
+    # The operators' declarations
+
+    def _took_operators(self, rows: list[Row]) -> None:
+        found = []
+        for row in rows:
+            try:
+                declaration = self.deployment.declaration_of(row)
+            except WasabideckError as exc:
+                self.events.emit("row.unreadable", why=str(exc))
+                continue
+            if declaration is not None:
+                found.append(declaration)
+        self.hearsay.merge(found, "store")
+
+    def _changed(self, newer: list[Declaration], source: str) -> None:
+        for declaration in newer:
+            if declaration.key == CONFIGURATION:
+                self._configure(declaration)
+            else:
+                self._name_version(declaration)
+
+    def _configure(self, declaration: Declaration) -> None:
+        try:
+            cfg = self.deployment.read_configuration(declaration.content)
+        except WasabideckError as exc:
+            # The former configuration stays in force: half of one is worse.
+            self.events.emit(
+                "configuration.unusable", number=declaration.number, why=str(exc)
+            )
+            return
+        self.beliefs.configuration = cfg
+        self.events.emit("configuration.in-force", number=cfg.number)
+
+    def _name_version(self, declaration: Declaration) -> None:
+        model = declaration.key.partition("/")[2]
+        now = self.clock()
+        bounds = self.cfg.bounds
+        first = model not in self.beliefs.versions
+        # What was named before this process began may be long due; it counts as so
+        # old that the bound ends when the process counts as calm again.
+        since = now - bounds.version + bounds.stable if first else now
+        if self.beliefs.name_version(model, declaration.number, since):
+            self.on_version(model, declaration.number)
+
+    # The servers' entries
+
+    def _took_servers(self, rows: list[Row]) -> None:
+        now = self.clock()
+        backends = self.beliefs.backends
+        backends.remove([row.key for row in rows if row.removed], now)
+        for row in rows:
+            if row.removed:
+                self.events.emit("server.gone", server=row.key, version=row.version)
+                continue
+            try:
+                listed = self.deployment.listed_of(row)
+            except WasabideckError as exc:
+                self.events.emit("row.unreadable", why=str(exc))
+                continue
+            known = backends.get(row.key)
+            if known is None or known.listed.leaving != listed.leaving:
+                kind = "server.leaving" if listed.leaving else "server.joined"
+                self.events.emit(
+                    kind, server=row.key, service=listed.service, version=row.version
+                )
+            backends.take(listed)
+
+    def _whole_servers(self, rows: list[Row]) -> None:
+        self.beliefs.listed = True
+        gone = self.beliefs.backends.keep_only({row.key for row in rows}, self.clock())
+        for server in gone:
+            self.events.emit("server.gone", server=server, version=0)
+
+    def _returned(self) -> None:
+        self.beliefs.backends.outage_ended = self.clock()
+
+    # Peers
+
+    async def _keep_asking(self) -> None:
+        while True:
+            heard_at = self.operators.heard_at
+            failing = self.operators.failing
+            await asyncio.sleep(CUT_OFF_SECONDS if failing else CALM_SECONDS)
+            await self.hearsay.ask_one()
+            self.beliefs.heard_at = max(
+                heard_at, self.hearsay.heard_at, self.operators.heard_at
+            )
+
+    async def _keep_members(self) -> None:
+        await self._join()
+        await asyncio.sleep(MEMBERS_SOON * self.rng.uniform(0.8, 1.2))
+        while True:
+            await self.read_members()
+            await asyncio.sleep(MEMBERS_LATER * self.rng.uniform(0.8, 1.2))
+
+    async def _join(self) -> None:
+        """Write this process's row, and read the others'."""
+        while True:
+            try:
+                await self.store.write([member_row(self.me)])
+            except (PlatformUnavailable, PlatformRefused) as exc:
+                self.events.emit("members.unavailable", why=str(exc))
+                await asyncio.sleep(self.rng.uniform(0.5, 1.0))
+                continue
+            await self.read_members()
+            return
--- /dev/null
+++ b/packages/wasabideck_base/wasabideck_base/hearsay.py
@@ -0,0 +1,162 @@
+"""Declarations that processes tell each other, with or without the store."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable, Iterable
+
+from attrs import define, field
+from grpclib.server import Stream
+from wasabideck_policy.declarations import Declaration, Declarations
+from wasabideck_policy.membership import Member
+from wasabideck_wire import inner_pb2 as pb
+from wasabideck_wire.inner_grpc import PeersBase, PeersStub
+
+from .channels import LINK_FAILURES, Channels
+from .events import Events
+
+__all__ = ["Hearsay", "HearsayService"]
+
+# What an entry of the inner protocol's message tells of.
+DECLARED = "declared"
+TABLE = "table"
+CALL_SECONDS = 0.7
+# A process asks one peer so often: with every second process cut off from the store
+# a change is with 99 in 100 of the others after seven asks (seconds).
+CALM_SECONDS = 1.0
+CUT_OFF_SECONDS = 0.2
+# Peers in the same region are asked so often, as the links between regions are thin.
+NEAR_PART = 0.7
+# A peer that gave no answer is not asked again for so long (seconds).
+SET_BACK_SECONDS = 3.0
+
+
+@define
+class Hearsay:
+    """A process's declarations, and how it hears newer ones from its peers.
+
+    Attributes
+    ----------
+    changed : callable
+        Given declarations that replaced what was known.
+    tables : dict of str to callable
+        Version of the store that each followed table reflects here.
+    behind : callable
+        Told of a table of which a peer knows a newer version.
+    """
+
+    me: Member
+    channels: Channels
+    events: Events
+    clock: Callable[[], float]
+    rng: random.Random
+    changed: Callable[[list[Declaration], str], None]
+    tables: dict[str, Callable[[], int]]
+    behind: Callable[[str, int], None]
+    declarations: Declarations = field(factory=Declarations)
+    members: dict[str, Member] = field(factory=dict)
+    seeds: list[str] = field(factory=list)
+    heard_at: float = float("-inf")
+    _set_back: dict[str, float] = field(factory=dict)
+
+    def merge(self, found: Iterable[Declaration], source: str) -> None:
+        """Take declarations in, and tell of those that are newer."""
+        newer = self.declarations.merge(found)
+        for declaration in newer:
+            self.events.emit(
+                "declaration.seen",
+                touched=declaration.key,
+                number=declaration.number,
+                source=source,
+            )
+        if newer:
+            self.changed(newer, source)
+
+    async def ask_one(self) -> None:
+        """Ask one peer, drawn at random, for what it knows that is newer."""
+        address = self._draw(self.clock())
+        if address is None:
+            return
+        channel = self.channels.get(address)
+        try:
+            reply = await PeersStub(channel).Sync(
+                self._question(), timeout=CALL_SECONDS
+            )
+        except LINK_FAILURES as exc:
+            self.channels.drop(address, channel)
+            self._set_back[address] = self.clock() + SET_BACK_SECONDS
+            self.events.emit("peer.silent", peer=address, why=type(exc).__name__)
+            return
+        if reply.heard:
+            self.heard_at = self.clock()
+        found = [
+            Declaration(entry.scope, entry.ticket, entry.change)
+            for entry in reply.entries
+            if entry.slot == DECLARED
+        ]
+        self.merge(found, address)
+        for entry in reply.entries:
+            if entry.slot == TABLE:
+                self.behind(entry.scope, entry.ticket)
+
+    def answer(self, req: pb.SyncRequest) -> pb.SyncReply:
+        """What a peer lacks of what is known here."""
+        theirs = {e.scope: e.ticket for e in req.entries if e.slot == DECLARED}
+        entries = [
+            pb.Entry(scope=d.key, slot=DECLARED, ticket=d.number, change=d.content)
+            for d in self.declarations.newer_than(theirs)
+        ]
+        entries += [
+            pb.Entry(scope=e.scope, slot=TABLE, ticket=self.tables[e.scope]())
+            for e in req.entries
+            if e.slot == TABLE and e.scope in self.tables
+            if self.tables[e.scope]() > e.ticket
+        ]
+        return pb.SyncReply(entries=entries, heard=len(self.declarations) > 0)
+
+    def _question(self) -> pb.SyncRequest:
+        numbers = self.declarations.numbers()
+        entries = [
+            pb.Entry(scope=key, slot=DECLARED, ticket=number)
+            for key, number in numbers.items()
+        ]
+        entries += [
+            pb.Entry(scope=table, slot=TABLE, ticket=max(0, version()))
+            for table, version in self.tables.items()
+        ]
+        return pb.SyncRequest(vm=self.me.vm, entries=entries)
+
+    def _draw(self, now: float) -> str | None:
+        others = [m for m in self.members.values() if m.vm != self.me.vm]
+        known = {m.address for m in others}
+        open_ones = [a for a in known if self._set_back.get(a, 0.0) <= now]
+        if not open_ones:
+            # Nobody known answers: the seeds may know who is there.
+            seeds = [a for a in self.seeds if self._set_back.get(a, 0.0) <= now]
+            return self.rng.choice(seeds) if seeds else None
+        near = {m.address for m in others if m.region == self.me.region}
+        close = [a for a in open_ones if a in near]
+        if close and self.rng.random() < NEAR_PART:
+            return self.rng.choice(sorted(close))
+        return self.rng.choice(sorted(open_ones))
+
+
+@define
+class HearsayService(PeersBase):
+    """Answers peers that ask for newer declarations."""
+
+    hearsay: Hearsay
+
+    async def Sync(self, stream: Stream[pb.SyncRequest, pb.SyncReply]) -> None:
+        """Tell a peer what it lacks."""
+        req = await stream.recv_message()
+        await stream.send_message(self.hearsay.answer(req))
+
+    async def Status(self, stream: Stream) -> None:
+        """Nothing here: agents of this deployment serve no requests."""
+        await stream.send_message(pb.StatusReply(vm=self.hearsay.me.vm))
+
+    async def Watch(self, stream: Stream) -> None:
+        """As ``Status``, once."""
+        await stream.recv_message()
+        await stream.send_message(pb.StatusReply(vm=self.hearsay.me.vm))
--- /dev/null
+++ b/packages/wasabideck_base/wasabideck_base/member_rows.py
@@ -0,0 +1,35 @@
+"""Rows by which the system's own processes find each other in the store."""
+
+from __future__ import annotations
+
+import orjson
+from attrs import asdict
+from wasabideck_policy.membership import Member
+from wasabideck_policy.outcomes import WasabideckError
+
+from .rows import Row, RowWrite
+
+__all__ = ["MEMBERS", "MalformedMember", "member_of", "member_row"]
+
+MEMBERS = "wasabideck-members"
+
+
+class MalformedMember(WasabideckError):
+    """A row of the table of members that names none."""
+
+    def __init__(self, key: str, why: str):
+        super().__init__(f"{MEMBERS}/{key}: {why}")
+        self.key = key
+
+
+def member_row(member: Member) -> RowWrite:
+    """The row that tells of a process."""
+    return RowWrite(MEMBERS, member.vm, orjson.dumps(asdict(member)))
+
+
+def member_of(row: Row) -> Member:
+    """The process that a row tells of; raises ``MalformedMember``."""
+    try:
+        return Member(**orjson.loads(row.value))
+    except (TypeError, ValueError) as exc:
+        raise MalformedMember(row.key, str(exc)) from exc
--- /dev/null
+++ b/packages/wasabideck_base/wasabideck_base/node_process.py
@@ -0,0 +1,128 @@
+"""What the processes on a node share: connections, log, inner protocol, signals."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import random
+import signal
+import socket
+import sys
+import time
+from collections.abc import AsyncIterator, Callable
+from contextlib import asynccontextmanager
+
+import aiohttp
+import eliot
+from attrs import define
+from wasabideck_policy.membership import Member
+
+from .believer import Believer
+from .bounded_log import BoundedLog
+from .channels import Channels, observe_clock
+from .deployment import Deployment
+from .events import Clock, Events
+from .hearsay import HearsayService
+from .inner_limits import InnerServer
+from .node import NodeSettings
+
+__all__ = ["NodeProcess", "keep_alive_session", "node_process"]
+
+# A connection to the store that went silent while nothing was due is found by probes
+# of the kernel's, which are no calls: after two seconds, and twice a second then.
+PROBE_AFTER_SECONDS = 2
+PROBE_EVERY_SECONDS = 1
+PROBES = 2
+USER_TIMEOUT_MS = 4000
+
+
+@define
+class NodeProcess:
+    """What a process on a node has to work with."""
+
+    cfg: NodeSettings
+    events: Events
+    session: aiohttp.ClientSession
+    channels: Channels
+    believer: Believer
+    clock: Callable[[], float]
+    rng: random.Random
+    stop: asyncio.Event
+
+
+def keep_alive_session() -> aiohttp.ClientSession:
+    """A client session whose connections do not stay silent unnoticed."""
+    connector = aiohttp.TCPConnector(limit=0, socket_factory=_probing_socket)
+    return aiohttp.ClientSession(connector=connector, auto_decompress=False)
+
+
+@asynccontextmanager
+async def node_process(
+    cfg: NodeSettings, kind: str, deployment: Deployment, services: Callable
+) -> AsyncIterator[NodeProcess]:
+    """Everything that a process on a node shares, running until the block ends.
+
+    Parameters
+    ----------
+    services : callable
+        Given the process, the further services of its inner protocol.
+    """
+    loop = asyncio.get_running_loop()
+    stop = asyncio.Event()
+    loop.add_signal_handler(signal.SIGTERM, stop.set)
+    loop.add_signal_handler(signal.SIGINT, stop.set)
+    events = _open_log(cfg.vm)
+    # Seeded by the name, so that two processes never draw alike.
+    rng = random.Random(f"{cfg.vm}/{os.getpid()}/{time.monotonic_ns()}")
+    channels = Channels(events.clock)
+    me = Member(
+        cfg.vm, kind, cfg.inner_address, cfg.region, cfg.data_centre, cfg.service
+    )
+    async with keep_alive_session() as session:
+        store = deployment.open_store(session, cfg)
+        believer = Believer(
+            cfg, me, deployment, store, channels, events, loop.time, rng
+        )
+        process = NodeProcess(
+            cfg, events, session, channels, believer, loop.time, rng, stop
+        )
+        inner = InnerServer([HearsayService(believer.hearsay), *services(process)])
+        observe_clock(inner, events.clock)
+        await inner.start(cfg.ip, cfg.inner_port)
+        tasks = [asyncio.create_task(step) for step in believer.loops()]
+        for task in tasks:
+            task.add_done_callback(lambda done: _ended(done, stop, events))
+        events.emit("process.ready", kind=kind, address=cfg.inner_address)
+        try:
+            yield process
+        finally:
+            for task in tasks:
+                task.cancel()
+            inner.close()
+            channels.close()
+            events.emit("process.stopped", kind=kind)
+
+
+def _ended(task: asyncio.Task, stop: asyncio.Event, events: Events) -> None:
+    """End the process when one of its loops failed: it starts anew, whole."""
+    if not task.cancelled() and task.exception() is not None:
+        events.emit("loop.failed", why=repr(task.exception()))
+        stop.set()
+
+
+def _open_log(vm: str) -> Events:
+    descriptor = sys.stdout.fileno()
+    os.set_blocking(descriptor, False)
+    eliot.add_destinations(BoundedLog(descriptor, time.monotonic))
+    return Events(vm, Clock(), time.time)
+
+
+def _probing_socket(address: tuple) -> socket.socket:
+    family, kind, protocol, _, _ = address
+    sock = socket.socket(family, kind, protocol)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, PROBE_AFTER_SECONDS)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, PROBE_EVERY_SECONDS)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, PROBES)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
+    return sock
--- /dev/null
+++ b/packages/wasabideck_base/wasabideck_base/table_watch.py
@@ -0,0 +1,146 @@
+"""Follows a table of the store through its outages, stale answers and lost history."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections.abc import Callable
+
+from attrs import define, field
+from wasabideck_policy.outcomes import WasabideckError
+
+from .events import Events
+from .http import PlatformRefused, PlatformUnavailable
+from .rows import Changes, HistoryLost, Row, RowStore
+
+__all__ = ["TableWatch"]
+
+# How long the store may hold an answer back while nothing changes: each call is paid
+# for, and a connection that went silent is found by its keep-alive probes.
+WAIT_SECONDS = 15.0
+# Pauses between tries while the store gives no answer (seconds). The longest stays
+# under the time in which a change has to be in force after the store's return.
+FIRST_PAUSE = 0.15
+LONGEST_PAUSE = 0.8
+
+
+@define
+class TableWatch:
+    """Keeps a process's copy of a table.
+
+    Attributes
+    ----------
+    took : callable
+        Given each row that is new, also of removals.
+    whole : callable
+        Given all keys of the table after it was read whole.
+    returned : callable
+        Told when the store answers again after it had not.
+    version : int
+        Version of the store that the copy reflects; -1 before the first read.
+    heard_at : float
+        When the store last answered for this table, seconds.
+    """
+
+    store: RowStore
+    table: str
+    took: Callable[[list[Row]], None]
+    whole: Callable[[list[Row]], None]
+    returned: Callable[[], None]
+    clock: Callable[[], float]
+    events: Events
+    rng: random.Random
+    version: int = -1
+    heard_at: float = float("-inf")
+    _rows: dict[str, int] = field(factory=dict)
+    _failures: int = 0
+    _read_again: bool = True
+    _asking: asyncio.Task | None = None
+
+    @property
+    def failing(self) -> bool:
+        """Whether the store gave no answer when it was last asked."""
+        return self._failures > 0 or self.version < 0
+
+    async def run(self) -> None:
+        """Follow the table for ever."""
+        while True:
+            try:
+                await self.step()
+            except HistoryLost as exc:
+                self.events.emit("watch.history-lost", table=self.table, why=str(exc))
+                self._read_again = True
+            except (PlatformUnavailable, PlatformRefused) as exc:
+                self._failed(exc)
+                await asyncio.sleep(self._pause())
+
+    async def step(self) -> None:
+        """One call: the whole table at first, then what has changed."""
+        if self._read_again:
+            await self._read()
+        else:
+            await self._follow()
+
+    def behind(self, version: int) -> None:
+        """Note that others know a newer version: the present call may be silent."""
+        if self._asking is not None and version > self.version >= 0:
+            self.events.emit("watch.behind", table=self.table, peer=version)
+            self._asking.cancel()
+
+    async def _read(self) -> None:
+        changes = await self._ask(self.store.read(self.table))
+        if changes.version < self.version:
+            # An answer from before what is known here would take rows away that
+            # have come since.
+            await asyncio.sleep(self._pause())
+            return
+        self._answered()
+        self._read_again = False
+        self._take(changes)
+        self.whole(list(changes.rows))
+
+    async def _follow(self) -> None:
+        follow = self.store.follow(self.table, self.version, WAIT_SECONDS)
+        changes = await self._ask(follow)
+        if changes.version < self.version:
+            await asyncio.sleep(self._pause())
+            return
+        self._answered()
+        self._take(changes)
+
+    async def _ask(self, call: object) -> Changes:
+        """The answer to a call, which ``behind`` may break off."""
+        self._asking = asyncio.ensure_future(call)
+        try:
+            return await self._asking
+        except asyncio.CancelledError:
+            if asyncio.current_task().cancelling():
+                self._asking.cancel()
+                raise
+            raise PlatformUnavailable(self.table, "silent", False) from None
+        finally:
+            self._asking = None
+
+    def _take(self, changes: Changes) -> None:
+        newer = [r for r in changes.rows if r.version > self._rows.get(r.key, -1)]
+        for row in newer:
+            self._rows[row.key] = row.version
+        self.version = max(self.version, changes.version)
+        if newer:
+            self.took(newer)
+
+    def _answered(self) -> None:
+        self.heard_at = self.clock()
+        if self._failures:
+            self._failures = 0
+            self.events.emit("store.back", table=self.table)
+            self.returned()
+
+    def _failed(self, exc: WasabideckError) -> None:
+        self._failures += 1
+        if self._failures == 1:
+            self.events.emit("store.lost", table=self.table, why=str(exc))
+
+    def _pause(self) -> float:
+        longest = min(LONGEST_PAUSE, FIRST_PAUSE * 2 ** min(self._failures, 8))
+        return longest * self.rng.uniform(0.6, 1.0)
--- /dev/null
+++ b/packages/wasabideck_forward/wasabideck_forward/__init__.py
@@ -0,0 +1,1 @@
+"""Forwards callers' requests to backend servers, directly and unchanged."""
--- /dev/null
+++ b/packages/wasabideck_forward/wasabideck_forward/delivery.py
@@ -0,0 +1,219 @@
+"""Passes a server's answer on: plain ones whole, streams event by event."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+
+from attrs import define, field
+from wasabideck_policy.backends import Backend
+from wasabideck_policy.configuration import Kind
+from wasabideck_policy.outcomes import WasabideckError
+
+from .caller_connection import CallerConnection
+from .event_stream import Event, EventSplitter
+from .messages import AnswerHead, header_of, passed_on
+from .server_connection import Answer, AnswerBroken
+
+__all__ = ["Delivered", "ServerFailed", "deliver", "head_of"]
+
+# A plain answer up to this size is held until it is whole, so that one that breaks
+# off can still become another server's answer or an honest failure.
+HELD_BYTES = 256 * 1024
+# A server from which not a byte came for so long, on any connection of this process,
+# is taken for dead when the request may run elsewhere (seconds): a plain request's
+# work is 22 ms and its deadline 0.6 s; an engine tells at least at each pass of its
+# batch, 50 to 150 ms, but may read waiting prompts for a second first.
+SILENT_PLAIN = 0.25
+SILENT_FIRST = 1.5
+SILENT_NEXT = 0.7
+
+
+class ServerFailed(WasabideckError):
+    """A server answered that it could not, or would not, serve the request.
+
+    Attributes
+    ----------
+    refused : bool
+        It has not run the request.
+    """
+
+    status = 502
+
+    def __init__(self, status: int, refused: bool):
+        super().__init__(f"status {status}")
+        self.answer_status = status
+        self.refused = refused
+
+
+@define(eq=False)
+class Delivered:
+    """What a caller has of an answer so far.
+
+    Attributes
+    ----------
+    last_event : bytes
+        Id of the last event that was written to the caller.
+    fallback : tuple or None
+        A server's whole failure, for when no other server does better.
+    """
+
+    last_event: bytes = b""
+    events: int = 0
+    splitter: EventSplitter = field(factory=EventSplitter)
+    fallback: tuple[AnswerHead, bytes] | None = None
+
+    async def write_fallback(self, caller: CallerConnection) -> None:
+        """Write the failure that was kept."""
+        head, body = self.fallback
+        await _write_whole(caller, head, body)
+
+
+async def head_of(
+    exchange: object, answer: Answer, backend: Backend, clock: Callable[[], float]
+) -> AnswerHead:
+    """An answer's head; raises ``AnswerBroken``, also for a silent server."""
+    patience = SILENT_PLAIN if exchange.route.kind is Kind.SAFE else SILENT_FIRST
+    if not exchange.replaceable:
+        return await answer.headers()
+    return await _patiently(answer.headers, backend, patience, clock)
+
+
+async def deliver(
+    exchange: object,
+    head: AnswerHead,
+    answer: Answer,
+    backend: Backend,
+    caller: CallerConnection,
+    clock: Callable[[], float],
+) -> None:
+    """Pass an answer on to the caller.
+
+    Raises
+    ------
+    AnswerBroken
+        It ended early; what had been written stays whole events.
+    ServerFailed
+        It is a failure that another server may do better.
+    """
+    if head.refused or head.other_server:
+        raise ServerFailed(head.status, refused=True)
+    streamed = header_of(head.headers, b"content-type").startswith(b"text/event-stream")
+    if streamed and head.status < 300:
+        await _deliver_events(exchange, head, answer, backend, caller, clock)
+        return
+    if exchange.delivered.events:
+        # Half of a stream is with the caller: nothing else can go on behind it.
+        raise ServerFailed(head.status, refused=False)
+    await _deliver_plain(exchange, head, answer, caller)
+
+
+async def _deliver_plain(
+    exchange: object, head: AnswerHead, answer: Answer, caller: CallerConnection
+) -> None:
+    body = bytearray()
+    while part := await answer.read():
+        body += part
+        if len(body) > HELD_BYTES:
+            await _pass_through(head, bytes(body), answer, caller)
+            return
+    if head.status >= 500 and exchange.route.idempotent:
+        exchange.delivered.fallback = (head, bytes(body))
+        raise ServerFailed(head.status, refused=False)
+    await _write_whole(caller, head, bytes(body))
+
+
+async def _pass_through(
+    head: AnswerHead, begun: bytes, answer: Answer, caller: CallerConnection
+) -> None:
+    length = header_of(head.headers, b"content-length")
+    size = int(length) if length.isdigit() else None
+    caller.write_head(head.status, passed_on(head.headers), size)
+    await caller.write_body(begun)
+    while part := await answer.read():
+        await caller.write_body(part)
+    caller.end()
+
+
+async def _write_whole(caller: CallerConnection, head: AnswerHead, body: bytes) -> None:
+    length = len(body)
+    if not body and header_of(head.headers, b"content-length").isdigit():
+        # The answer to HEAD names the length of what it leaves out.
+        length = int(header_of(head.headers, b"content-length"))
+    caller.write_head(head.status, passed_on(head.headers), length)
+    await caller.write_body(body)
+    caller.end()
+
+
+async def _deliver_events(
+    exchange: object,
+    head: AnswerHead,
+    answer: Answer,
+    backend: Backend,
+    caller: CallerConnection,
+    clock: Callable[[], float],
+) -> None:
+    delivered = exchange.delivered
+    delivered.splitter.restart()
+    after = delivered.last_event or exchange.req.head.last_event
+    first = True
+    while True:
+        patience = SILENT_FIRST if first else SILENT_NEXT
+        if exchange.replaceable:
+            data = await _patiently(answer.read, backend, patience, clock)
+        else:
+            data = await answer.read()
+        if not data:
+            break
+        events = delivered.splitter.feed(data)
+        if events and first:
+            _check_follows(events[0], after)
+            first = False
+        if events:
+            await _write_events(delivered, head, events, caller)
+    if delivered.splitter.partial:
+        raise AnswerBroken("the stream ended within an event")
+    if not caller.begun:
+        caller.write_head(head.status, passed_on(head.headers), None)
+    caller.end()
+
+
+async def _write_events(
+    delivered: Delivered,
+    head: AnswerHead,
+    events: list[Event],
+    caller: CallerConnection,
+) -> None:
+    # The head waits for the first event: until then another server may still give
+    # the whole answer, with a head of its own.
+    if not caller.begun:
+        caller.write_head(head.status, passed_on(head.headers), None)
+    # Counted first: once it is in the transport's buffer the caller may have it.
+    delivered.events += len(events)
+    delivered.last_event = delivered.splitter.last_id
+    await caller.write_body(b"".join(event.data for event in events))
+
+
+def _check_follows(event: Event, after: bytes) -> None:
+    """Raise unless a stream that goes on begins with the event after the last one.
+
+    A server that begins anew would send again what the caller has already.
+    """
+    if not after.isdigit() or not event.event_id.isdigit():
+        return
+    if int(event.event_id) != int(after) + 1:
+        raise AnswerBroken(f"went on at event {event.event_id!r} after {after!r}")
+
+
+async def _patiently(
+    wait: Callable, backend: Backend, patience: float, clock: Callable[[], float]
+) -> object:
+    """What ``wait`` gives; raises ``AnswerBroken`` when the server fell silent."""
+    while True:
+        begun = clock()
+        try:
+            async with asyncio.timeout(patience):
+                return await wait()
+        except TimeoutError:
+            if backend.heard_at < begun:
+                raise AnswerBroken("the server fell silent") from None
--- /dev/null
+++ b/packages/wasabideck_forward/wasabideck_forward/entry_process.py
@@ -0,0 +1,126 @@
+"""The entry on a node: callers' requests straight to backend servers."""
+
+from __future__ import annotations
+
+import asyncio
+
+from attrs import define
+from wasabideck_base.deployment import Deployment
+from wasabideck_base.node import NodeSettings
+from wasabideck_base.node_process import NodeProcess, node_process
+from wasabideck_policy.configuration import CallerLimits
+from wasabideck_policy.membership import ENTRY
+
+from .caller_connection import CallerConnection, Front
+from .forwarder import Bounds, Forwarder
+from .messages import CallerRequest
+from .server_pool import ServerPool
+
+__all__ = ["run_entry"]
+
+SWEEP_SECONDS = 0.5
+BACKLOG = 1024
+# A named version counts from its confirmation, which is a little before this process
+# hears of it; requests go to newer weights only from so much earlier on (seconds).
+VERSION_MARGIN = 0.8
+# After the signal to stop the balancer needs two checks, a second apart, to notice;
+# until then new connections are still taken (seconds).
+NOTICED_SECONDS = 3.0
+# What is left of the time for stopping when the last connections are closed.
+CLOSING_SECONDS = 0.5
+
+
+async def run_entry(cfg: NodeSettings, deployment: Deployment) -> None:
+    """Run an entry until it is told to stop, and has answered what it had read."""
+    async with node_process(cfg, ENTRY, deployment, lambda process: ()) as process:
+        entry = _assemble(process, deployment)
+        await entry.serve()
+
+
+@define
+class _Entry:
+    """The listeners of one entry, and its forwarder."""
+
+    process: NodeProcess
+    front: Front
+    ready: Front
+    forwarder: Forwarder
+
+    async def serve(self) -> None:
+        """Listen until the signal to stop, then finish."""
+        loop = asyncio.get_running_loop()
+        cfg = self.process.cfg
+        listeners = [
+            await _listen(self.front, cfg.front),
+            await _listen(self.ready, cfg.ready),
+        ]
+        sweeping = loop.create_task(self._keep_sweeping())
+        await self.process.stop.wait()
+        await self._finish(listeners[0])
+        sweeping.cancel()
+        for listener in listeners:
+            listener.close()
+
+    async def _keep_sweeping(self) -> None:
+        pool, backends = self.forwarder.pool, self.process.believer.beliefs.backends
+        while True:
+            await asyncio.sleep(SWEEP_SECONDS)
+            self.front.sweep()
+            self.ready.sweep()
+            pool.sweep(backends.names())
+
+    async def _finish(self, listener: asyncio.Server) -> None:
+        """Answer everything that is read before the end."""
+        clock, grace = self.process.clock, self.process.cfg.bounds.grace
+        began = clock()
+        self.front.closing = True
+        self.process.events.emit("process.leaving", open=len(self.front.connections))
+        end = began + grace - CLOSING_SECONDS
+        while clock() < end:
+            await asyncio.sleep(0.05)
+            if clock() - began < NOTICED_SECONDS:
+                continue
+            listener.close()
+            if not any(conn.busy for conn in self.front.connections):
+                return
+
+
+def _assemble(process: NodeProcess, deployment: Deployment) -> _Entry:
+    cfg, beliefs = process.cfg, process.believer.beliefs
+    bounds = Bounds(
+        cfg.bounds.retry_ratio,
+        cfg.bounds.retry_slack,
+        cfg.bounds.retry_window,
+        cfg.bounds.version - VERSION_MARGIN,
+    )
+    forwarder = Forwarder(
+        beliefs,
+        ServerPool(deployment.wire, process.clock),
+        deployment.wire,
+        bounds,
+        cfg.data_centre,
+        process.clock,
+        process.rng,
+        process.events,
+    )
+
+    def limits() -> CallerLimits:
+        known = beliefs.configuration
+        return known.limits if known else CallerLimits()
+
+    front = Front(deployment.wire, process.clock, limits, forwarder.serve, set())
+
+    async def answer_check(req: CallerRequest, caller: CallerConnection) -> None:
+        good = beliefs.ready and not front.closing
+        caller.write_head(200 if good else 503, (), 0)
+
+    ready = Front(deployment.wire, process.clock, limits, answer_check, set())
+    return _Entry(process, front, ready, forwarder)
+
+
+async def _listen(front: Front, address: str) -> asyncio.Server:
+    host, _, port = address.rpartition(":")
+    loop = asyncio.get_running_loop()
+    return await loop.create_server(
+        lambda: CallerConnection(front), host, int(port), backlog=BACKLOG
+    )
--- /dev/null
+++ b/packages/wasabideck_forward/wasabideck_forward/forwarder.py
@@ -0,0 +1,342 @@
+"""One request's way: admitted, sent to a server, answered whole or refused."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections.abc import Callable
+
+from attrs import define, field
+from wasabideck_base.events import Events
+from wasabideck_policy.backends import Backend
+from wasabideck_policy.beliefs import Beliefs
+from wasabideck_policy.configuration import EngineModel, Route
+from wasabideck_policy.outliers import Outliers
+from wasabideck_policy.placement import Demand, choose
+from wasabideck_policy.retry_share import RetryShare
+
+from .caller_connection import CallerConnection
+from .delivery import Delivered, ServerFailed, deliver, head_of
+from .messages import AnswerHead, CallerRequest, Sending, Wire
+from .refusals import (
+    AllFull,
+    ConfigurationUnknown,
+    KeyUnknown,
+    NoRoute,
+    NoServer,
+    OutcomeUnknown,
+    Refusal,
+    ServersRefused,
+    TimeUp,
+)
+from .server_connection import Answer, AnswerBroken, ServerConnection
+from .server_pool import ServerPool, Unreachable
+
+__all__ = ["Bounds", "Forwarder"]
+
+# A server that refused as full is passed over for so long: about a pass of an
+# engine's batch, after which places may be free again (seconds).
+FULL_SECONDS = 0.12
+# One that did not run what it was sent for another reason (restarted, reloading).
+CHANGED_SECONDS = 0.4
+# What is left of a deadline is told a little short, as the message still travels.
+TRAVEL_SECONDS = 0.002
+
+
+@define
+class Bounds:
+    """Figures of the deployment that decisions need.
+
+    Attributes
+    ----------
+    retry_ratio, retry_slack, retry_window : float
+        Repeats that one request earns, and that all entries may make beside that
+        in a window of so many seconds.
+    version_seconds : float
+        Time that servers have to come to a named version of weights.
+    """
+
+    retry_ratio: float
+    retry_slack: float
+    retry_window: float
+    version_seconds: float
+
+
+@define(eq=False)
+class Exchange:
+    """One request on its way.
+
+    Attributes
+    ----------
+    until : float
+        When it has to have an answer, seconds.
+    deadline : float or None
+        When the caller stops waiting, seconds.
+    uncertain : bool
+        Whether a server may have run it without having said how it ended.
+    replaceable : bool
+        Whether another server may be tried after the present one.
+    delivered : Delivered
+        What the caller has of the answer so far.
+    """
+
+    req: CallerRequest
+    route: Route
+    service: str
+    until: float
+    deadline: float | None
+    organisation: str = ""
+    priority: int | None = None
+    engine: EngineModel | None = None
+    tried: list[str] = field(factory=list)
+    uncertain: bool = False
+    refused_by: int = 0
+    replaceable: bool = False
+    delivered: Delivered = field(factory=Delivered)
+
+
+@define
+class Forwarder:
+    """Answers requests by sending them to backend servers, one hop."""
+
+    beliefs: Beliefs
+    pool: ServerPool
+    wire: Wire
+    bounds: Bounds
+    data_centre: str
+    clock: Callable[[], float]
+    rng: random.Random
+    events: Events
+    outliers: Outliers = field(factory=Outliers)
+    in_progress: int = 0
+    _shares: dict[str, RetryShare] = field(factory=dict)
+
+    async def serve(self, req: CallerRequest, caller: CallerConnection) -> None:
+        """Answer one request on its connection."""
+        self.in_progress += 1
+        exchange = None
+        try:
+            exchange = self._admit(req, self.clock())
+            await self._within_time(exchange, caller)
+        except Refusal as exc:
+            await self._refuse(req, exchange, exc, caller)
+        except asyncio.CancelledError:
+            self._note(req, exchange, "left")
+            raise
+        finally:
+            self.in_progress -= 1
+
+    def _admit(self, req: CallerRequest, now: float) -> Exchange:
+        """What is known of a request before it is sent; raises ``Refusal``."""
+        cfg = self.beliefs.configuration
+        if cfg is None or not self.beliefs.listed:
+            raise ConfigurationUnknown("no configuration heard yet")
+        route = cfg.route(req.head.host, req.path)
+        # What a stale process does not know may have been added meanwhile.
+        stale = self.beliefs.stale(now)
+        if route is None:
+            raise ConfigurationUnknown("route") if stale else NoRoute(req.path[:80])
+        organisation, priority = "", route.priority
+        if cfg.keys is not None and not route.public:
+            holder = cfg.keys.get(req.head.key)
+            if holder is None:
+                raise ConfigurationUnknown("key") if stale else KeyUnknown("no holder")
+            organisation = holder.name
+            priority = route.priority if holder.priority is None else holder.priority
+        service = route.draw_service(self.rng)
+        deadline = req.arrived + req.head.deadline if req.head.deadline else None
+        until = min(req.arrived + route.timeout, deadline or float("inf"))
+        self._share(service).request(now)
+        engine = cfg.services[service].engine if service in cfg.services else None
+        return Exchange(
+            req, route, service, until, deadline, organisation, priority, engine
+        )
+
+    async def _within_time(self, exchange: Exchange, caller: CallerConnection) -> None:
+        try:
+            async with asyncio.timeout_at(exchange.until):
+                await self._try_servers(exchange, caller)
+        except TimeoutError:
+            if caller.begun:
+                self._break_off(exchange, caller, "TimeUp")
+                return
+            if exchange.uncertain:
+                raise TimeUp(exchange.route.name) from None
+            raise NoServer("time is up before any server ran it") from None
+
+    async def _try_servers(self, exchange: Exchange, caller: CallerConnection) -> None:
+        while True:
+            backend = self._choose(exchange, self.clock())
+            try:
+                await self._attempt(exchange, backend, caller)
+            except (Unreachable, AnswerBroken, ServerFailed) as exc:
+                self._learn_failure(exchange, backend, exc)
+            else:
+                return
+            if self._may_try_again(exchange, self.clock()):
+                continue
+            if caller.begun:
+                self._break_off(exchange, caller, "OutcomeUnknown")
+                return
+            if exchange.delivered.fallback:
+                await exchange.delivered.write_fallback(caller)
+                self._note(exchange.req, exchange, "answered")
+                return
+            if exchange.uncertain:
+                raise OutcomeUnknown(backend.server)
+            raise ServersRefused(backend.server)
+
+    def _choose(self, exchange: Exchange, now: float) -> Backend:
+        """The next server; raises ``Refusal`` when there is none."""
+        demand = self._demand(exchange, now)
+        known = self.beliefs.backends.of_service(exchange.service, now)
+        sound = self.outliers.sound((b.server for b in known), now)
+        left = [
+            b for b in known if b.server in sound and b.server not in exchange.tried
+        ]
+        place = choose(left, demand, now, self.rng)
+        if place.backend is not None:
+            return place.backend
+        if exchange.uncertain:
+            raise OutcomeUnknown("no other server")
+        raise AllFull(exchange.service) if place.full else NoServer(exchange.service)
+
+    def _demand(self, exchange: Exchange, now: float) -> Demand:
+        if exchange.engine is None:
+            return Demand(self.data_centre)
+        model = exchange.engine.model
+        within = self.bounds.version_seconds
+        least = self.beliefs.least_version(model, within, now)
+        return Demand(self.data_centre, model, exchange.engine.layers, least)
+
+    async def _attempt(
+        self, exchange: Exchange, backend: Backend, caller: CallerConnection
+    ) -> None:
+        """Send it to one server and pass the answer on."""
+        exchange.tried.append(backend.server)
+        exchange.replaceable = (
+            exchange.route.idempotent and len(exchange.tried) < exchange.route.attempts
+        )
+        backend.in_progress += 1
+        conn: ServerConnection | None = None
+        try:
+            conn = await self.pool.take(backend, exchange.route.idempotent)
+            answer = Answer(exchange.req.head.request, exchange.req.method == b"HEAD")
+            was_uncertain, exchange.uncertain = exchange.uncertain, True
+            conn.send(self._message(exchange, backend), answer)
+            head = await head_of(exchange, answer, backend, self.clock)
+            self._learn(exchange, backend, head)
+            if head.refused or head.other_server:
+                exchange.uncertain = was_uncertain
+                exchange.refused_by += 1
+            await deliver(exchange, head, answer, backend, caller, self.clock)
+            self._note(exchange.req, exchange, "answered")
+            self.outliers.succeeded(backend.server)
+            self.pool.give_back(backend, conn)
+            conn = None
+        finally:
+            backend.in_progress -= 1
+            # A server stops its work on a request when its connection closes.
+            if conn is not None:
+                conn.close()
+
+    def _message(self, exchange: Exchange, backend: Backend) -> bytes:
+        now = self.clock()
+        left = None
+        if exchange.deadline is not None:
+            left = max(0.001, exchange.deadline - now - TRAVEL_SECONDS)
+        demand = self._demand(exchange, now)
+        sending = Sending(
+            server=backend.server,
+            left=left,
+            organisation=exchange.organisation,
+            last_event=exchange.delivered.last_event or exchange.req.head.last_event,
+            version=demand.least_version,
+        )
+        return self.wire.write_request(exchange.req, sending) + exchange.req.body
+
+    def _learn(self, exchange: Exchange, backend: Backend, head: AnswerHead) -> None:
+        now = self.clock()
+        if head.load is not None:
+            total = head.load.running + head.load.waiting
+            backend.others = max(0, total - backend.in_progress)
+            backend.told_at = now
+        if head.version and exchange.engine is not None:
+            backend.versions[exchange.engine.model] = head.version
+        if head.other_server:
+            backend.full_until = now + CHANGED_SECONDS
+        elif head.refused:
+            backend.full_until = now + FULL_SECONDS
+
+    def _learn_failure(
+        self, exchange: Exchange, backend: Backend, exc: Exception
+    ) -> None:
+        refused = isinstance(exc, ServerFailed) and exc.refused
+        if not refused:
+            self.outliers.failed(backend.server, self.clock())
+        self.events.emit(
+            "attempt.failed",
+            request=exchange.req.head.request,
+            server=backend.server,
+            why=f"{type(exc).__name__}: {exc}",
+            uncertain=exchange.uncertain,
+            pressed=backend.in_progress + backend.others,
+        )
+
+    def _may_try_again(self, exchange: Exchange, now: float) -> bool:
+        if exchange.uncertain and not exchange.route.idempotent:
+            return False
+        if len(exchange.tried) >= exchange.route.attempts:
+            return False
+        share = self._share(exchange.service)
+        return share.may_repeat(now, self.beliefs.entries)
+
+    def _share(self, service: str) -> RetryShare:
+        if service not in self._shares:
+            bounds = self.bounds
+            self._shares[service] = RetryShare(
+                bounds.retry_ratio, bounds.retry_slack, bounds.retry_window
+            )
+        return self._shares[service]
+
+    def _break_off(
+        self, exchange: Exchange, caller: CallerConnection, why: str
+    ) -> None:
+        caller.break_off()
+        self._note(exchange.req, exchange, "broken-off", reason=why)
+
+    async def _refuse(
+        self,
+        req: CallerRequest,
+        exchange: Exchange | None,
+        exc: Refusal,
+        caller: CallerConnection,
+    ) -> None:
+        self._note(req, exchange, "refused", reason=type(exc).__name__, why=str(exc))
+        if caller.begun:
+            caller.break_off()
+            return
+        body = b'{"error":"%s"}' % type(exc).__name__.encode()
+        headers = [(b"Content-Type", b"application/json")]
+        if exc.retry_after:
+            # Drawn, so that those refused together do not come back together.
+            seconds = exc.retry_after * self.rng.uniform(0.7, 1.3)
+            headers.append((b"Retry-After", b"%.2f" % seconds))
+        caller.write_head(exc.status, headers, len(body))
+        await caller.write_body(body)
+
+    def _note(
+        self, req: CallerRequest, exchange: Exchange | None, outcome: str, **more: str
+    ) -> None:
+        """One line on how a request ended."""
+        cfg = self.beliefs.configuration
+        self.events.emit(
+            "request.ended",
+            request=req.head.request,
+            outcome=outcome,
+            seconds=round(self.clock() - req.arrived, 4),
+            servers=exchange.tried if exchange else [],
+            route=exchange.route.name if exchange else "",
+            configuration=cfg.number if cfg else 0,
+            **more,
+        )
--- /dev/null
+++ b/packages/wasabideck_forward/wasabideck_forward/refusals.py
@@ -0,0 +1,71 @@
+"""Typed reasons for which a caller gets an answer of this process's own."""
+
+from __future__ import annotations
+
+from wasabideck_policy.outcomes import WasabideckError
+
+__all__ = [
+    "AllFull",
+    "ConfigurationUnknown",
+    "KeyUnknown",
+    "NoRoute",
+    "NoServer",
+    "OutcomeUnknown",
+    "Refusal",
+    "ServersRefused",
+    "TimeUp",
+]
+
+
+class Refusal(WasabideckError):
+    """An answer of this process's own; 503 says that the request has not run."""
+
+    status = 503
+
+
+class ConfigurationUnknown(Refusal):
+    """No configuration, or none that is known to be the newest, has been heard."""
+
+    retry_after = 0.3
+
+
+class NoRoute(Refusal):
+    """No route of the configuration matches."""
+
+    status = 404
+
+
+class KeyUnknown(Refusal):
+    """The request's key is held by no organisation."""
+
+    status = 401
+
+
+class NoServer(Refusal):
+    """No server can run the request now."""
+
+    retry_after = 0.5
+
+
+class AllFull(Refusal):
+    """Each server that could run the request is too full."""
+
+    retry_after = 1.0
+
+
+class ServersRefused(Refusal):
+    """Each server that was tried refused it without running it."""
+
+    retry_after = 0.5
+
+
+class OutcomeUnknown(Refusal):
+    """A server got the request and gave no whole answer: it may have run."""
+
+    status = 502
+
+
+class TimeUp(Refusal):
+    """The time that the operators or the caller allow is over."""
+
+    status = 504
--- /dev/null
+++ b/packages/wasabideck_policy/wasabideck_policy/backends.py
@@ -0,0 +1,190 @@
+"""What a process believes of the backend servers, from the platform's list."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Mapping
+
+from attrs import define, field, frozen
+
+__all__ = ["Backend", "Backends", "Listed", "Loaded"]
+
+# After an outage of the list, a server that lived through it is listed again within
+# about two seconds; its entry's removal is not believed for so long (seconds).
+RETURN_SECONDS = 2.0
+# A removal that an outage caused takes many servers away in one answer. From this
+# share of a service on, the removals are held as after a known outage.
+MASS_SHARE = 0.34
+MASS_LEAST = 3
+
+
+@frozen
+class Loaded:
+    """Layers of a model's version that an engine holds, ``last`` left out."""
+
+    model: str
+    version: int
+    first: int
+    last: int
+
+
+@frozen
+class Listed:
+    """One server as the platform's list gives it.
+
+    Attributes
+    ----------
+    server : str
+        Name of one start of the server; a restart mostly has another.
+    born : int
+        When it started, milliseconds of wall time; 0 when not told.
+    cold_seconds : float
+        How much longer it is slow after its start.
+    """
+
+    server: str
+    service: str
+    address: str
+    data_centre: str
+    slots: int = 0
+    leaving: bool = False
+    cold_seconds: float = 0.0
+    loaded: tuple[Loaded, ...] = ()
+    born: int = 0
+
+
+@define(eq=False)
+class Backend:
+    """One server: what the list says, and what this process saw itself.
+
+    Attributes
+    ----------
+    in_progress : int
+        Requests of this process on it now.
+    others : float
+        Requests of other processes on it when it last told.
+    told_at : float
+        When it last told its load, seconds; 0 when it never did.
+    heard_at : float
+        When any byte last came from it, seconds.
+    versions : dict of str to int
+        Versions of weights that its answers or its agent told of, by model.
+    full_until : float
+        Until when it is taken to be full, having refused a request.
+    """
+
+    listed: Listed
+    in_progress: int = 0
+    others: float = 0.0
+    told_at: float = 0.0
+    heard_at: float = 0.0
+    full_until: float = 0.0
+    removed_at: float = 0.0
+    versions: dict[str, int] = field(factory=dict)
+
+    @property
+    def server(self) -> str:
+        """Name of this start of the server."""
+        return self.listed.server
+
+    def holds(self, model: str, layers: int) -> int:
+        """Version of which it holds all layers of the model; 0 for none."""
+        told = self.versions.get(model, 0)
+        if told:
+            return told
+        whole = [
+            part.version
+            for part in self.listed.loaded
+            if part.model == model and part.first == 0 and part.last >= layers
+        ]
+        return max(whole, default=0)
+
+
+@define
+class Backends:
+    """Servers by name; entries that lapsed in an outage of the list are held.
+
+    Attributes
+    ----------
+    outage_ended : float
+        When the list was last back after an outage, seconds.
+    """
+
+    _known: dict[str, Backend] = field(factory=dict)
+    outage_ended: float = -RETURN_SECONDS
+
+    def __len__(self) -> int:
+        return len(self._known)
+
+    def names(self) -> set[str]:
+        """All known servers."""
+        return set(self._known)
+
+    def get(self, server: str) -> Backend | None:
+        """A known server, or None."""
+        return self._known.get(server)
+
+    def of_service(self, service: str, now: float) -> list[Backend]:
+        """Servers of a service that may get new requests now."""
+        self._drop_removed(now)
+        return [
+            b
+            for b in self._known.values()
+            if b.listed.service == service and not b.listed.leaving
+        ]
+
+    def take(self, listed: Listed) -> Backend:
+        """Take in one entry of the list."""
+        known = self._known.get(listed.server)
+        if known is None or known.listed.address != listed.address:
+            known = self._known[listed.server] = Backend(listed)
+            return known
+        if known.listed.born != listed.born:
+            # It started again under its name and holds nothing of before.
+            known = self._known[listed.server] = Backend(listed)
+        elif known.listed.loaded != listed.loaded:
+            known.versions.clear()
+        known.listed = listed
+        known.removed_at = 0.0
+        return known
+
+    def keep_only(self, listed: set[str], now: float) -> list[str]:
+        """Remove what a whole list lacks; returns which servers those are."""
+        gone = [name for name in self._known if name not in listed]
+        self.remove(gone, now)
+        return gone
+
+    def remove(self, servers: Iterable[str], now: float) -> None:
+        """Note that entries were removed: gone at once, or held after an outage."""
+        found = [self._known[name] for name in servers if name in self._known]
+        mass = self._is_mass(found)
+        for backend in found:
+            held = mass or now - self.outage_ended < RETURN_SECONDS
+            # One that was leaving when it was last listed has left.
+            if not held or backend.listed.leaving:
+                del self._known[backend.server]
+            elif not backend.removed_at:
+                backend.removed_at = now
+
+    def _is_mass(self, removed: list[Backend]) -> bool:
+        """Whether so many of a service vanished at once that the list is at fault."""
+        sizes = _count(self._known.values())
+        lost = _count(b for b in removed if not b.listed.leaving)
+        return any(
+            n >= MASS_LEAST and n > MASS_SHARE * sizes[name] for name, n in lost.items()
+        )
+
+    def _drop_removed(self, now: float) -> None:
+        for backend in list(self._known.values()):
+            if not backend.removed_at:
+                continue
+            since = max(backend.removed_at, self.outage_ended)
+            if now - since >= RETURN_SECONDS:
+                del self._known[backend.server]
+
+
+def _count(backends: Iterable[Backend]) -> Mapping[str, int]:
+    counts: dict[str, int] = {}
+    for backend in backends:
+        service = backend.listed.service
+        counts[service] = counts.get(service, 0) + 1
+    return counts
