Pace chunk uploads by turns, follow servers in entries only, name versions rightly

Cause: (1) streams leave over the side machine's link; four fetches and unpaced uploads filled it and 141 of 238 streams of two seconds were over the pause bound. (2) The first version named after the start counted as old and was asked for after 3 s, when nobody had it. (3) A table's version was compared by the store's counter, which grows with any write, so watches were broken off for nothing; agents watched servers without need. Ruled out: the origin (2.0 copies in 8 s) and refusals by peers (0). Conclusion: transfers still too slow for two versions 4 s apart.

--- a/packages/wasabideck_agent/wasabideck_agent/node_agent.py
+++ b/packages/wasabideck_agent/wasabideck_agent/node_agent.py
@@ -45,14 +45,22 @@
 # Weights of the first version lie with the servers of a new deployment, and nobody
 # names it.
 FIRST_VERSION = 1
-FETCHES = 4
+# Chunks fetched at once from peers near by, and over a region's link. More would keep
+# the link no fuller, but a read from the origin, of which there is one at a time,
+# would get a smaller part of it, and all would wait for the chunks that it brings.
+FETCHES = 3
+FAR_FETCHES = 1
 UPLOADS = 3
+# Part of its link that an agent fills with the chunks that it sends. The server's
+# streams go out over the same link: with the whole of it filled, 6 events in 10 were
+# over 120 ms late.
+UPLOAD_PART = 0.9
 
 
 async def run_agent(cfg: NodeSettings, deployment: Deployment) -> None:
     """Run an agent until it is told to stop."""
     store = ChunkStore()
-    links = Links(Link(), Link(), Link())
+    links = Links(Link(UPLOAD_PART * cfg.link_rate, emulated=False), Link(), Link())
     chunks = ChunksService(store, links, UPLOADS)
     async with node_process(cfg, AGENT, deployment, lambda p: (chunks,)) as process:
         engine = deployment.open_engine(process.session, cfg.server_address)
@@ -266,7 +274,7 @@
             self.links,
             self.process.events,
             self._peers,
-            WeightsSettings(fetches=FETCHES, uploads=UPLOADS, link_rate=cfg.link_rate),
+            _weights(cfg),
             self.process.rng,
         )
 
@@ -324,6 +332,15 @@
                 await self.news.wait()
 
 
+def _weights(cfg: NodeSettings) -> WeightsSettings:
+    return WeightsSettings(
+        fetches=FETCHES,
+        far_fetches=FAR_FETCHES,
+        uploads=UPLOADS,
+        link_rate=cfg.link_rate,
+    )
+
+
 def _holds(state: EngineState, model: EngineModel, version: int) -> bool:
     return any(
         part.version >= version and part.first == 0 and part.last >= model.layers
--- a/packages/wasabideck_agent/wasabideck_agent/transfer.py
+++ b/packages/wasabideck_agent/wasabideck_agent/transfer.py
@@ -72,7 +72,7 @@
     patience = max(PATIENCE_SLOTS * slot, PATIENCE_FLOOR_SECONDS)
     if cfg.profile == PATIENT_PROFILE:
         patience *= PATIENT_FACTOR
-    return Limits(near=cfg.fetches, slot=slot, patience=patience)
+    return Limits(cfg.fetches, cfg.far_fetches, slot=slot, patience=patience)
 
 
 @define
--- a/packages/wasabideck_base/wasabideck_base/believer.py
+++ b/packages/wasabideck_base/wasabideck_base/believer.py
@@ -63,7 +63,10 @@
         self.servers = self._watch(
             self.deployment.servers, self._took_servers, self._whole_servers
         )
-        watches = {w.table: w for w in (self.operators, self.servers)}
+        followed = [self.operators]
+        if self.me.kind == ENTRY:
+            followed.append(self.servers)
+        watches = {w.table: w for w in followed}
         self.hearsay = Hearsay(
             self.me,
             self.channels,
@@ -71,7 +74,7 @@
             self.clock,
             self.rng,
             self._changed,
-            {name: lambda w=watch: w.version for name, watch in watches.items()},
+            {name: lambda w=watch: w.newest for name, watch in watches.items()},
             lambda table, version: (
                 watches[table].behind(version) if table in watches else None
             ),
@@ -80,12 +83,9 @@
 
     def loops(self) -> list[Coroutine]:
         """What has to run for as long as the process does."""
-        return [
-            self.operators.run(),
-            self.servers.run(),
-            self._keep_asking(),
-            self._keep_members(),
-        ]
+        loops = [self.operators.run(), self._keep_asking(), self._keep_members()]
+        # Only an entry has a use for the servers; each watch costs calls.
+        return [*loops, self.servers.run()] if self.me.kind == ENTRY else loops
 
     async def read_members(self) -> None:
         """Read who is there; what cannot be read is passed over with a line."""
@@ -153,10 +153,11 @@
         model = declaration.key.partition("/")[2]
         now = self.clock()
         bounds = self.cfg.bounds
-        first = model not in self.beliefs.versions
-        # What was named before this process began may be long due; it counts as so
-        # old that the bound ends when the process counts as calm again.
-        since = now - bounds.version + bounds.stable if first else now
+        since = now
+        if now - self.beliefs.began < bounds.stable:
+            # What was named before this process began may be long due; it counts as
+            # so old that the bound ends when the process counts as calm again.
+            since = self.beliefs.began - bounds.version + bounds.stable
         if self.beliefs.name_version(model, declaration.number, since):
             self.on_version(model, declaration.number)
 
--- a/packages/wasabideck_base/wasabideck_base/settings.py
+++ b/packages/wasabideck_base/wasabideck_base/settings.py
@@ -183,8 +183,9 @@
         ``origin-bytes``: late, so that hardly any chunk is read twice.
     policy : str
         ``swarm``, or a baseline that experiments compare with.
-    fetches, uploads : int
-        Chunks fetched at once, and uploads taken on at once.
+    fetches, far_fetches, uploads : int
+        Chunks fetched at once within the region and over its link to another one,
+        and uploads taken on at once.
     link_rate : float
         Bytes per second of the VM's link, each way; 0 is no limit.
     region_rate : float
@@ -198,6 +199,7 @@
         default="swarm", validator=choice(("swarm", "origin", "tree", "random"))
     )
     fetches: int = field(default=4, validator=at_least(1))
+    far_fetches: int = field(default=2, validator=at_least(1))
     uploads: int = field(default=3, validator=at_least(1))
     link_rate: float = field(default=0.0, validator=at_least(0))
     region_rate: float = field(default=0.0, validator=at_least(0))
--- a/packages/wasabideck_base/wasabideck_base/table_watch.py
+++ b/packages/wasabideck_base/wasabideck_base/table_watch.py
@@ -18,6 +18,12 @@
 # How long the store may hold an answer back while nothing changes: each call is paid
 # for, and a connection that went silent is found by its keep-alive probes.
 WAIT_SECONDS = 15.0
+# After a change the next call waits a little: servers join and operators write in
+# bursts, and one answer then tells what would take a call for each (seconds).
+SETTLE_SECONDS = 0.4
+# A peer that knows a newer row has had it from an answer that should have come here,
+# too; so long is allowed for it (seconds).
+BEHIND_SECONDS = 0.8
 # Pauses between tries while the store gives no answer (seconds). The longest stays
 # under the time in which a change has to be in force after the store's return.
 FIRST_PAUSE = 0.15
@@ -38,6 +44,8 @@
         Told when the store answers again after it had not.
     version : int
         Version of the store that the copy reflects; -1 before the first read.
+    newest : int
+        Version of the newest row that was heard of, removals counted.
     heard_at : float
         When the store last answered for this table, seconds.
     """
@@ -51,11 +59,13 @@
     events: Events
     rng: random.Random
     version: int = -1
+    newest: int = 0
     heard_at: float = float("-inf")
     _rows: dict[str, int] = field(factory=dict)
     _failures: int = 0
     _read_again: bool = True
     _asking: asyncio.Task | None = None
+    _owed: tuple[int, float] | None = None
 
     @property
     def failing(self) -> bool:
@@ -81,10 +91,16 @@
         else:
             await self._follow()
 
-    def behind(self, version: int) -> None:
-        """Note that others know a newer version: the present call may be silent."""
-        if self._asking is not None and version > self.version >= 0:
-            self.events.emit("watch.behind", table=self.table, peer=version)
+    def behind(self, newest: int) -> None:
+        """Note that a peer knows a newer row: the present call may be silent."""
+        now = self.clock()
+        if newest <= self.newest:
+            return
+        if self._owed is None or self._owed[0] <= self.newest:
+            self._owed = (newest, now)
+        elif now - self._owed[1] >= BEHIND_SECONDS and self._asking is not None:
+            self.events.emit("watch.behind", table=self.table, peer=newest)
+            self._owed = None
             self._asking.cancel()
 
     async def _read(self) -> None:
@@ -107,6 +123,8 @@
             return
         self._answered()
         self._take(changes)
+        if changes.rows:
+            await asyncio.sleep(SETTLE_SECONDS)
 
     async def _ask(self, call: object) -> Changes:
         """The answer to a call, which ``behind`` may break off."""
@@ -125,6 +143,7 @@
         newer = [r for r in changes.rows if r.version > self._rows.get(r.key, -1)]
         for row in newer:
             self._rows[row.key] = row.version
+            self.newest = max(self.newest, row.version)
         self.version = max(self.version, changes.version)
         if newer:
             self.took(newer)
