Read the origin first and beyond the first copy, give a piece's read up soon

Cause: reads of first copies got a fifth of a VM's link beside four fetches (all chunks seen after 4 s; the origin needs 2.6); a read from a crashed origin hung for 30 s; an overtaken version was dropped or finished by its rest alone. Ruled out: refusals by peers (2 a VM), the pacing (33 ms of 260 ms a fetch); a model of the transfer with the same policy gives 6.0 s without headers, live streams and acks, which the 8% of added servers' transfers and their streams explain to 6.6 s. Conclusion: near the links' capacity; what is left is when servers swap.

--- a/packages/wasabideck_agent/wasabideck_agent/node_agent.py
+++ b/packages/wasabideck_agent/wasabideck_agent/node_agent.py
@@ -17,6 +17,7 @@
 from wasabideck_policy.manifests import Manifest
 from wasabideck_policy.membership import AGENT, Member
 from wasabideck_policy.outcomes import WasabideckError
+from wasabideck_policy.superseding import finishes_older
 
 from .chunk_store import ChunkStore
 from .chunks_service import ChunksService
@@ -39,9 +40,6 @@
 # A transfer that lasts longer than the links need may have a spoilt manifest, whose
 # chunks nobody has: it is read again then (seconds).
 MANIFEST_SECONDS = 3.0
-# A transfer is finished although a newer version is named when no more than this
-# part is missing: what it serves until then is worth more than the link's time.
-FINISH_PART = 0.3
 # Weights of the first version lie with the servers of a new deployment, and nobody
 # names it.
 FIRST_VERSION = 1
@@ -50,6 +48,13 @@
 # would get a smaller part of it, and all would wait for the chunks that it brings.
 FETCHES = 3
 FAR_FETCHES = 1
+FETCHES_BESIDE_ORIGIN = 2
+# Copies that are read from the origin beyond the first: the agents' own links, which
+# carry the servers' streams as well, are what a rollout waits for.
+SPARE_COPIES = 1.0
+# A question for holdings and its answer are a kilobyte with all headers: asked once a
+# chunk they took 6 in 100 of the link, and the answers to fetches tell the same.
+ASK_SLOTS = 3.0
 UPLOADS = 3
 # Part of its link that an agent fills with the chunks that it sends. The server's
 # streams go out over the same link: with the whole of it filled, 6 events in 10 were
@@ -105,6 +110,8 @@
     news: asyncio.Event = field(factory=asyncio.Event)
     _manifests: dict[int, Manifest] = field(factory=dict)
     _begun: dict[int, float] = field(factory=dict)
+    _named_at: dict[int, float] = field(factory=dict)
+    _finishing: set[int] = field(factory=set)
     _sources: dict[int, dict[str, int]] = field(factory=dict)
     _reported: set[tuple[int, int]] = field(factory=set)
     _born: int = 0
@@ -194,6 +201,7 @@
         await self.staging.take_up(manifest)
         if version not in self._begun:
             self._begun[version] = time.time()
+            self._named_at[version] = self.process.clock()
             self._emit("transfer.begun", manifest=manifest.digest, version=version)
         await self.process.believer.read_members()
         transfer = self._transfer(manifest)
@@ -219,10 +227,11 @@
             await asyncio.wait({fetching}, timeout=STAGE_SECONDS)
             await self.staging.place(manifest)
             missing = transfer.view.wanted.bit_count()
-            superseded = self._named(model) != version
-            if superseded and missing > FINISH_PART * len(manifest.chunks):
-                self._emit("transfer.superseded", version=version, missing=missing)
-                return False
+            if self._named(model) != version and version not in self._finishing:
+                if not self._finishes(manifest, missing):
+                    self._emit("transfer.superseded", version=version, missing=missing)
+                    return False
+                self._finishing.add(version)
             now = self.process.clock()
             if now - read_at > MANIFEST_SECONDS:
                 read_at = now
@@ -235,6 +244,17 @@
         )
         return True
 
+    def _finishes(self, manifest: Manifest, missing: int) -> bool:
+        """Whether an overtaken version is finished here all the same."""
+        cfg = self.process.cfg
+        chunks = len(manifest.chunks)
+        return finishes_older(
+            missing / chunks,
+            self.process.clock() - self._named_at[int(manifest.version)],
+            chunks * manifest.chunk_bytes / max(cfg.link_rate, 1.0),
+            cfg.bounds.version,
+        )
+
     async def _reread(self, model: EngineModel, manifest: Manifest) -> bool:
         """Read a manifest again; whether it is another one than before."""
         version = int(manifest.version)
@@ -336,6 +356,9 @@
     return WeightsSettings(
         fetches=FETCHES,
         far_fetches=FAR_FETCHES,
+        fetches_beside_origin=FETCHES_BESIDE_ORIGIN,
+        ask_slots=ASK_SLOTS,
+        spare_copies=SPARE_COPIES,
         uploads=UPLOADS,
         link_rate=cfg.link_rate,
     )
--- a/packages/wasabideck_agent/wasabideck_agent/transfer.py
+++ b/packages/wasabideck_agent/wasabideck_agent/transfer.py
@@ -65,14 +65,21 @@
     """A peer does not send the chunk now."""
 
 
-def limits_of(cfg: WeightsSettings, chunk_bytes: int) -> Limits:
+def limits_of(cfg: WeightsSettings, chunk_bytes: int, spare: int = 0) -> Limits:
     """A transfer's limits, worked out from the settings."""
     slot = chunk_bytes / cfg.link_rate if cfg.link_rate else 0.0
     slot = max(slot, MIN_SLOT_SECONDS)
     patience = max(PATIENCE_SLOTS * slot, PATIENCE_FLOOR_SECONDS)
     if cfg.profile == PATIENT_PROFILE:
         patience *= PATIENT_FACTOR
-    return Limits(cfg.fetches, cfg.far_fetches, slot=slot, patience=patience)
+    return Limits(
+        cfg.fetches,
+        cfg.far_fetches,
+        beside=cfg.fetches_beside_origin,
+        spare=spare,
+        slot=slot,
+        patience=patience,
+    )
 
 
 @define
@@ -89,6 +96,8 @@
         Bytes received per source.
     refusals, asks : int
         Fetches that a peer refused, and questions asked for holdings.
+    begun, read_at : float
+        When it began, and when it last read a chunk from the origin, seconds.
     """
 
     me: Member
@@ -106,6 +115,8 @@
     sources: dict[str, int] = field(factory=dict)
     refusals: int = 0
     asks: int = 0
+    begun: float = 0.0
+    read_at: float = 0.0
     view: View = field(init=False)
     _digest: str = field(init=False)
     _members: list[Member] = field(factory=list)
@@ -124,10 +135,15 @@
             self.me.region,
             self.me.data_centre,
             self.cfg.origin_region,
-            limits_of(self.cfg, self.manifest.chunk_bytes),
+            limits_of(self.cfg, self.manifest.chunk_bytes, self._spare()),
             held=self.store.held(self.manifest),
         )
-        self.view.fed_at = self.view.begun
+        self.view.fed_at = self.begun = self.read_at = self.view.begun
+
+    def _spare(self) -> int:
+        """Chunks beyond the first copy that this agent may read from the origin."""
+        chunks = self.cfg.spare_copies * len(self.manifest.chunks)
+        return round(chunks / (len(self.peers_of()) + 1))
 
     async def run(self) -> None:
         """Fetch until every chunk is held and verified."""
@@ -152,6 +168,8 @@
                 manifest=self._digest,
                 refusals=self.refusals,
                 asks=self.asks,
+                seconds=round(self.clock() - self.begun, 3),
+                origin_seconds=round(self.read_at - self.begun, 3),
             )
 
     async def _wait(self) -> None:
@@ -175,7 +193,7 @@
             # Not at the end of the task's own body: one that is cancelled before its
             # first step never gets there, and its chunk would count as under way.
             task.add_done_callback(partial(self._end, fetch))
-            if fetch.source == ORIGIN:
+            if fetch.source == ORIGIN and not fetch.spare:
                 self._reads[fetch.index] = task
 
     def _begin(self, fetch: Fetch) -> None:
@@ -185,7 +203,7 @@
 
     def _end(self, fetch: Fetch, task: asyncio.Task) -> None:
         self._tasks.discard(task)
-        if fetch.source == ORIGIN:
+        if fetch.source == ORIGIN and not fetch.spare:
             del self._reads[fetch.index]
         end(self.view, fetch)
         if fetch.far or fetch.source == ORIGIN:
@@ -212,6 +230,8 @@
 
     def _got(self, fetch: Fetch, size: int) -> None:
         got(self.view, fetch, self.clock())
+        if fetch.source == ORIGIN:
+            self.read_at = self.clock()
         source = fetch.source or ORIGIN_NAME
         self.sources[source] = self.sources.get(source, 0) + size
 
@@ -255,14 +275,15 @@
         return b"".join(parts)
 
     async def _keep_asking(self) -> None:
-        """Ask a few peers for their holdings, once a slot, or twice when starving."""
+        """Ask a few peers for their holdings, now and then, or soon when starving."""
         slot = min(self.view.limits.slot, MAX_ASK_SECONDS)
         while True:
             self._follow_members()
             policy = POLICIES[self.cfg.policy]
             vms = policy.ask(self.view, self.clock(), self.rng)
             await asyncio.gather(*(self._ask(vm) for vm in vms))
-            await asyncio.sleep(slot if self.view.active else slot / 2)
+            fed = self.cfg.ask_slots * slot
+            await asyncio.sleep(fed if self.view.active else slot / 2)
 
     def _follow_members(self) -> None:
         members = self.peers_of()
--- a/packages/wasabideck_base/wasabideck_base/settings.py
+++ b/packages/wasabideck_base/wasabideck_base/settings.py
@@ -186,6 +186,12 @@
     fetches, far_fetches, uploads : int
         Chunks fetched at once within the region and over its link to another one,
         and uploads taken on at once.
+    fetches_beside_origin : int
+        Chunks fetched at once within the region while one comes from the origin.
+    ask_slots : float
+        A fed agent asks for holdings once in the time that so many chunks take.
+    spare_copies : float
+        Copies beyond the first that all agents together may read from the origin.
     link_rate : float
         Bytes per second of the VM's link, each way; 0 is no limit.
     region_rate : float
@@ -200,6 +206,9 @@
     )
     fetches: int = field(default=4, validator=at_least(1))
     far_fetches: int = field(default=2, validator=at_least(1))
+    fetches_beside_origin: int = field(default=64, validator=at_least(0))
+    spare_copies: float = field(default=0.0, validator=at_least(0))
+    ask_slots: float = field(default=1.0, validator=at_least(0))
     uploads: int = field(default=3, validator=at_least(1))
     link_rate: float = field(default=0.0, validator=at_least(0))
     region_rate: float = field(default=0.0, validator=at_least(0))
--- a/packages/wasabideck_policy/wasabideck_policy/distribution.py
+++ b/packages/wasabideck_policy/wasabideck_policy/distribution.py
@@ -54,6 +54,7 @@
         _read_origin(view, wanted, now)
         or _bring_far(view, wanted, now, rng)
         or _fetch_near(view, wanted, now, rng)
+        or _read_spare(view, wanted, now, rng)
     )
 
 
@@ -148,7 +149,10 @@
     view: View, wanted: int, now: float, rng: random.Random
 ) -> Fetch | None:
     near = sum(view.sources.values()) - view.sources[ORIGIN] - view.far_active
-    if near >= view.limits.near:
+    most = view.limits.near
+    if view.sources[ORIGIN] and wanted & ~view.seen:
+        most = min(most, view.limits.beside)
+    if near >= most:
         return None
     known = list(view.holders.values())
     if len(known) > WEIGHED_HOLDERS:
@@ -168,6 +172,22 @@
     return Fetch(index, _least_sent(holders, rng).vm)
 
 
+def _read_spare(
+    view: View, wanted: int, now: float, rng: random.Random
+) -> Fetch | None:
+    """A chunk that others hold, from the origin, when its link has nothing to do.
+
+    Only once every chunk has been seen, so that no first read waits for it.
+    """
+    if view.spare_read >= view.limits.spare or wanted & ~view.seen:
+        return None
+    if view.sources[ORIGIN] >= view.limits.reads or now < view.origin_busy_until:
+        return None
+    near = [p for p in view.holders.values() if p.region == view.region]
+    index = _rarest(wanted, near, near, rng) if near else pick_bit(wanted, rng)
+    return Fetch(index, ORIGIN, spare=True)
+
+
 def _rarest(
     wanted: int, free: Sequence[Peer], known: Sequence[Peer], rng: random.Random
 ) -> int:
@@ -175,7 +195,7 @@
     there = 0
     for peer in free:
         there |= peer.held
-    there &= wanted
+    there = there & wanted or wanted
     # Bit by bit counting, saturated at four: at least one, two, three holders.
     one = two = three = 0
     for peer in known:
--- a/packages/wasabideck_policy/wasabideck_policy/views.py
+++ b/packages/wasabideck_policy/wasabideck_policy/views.py
@@ -50,7 +50,9 @@
 LOST_SECONDS = 2.0
 CORRUPT_SLOTS = 8.0
 MAX_STRIKES = 8
-ORIGIN_SET_BACK_SECONDS = 0.5
+ORIGIN_SET_BACK_SECONDS = 0.25
+# Other bytes than the digest names are the origin's answer to this one read only.
+ORIGIN_CORRUPT_SECONDS = 0.02
 
 
 @frozen
@@ -61,6 +63,12 @@
     ----------
     near, far, reads : int
         Fetches at once within the region, over the region's link, from the origin.
+    beside : int
+        Fetches at once within the region while the origin is read: it is what all
+        others wait for, and must not get the smallest part of this VM's link.
+    spare : int
+        Chunks that this VM may read from the origin although others hold them. Its
+        link is idle once it has sent its copy, while the VMs' own are full.
     slot : float
         Seconds that one chunk takes on the VM's link.
     patience : float
@@ -71,6 +79,8 @@
     near: int = 3
     far: int = 2
     reads: int = 1
+    beside: int = 64
+    spare: int = 0
     slot: float = 0.05
     patience: float = 2.0
 
@@ -133,11 +143,14 @@
         The peer's VM; empty for the origin.
     far : bool
         Whether the chunk comes over the link into the region.
+    spare : bool
+        Whether it is read from the origin although others hold it.
     """
 
     index: int
     source: str = ORIGIN
     far: bool = False
+    spare: bool = False
 
 
 @define
@@ -176,6 +189,7 @@
     origin_busy_until: float = 0.0
     sources: Counter = field(factory=Counter)
     far_active: int = 0
+    spare_read: int = 0
     owners: Duties = Duties()
     bringers: Duties = Duties()
 
@@ -269,6 +283,7 @@
     view.active |= 1 << fetch.index
     view.sources[fetch.source] += 1
     view.far_active += fetch.far and fetch.source != ORIGIN
+    view.spare_read += fetch.spare
 
 
 def end(view: View, fetch: Fetch) -> None:
@@ -290,7 +305,7 @@
     """A fetch brought other bytes: its sender is left alone, longer each time."""
     peer = view.peers.get(fetch.source)
     if peer is None:
-        origin_failed(view, now)
+        view.origin_busy_until = now + ORIGIN_CORRUPT_SECONDS
         return
     peer.strikes = min(peer.strikes + 1, MAX_STRIKES)
     peer.busy_until = now + CORRUPT_SLOTS * view.limits.slot * 2**peer.strikes
@@ -303,7 +318,7 @@
 
 
 def origin_failed(view: View, now: float) -> None:
-    """The origin is down, or sent other bytes: read on in a while."""
+    """The origin gave no answer: read on in a while."""
     view.origin_busy_until = now + ORIGIN_SET_BACK_SECONDS
 
 
