--- a/packages/wasabideck_agent/wasabideck_agent/node_agent.py
+++ b/packages/wasabideck_agent/wasabideck_agent/node_agent.py
@@ -5,24 +5,27 @@
 import asyncio
 import contextlib
 import time
+from collections.abc import Callable
 
 from attrs import define, field
 from wasabideck_base.deployment import Deployment
 from wasabideck_base.node import NodeSettings
 from wasabideck_base.node_process import NodeProcess, node_process
 from wasabideck_base.settings import WeightsSettings
+from wasabideck_policy.backends import Loaded
 from wasabideck_policy.configuration import EngineModel
 from wasabideck_policy.deliveries import Delivery
 from wasabideck_policy.engine_state import EngineState, OrderAnswer
 from wasabideck_policy.manifests import Manifest
 from wasabideck_policy.membership import AGENT, Member
 from wasabideck_policy.outcomes import WasabideckError
-from wasabideck_policy.superseding import finishes_older
+from wasabideck_policy.superseding import OVERHEAD, finishes_older
 
 from .chunk_store import ChunkStore
 from .chunks_service import ChunksService
 from .deliveries_log import DeliveriesLog
 from .links import Link, Links
+from .news_loop import NewsLoop
 from .origin_chunks import NumberedOrigin, OriginChunks
 from .staging import Engine, Staging
 from .transfer import Transfer
@@ -46,12 +49,16 @@
 # Chunks fetched at once from peers near by, and over a region's link. More would keep
 # the link no fuller, but a read from the origin, of which there is one at a time,
 # would get a smaller part of it, and all would wait for the chunks that it brings.
+# What a swap takes beside the load: the requests that run are finished first, the
+# longest of which lasts about a second (50 events of 50 ms at most).
+SWAP_SECONDS = 0.8
 FETCHES = 3
 FAR_FETCHES = 1
 FETCHES_BESIDE_ORIGIN = 2
-# Copies that are read from the origin beyond the first: the agents' own links, which
-# carry the servers' streams as well, are what a rollout waits for.
-SPARE_COPIES = 1.0
+# Copies that are read from the origin beyond the first, by agents in its own region:
+# the agents' links, which carry the servers' streams as well, are what a rollout waits
+# for, and half a copy makes it 0.2 s shorter. Other regions' links are paid dearly.
+SPARE_COPIES = 0.5
 # A question for holdings and its answer are a kilobyte with all headers: asked once a
 # chunk they took 6 in 100 of the link, and the answers to fetches tell the same.
 ASK_SLOTS = 3.0
@@ -80,13 +87,16 @@
             DeliveriesLog(process.believer.store),
         )
         process.believer.on_version = lambda model, number: agent.news.set()
-        running = asyncio.create_task(agent.run())
+        news = NewsLoop(process, engine, agent.describe)
+        agent.tell = news.tell
+        running = {asyncio.create_task(step) for step in (agent.run(), news.run())}
         stopping = asyncio.create_task(process.stop.wait())
-        await asyncio.wait({running, stopping}, return_when=asyncio.FIRST_COMPLETED)
-        for task in (running, stopping):
+        await asyncio.wait({*running, stopping}, return_when=asyncio.FIRST_COMPLETED)
+        for task in (*running, stopping):
             task.cancel()
-        if running.done() and not running.cancelled():
-            running.result()
+        for task in running:
+            if task.done() and not task.cancelled():
+                task.result()
 
 
 @define
@@ -97,6 +107,8 @@
     ----------
     news : Event
         Set when a version was named.
+    tell : callable
+        Tells entries at once of an engine's state.
     """
 
     process: NodeProcess
@@ -108,6 +120,9 @@
     staging: Staging
     log: DeliveriesLog
     news: asyncio.Event = field(factory=asyncio.Event)
+    tell: Callable[[EngineState], None] = lambda state: None
+    _gathering: Transfer | None = None
+    _swapping_since: float | None = None
     _manifests: dict[int, Manifest] = field(factory=dict)
     _begun: dict[int, float] = field(factory=dict)
     _named_at: dict[int, float] = field(factory=dict)
@@ -151,6 +166,33 @@
         await self._swap(model, manifest, state)
         return False
 
+    def describe(self, state: EngineState) -> tuple[int, bool, float, int]:
+        """What entries are told: version held, serving, ready in, newest named."""
+        model = self._model()
+        if model is None:
+            return 0, False, 0.0, 0
+        named = self._named(model)
+        held = max((p.version for p in state.loaded if _whole(p, model)), default=0)
+        swapping = self._swapping_since is not None
+        serving = held > 0 and not state.busy and not swapping
+        return held, serving, self._ready_in(model, held, named), named
+
+    def _ready_in(self, model: EngineModel, held: int, named: int) -> float:
+        """Seconds until the newest named version is served, as far as is known."""
+        if held >= named:
+            return 0.0
+        now = self.process.clock()
+        if self._swapping_since is not None:
+            swap = SWAP_SECONDS + model.load_seconds
+            return max(LOOK_SECONDS, swap - (now - self._swapping_since))
+        slot = model.chunk_bytes / max(self.process.cfg.link_rate, 1.0) * OVERHEAD
+        missing = model.chunks
+        if self._gathering is not None:
+            missing = self._gathering.view.missing
+            if int(self._gathering.manifest.version) != named:
+                missing += model.chunks
+        return missing * slot + SWAP_SECONDS + model.load_seconds
+
     def _model(self) -> EngineModel | None:
         cfg = self.process.believer.beliefs.configuration
         service = cfg.services.get(self.process.cfg.service) if cfg else None
@@ -204,11 +246,12 @@
             self._named_at[version] = self.process.clock()
             self._emit("transfer.begun", manifest=manifest.digest, version=version)
         await self.process.believer.read_members()
-        transfer = self._transfer(manifest)
+        transfer = self._gathering = self._transfer(manifest)
         fetching = asyncio.create_task(transfer.run())
         try:
             return await self._attend(model, manifest, transfer, fetching)
         finally:
+            self._gathering = None
             fetching.cancel()
             await asyncio.gather(fetching, return_exceptions=True)
             self._count(version, transfer.sources)
@@ -271,6 +314,17 @@
         """Order the engine to load what lies staged, and wait until it has."""
         version = int(manifest.version)
         await self.staging.mend(manifest)
+        # Entries hear first, so that they send elsewhere what would wait out the swap.
+        self._swapping_since = self.process.clock()
+        self.tell(state)
+        try:
+            await self._order(model, version, state)
+        finally:
+            self._swapping_since = None
+
+    async def _order(
+        self, model: EngineModel, version: int, state: EngineState
+    ) -> None:
         answer = await self.engine.load(model.model, version, queue=True)
         self._emit(
             "order.sent",
@@ -281,6 +335,11 @@
         )
         if answer is OrderAnswer.REFUSED:
             await asyncio.sleep(RETRY_SECONDS)
+            return
+        while (await self.engine.state()).busy:
+            await asyncio.sleep(ORDER_LOOK_SECONDS)
+        self._swapping_since = None
+        self.tell(await self.engine.state())
 
     def _transfer(self, manifest: Manifest) -> Transfer:
         cfg = self.process.cfg
@@ -294,10 +353,20 @@
             self.links,
             self.process.events,
             self._peers,
-            _weights(cfg),
+            _weights(cfg, self._spare_copies()),
             self.process.rng,
         )
 
+    def _spare_copies(self) -> float:
+        """Copies that all would read beyond the first if all did as this agent."""
+        cfg = self.process.cfg
+        place = self.process.believer.beliefs.configuration.origin()
+        if place is None or cfg.regions.get(place.data_centre) != cfg.region:
+            return 0.0
+        peers = self._peers()
+        near = 1 + sum(peer.region == cfg.region for peer in peers)
+        return SPARE_COPIES * (1 + len(peers)) / near
+
     def _peers(self) -> list[Member]:
         cfg = self.process.cfg
         return [
@@ -352,20 +421,21 @@
                 await self.news.wait()
 
 
-def _weights(cfg: NodeSettings) -> WeightsSettings:
+def _weights(cfg: NodeSettings, spare_copies: float) -> WeightsSettings:
     return WeightsSettings(
         fetches=FETCHES,
         far_fetches=FAR_FETCHES,
         fetches_beside_origin=FETCHES_BESIDE_ORIGIN,
         ask_slots=ASK_SLOTS,
-        spare_copies=SPARE_COPIES,
+        spare_copies=spare_copies,
         uploads=UPLOADS,
         link_rate=cfg.link_rate,
     )
 
 
+def _whole(part: Loaded, model: EngineModel) -> bool:
+    return part.first == 0 and part.last >= model.layers
+
+
 def _holds(state: EngineState, model: EngineModel, version: int) -> bool:
-    return any(
-        part.version >= version and part.first == 0 and part.last >= model.layers
-        for part in state.loaded
-    )
+    return any(p.version >= version and _whole(p, model) for p in state.loaded)
--- a/packages/wasabideck_forward/wasabideck_forward/entry_process.py
+++ b/packages/wasabideck_forward/wasabideck_forward/entry_process.py
@@ -6,9 +6,11 @@
 
 from attrs import define
 from wasabideck_base.deployment import Deployment
+from wasabideck_base.engine_datagrams import EngineNewsListener
 from wasabideck_base.node import NodeSettings
 from wasabideck_base.node_process import NodeProcess, node_process
 from wasabideck_policy.configuration import CallerLimits
+from wasabideck_policy.engine_news import EngineNews
 from wasabideck_policy.membership import ENTRY
 
 from .caller_connection import CallerConnection, Front
@@ -21,9 +23,11 @@
 SWEEP_SECONDS = 0.5
 BACKLOG = 1024
 # A named version counts from its confirmation, up to half a second before this process
-# hears of it, and a request that is sent may wait in a server's queue for half a second
-# before it begins: from so much earlier on requests go to newer weights only (seconds).
-VERSION_MARGIN = 1.2
+# hears of it: from so much earlier on requests go to newer weights only (seconds).
+VERSION_MARGIN = 0.7
+# Before that, a request that is sent to older weights may have to wait in the server's
+# queue, and begin too late: from so much earlier on only idle ones get any (seconds).
+QUEUE_MARGIN = 1.3
 # After the signal to stop the balancer needs two checks, a second apart, to notice;
 # until then new connections are still taken (seconds).
 NOTICED_SECONDS = 3.0
@@ -55,13 +59,24 @@
             await _listen(self.front, cfg.front),
             await _listen(self.ready, cfg.ready),
         ]
+        news, _ = await loop.create_datagram_endpoint(
+            lambda: EngineNewsListener(self._hear), local_addr=(cfg.ip, cfg.inner_port)
+        )
         sweeping = loop.create_task(self._keep_sweeping())
         await self.process.stop.wait()
         await self._finish(listeners[0])
         sweeping.cancel()
+        news.close()
         for listener in listeners:
             listener.close()
 
+    def _hear(self, news: EngineNews) -> None:
+        backends = self.process.believer.beliefs.backends
+        backend = backends.at(news.address)
+        if backend is not None:
+            backend.hear(news, self.process.clock())
+            self.forwarder.wake()
+
     async def _keep_sweeping(self) -> None:
         pool, backends = self.forwarder.pool, self.process.believer.beliefs.backends
         while True:
@@ -120,6 +135,7 @@
         cfg.bounds.retry_slack,
         cfg.bounds.retry_window,
         cfg.bounds.version - VERSION_MARGIN,
+        cfg.bounds.version - QUEUE_MARGIN,
     )
 
 
--- a/packages/wasabideck_forward/wasabideck_forward/forwarder.py
+++ b/packages/wasabideck_forward/wasabideck_forward/forwarder.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import random
 from collections.abc import Callable
 
@@ -12,7 +13,7 @@
 from wasabideck_policy.beliefs import Beliefs
 from wasabideck_policy.configuration import EngineModel, Route
 from wasabideck_policy.outliers import Outliers
-from wasabideck_policy.placement import Demand, choose
+from wasabideck_policy.placement import Demand, Place, choose
 from wasabideck_policy.retry_share import RetryShare
 
 from .caller_connection import CallerConnection
@@ -22,6 +23,7 @@
     AllFull,
     ConfigurationUnknown,
     KeyUnknown,
+    NeverSent,
     NoRoute,
     NoServer,
     OutcomeUnknown,
@@ -39,6 +41,14 @@
 FULL_SECONDS = 0.12
 # One that did not run what it was sent for another reason (restarted, reloading).
 CHANGED_SECONDS = 0.4
+# A request waits here for a server that is said to be back within so long: refused, it
+# would come back after the same time, and might be refused once more (seconds).
+LONGEST_WAIT = 2.0
+# What is kept of the deadline for the server's own work on a request that waited.
+WORK_SECONDS = 1.0
+# A little before its goal a request that has not been sent cannot be in time any more:
+# the first event takes a pass of the batch and the prompt (seconds).
+FIRST_EVENT_SECONDS = 0.12
 # What is left of a deadline is told a little short, as the message still travels.
 TRAVEL_SECONDS = 0.002
 
@@ -52,14 +62,16 @@
     retry_ratio, retry_slack, retry_window : float
         Repeats that one request earns, and that all entries may make beside that
         in a window of so many seconds.
-    version_seconds : float
-        Time that servers have to come to a named version of weights.
+    version_seconds, queue_seconds : float
+        Time that servers have to come to a named version of weights, and until when
+        a request may wait in the queue of one that has not.
     """
 
     retry_ratio: float
     retry_slack: float
     retry_window: float
     version_seconds: float
+    queue_seconds: float
 
 
 @define(eq=False)
@@ -92,6 +104,7 @@
     uncertain: bool = False
     refused_by: int = 0
     replaceable: bool = False
+    urgency: int | None = None
     delivered: Delivered = field(factory=Delivered)
 
 
@@ -110,6 +123,12 @@
     outliers: Outliers = field(factory=Outliers)
     in_progress: int = 0
     _shares: dict[str, RetryShare] = field(factory=dict)
+    _news: asyncio.Event = field(factory=asyncio.Event)
+
+    def wake(self) -> None:
+        """Wake requests that wait for a server: something is known anew."""
+        self._news.set()
+        self._news = asyncio.Event()
 
     def set_bounds(self, bounds: Bounds) -> None:
         """Take changed figures in."""
@@ -167,11 +186,11 @@
                 return
             if exchange.uncertain:
                 raise TimeUp(exchange.route.name) from None
-            raise NoServer("time is up before any server ran it") from None
+            raise NeverSent(exchange.service) from None
 
     async def _try_servers(self, exchange: Exchange, caller: CallerConnection) -> None:
         while True:
-            backend = self._choose(exchange, self.clock())
+            backend = await self._place(exchange)
             try:
                 await self._attempt(exchange, backend, caller)
             except (Unreachable, AnswerBroken, ServerFailed) as exc:
@@ -191,28 +210,50 @@
                 raise OutcomeUnknown(backend.server)
             raise ServersRefused(backend.server)
 
-    def _choose(self, exchange: Exchange, now: float) -> Backend:
-        """The next server; raises ``Refusal`` when there is none."""
+    async def _place(self, exchange: Exchange) -> Backend:
+        """The next server, also one that is soon back; raises ``Refusal``."""
+        began = self.clock()
+        while True:
+            now = self.clock()
+            place = self._choose(exchange, now)
+            if place.backend is not None:
+                exchange.urgency = place.urgency if exchange.engine else None
+                return place.backend
+            if exchange.uncertain:
+                raise OutcomeUnknown("no other server")
+            if place.full:
+                raise AllFull(exchange.service)
+            back_in = place.back_in
+            limit = min(began + LONGEST_WAIT, exchange.until - WORK_SECONDS)
+            if back_in is None or now + back_in > limit:
+                raise NoServer(exchange.service, back_in)
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(back_in):
+                    await self._news.wait()
+
+    def _choose(self, exchange: Exchange, now: float) -> Place:
         demand = self._demand(exchange, now)
         known = self.beliefs.backends.of_service(exchange.service, now)
         sound = self.outliers.sound((b.server for b in known), now)
         left = [
             b for b in known if b.server in sound and b.server not in exchange.tried
         ]
-        place = choose(left, demand, now, self.rng)
-        if place.backend is not None:
-            return place.backend
-        if exchange.uncertain:
-            raise OutcomeUnknown("no other server")
-        raise AllFull(exchange.service) if place.full else NoServer(exchange.service)
+        return choose(left, demand, now, self.rng)
 
     def _demand(self, exchange: Exchange, now: float) -> Demand:
         if exchange.engine is None:
             return Demand(self.data_centre)
         model = exchange.engine.model
-        within = self.bounds.version_seconds
-        least = self.beliefs.least_version(model, within, now)
-        return Demand(self.data_centre, model, exchange.engine.layers, least)
+        beliefs, bounds = self.beliefs, self.bounds
+        goal = exchange.req.arrived + exchange.route.goal
+        return Demand(
+            self.data_centre,
+            model,
+            exchange.engine.layers,
+            beliefs.least_version(model, bounds.version_seconds, now),
+            beliefs.least_version(model, bounds.queue_seconds, now),
+            late=now > goal - FIRST_EVENT_SECONDS,
+        )
 
     async def _attempt(
         self, exchange: Exchange, backend: Backend, caller: CallerConnection
@@ -257,6 +298,7 @@
             organisation=exchange.organisation,
             last_event=exchange.delivered.last_event or exchange.req.head.last_event,
             version=demand.least_version,
+            priority=exchange.urgency,
         )
         return self.wire.write_request(exchange.req, sending) + exchange.req.body
 
--- a/packages/wasabideck_forward/wasabideck_forward/refusals.py
+++ b/packages/wasabideck_forward/wasabideck_forward/refusals.py
@@ -8,6 +8,7 @@
     "AllFull",
     "ConfigurationUnknown",
     "KeyUnknown",
+    "NeverSent",
     "NoRoute",
     "NoServer",
     "OutcomeUnknown",
@@ -17,6 +18,10 @@
 ]
 
 
+# When a caller is told to come back if nobody knows when a server will be there.
+UNKNOWN_SECONDS = 1.0
+
+
 class Refusal(WasabideckError):
     """An answer of this process's own; 503 says that the request has not run."""
 
@@ -29,6 +34,12 @@
     retry_after = 0.3
 
 
+class NeverSent(Refusal):
+    """Time is up, and no server ran the request or will."""
+
+    retry_after = UNKNOWN_SECONDS
+
+
 class NoRoute(Refusal):
     """No route of the configuration matches."""
 
@@ -42,9 +53,17 @@
 
 
 class NoServer(Refusal):
-    """No server can run the request now."""
+    """No server can run the request now.
 
-    retry_after = 0.5
+    Parameters
+    ----------
+    back_in : float or None
+        Seconds until one can, when that is known.
+    """
+
+    def __init__(self, service: str, back_in: float | None = None):
+        super().__init__(f"{service}: back in {back_in} s")
+        self.retry_after = back_in or UNKNOWN_SECONDS
 
 
 class AllFull(Refusal):
--- a/packages/wasabideck_policy/wasabideck_policy/backends.py
+++ b/packages/wasabideck_policy/wasabideck_policy/backends.py
@@ -6,6 +6,8 @@
 
 from attrs import define, field, frozen
 
+from .engine_news import FRESH_SECONDS, EngineNews
+
 __all__ = ["Backend", "Backends", "Listed", "Loaded"]
 
 # After an outage of the list, a server that lived through it is listed again within
@@ -68,6 +70,8 @@
         When any byte last came from it, seconds.
     versions : dict of str to int
         Versions of weights that its answers or its agent told of, by model.
+    news : EngineNews or None
+        What its agent last told, at ``told_at``.
     full_until : float
         Until when it is taken to be full, having refused a request.
     """
@@ -77,6 +81,7 @@
     others: float = 0.0
     told_at: float = 0.0
     heard_at: float = 0.0
+    news: EngineNews | None = None
     full_until: float = 0.0
     removed_at: float = 0.0
     versions: dict[str, int] = field(factory=dict)
@@ -86,8 +91,20 @@
         """Name of this start of the server."""
         return self.listed.server
 
-    def holds(self, model: str, layers: int) -> int:
+    def hear(self, news: EngineNews, now: float) -> None:
+        """Take in what its agent tells of it."""
+        self.news = news
+        self.others = max(0, news.pressed - self.in_progress)
+        self.told_at = now
+
+    def fresh_news(self, now: float) -> EngineNews | None:
+        """What its agent told, unless that was too long ago."""
+        return self.news if now - self.told_at <= FRESH_SECONDS else None
+
+    def holds(self, model: str, layers: int, now: float) -> int:
         """Version of which it holds all layers of the model; 0 for none."""
+        if news := self.fresh_news(now):
+            return news.version
         told = self.versions.get(model, 0)
         if told:
             return told
@@ -132,6 +149,11 @@
             if b.listed.service == service and not b.listed.leaving
         ]
 
+    def at(self, address: str) -> Backend | None:
+        """The server at an address, or None."""
+        found = (b for b in self._known.values() if b.listed.address == address)
+        return next(found, None)
+
     def take(self, listed: Listed) -> Backend:
         """Take in one entry of the list."""
         known = self._known.get(listed.server)
--- a/packages/wasabideck_policy/wasabideck_policy/placement.py
+++ b/packages/wasabideck_policy/wasabideck_policy/placement.py
@@ -1,4 +1,11 @@
-"""Which server gets a request, and when all of them are too full."""
+"""Which server gets a request, how urgent it is there, and when none should.
+
+Measured load: more drafts arrive than the engines can write, for the seconds until
+added engines have their weights, or while versions are swapped. Were all treated
+alike, every one would wait the same while in the engines' queues and come late. So a
+request that finds its best engine full goes there behind all that can still be in
+time: the engine admits by urgency, and loses no work to it.
+"""
 
 from __future__ import annotations
 
@@ -9,8 +16,9 @@
 from attrs import frozen
 
 from .backends import Backend
+from .engine_news import back_in
 
-__all__ = ["Demand", "Place", "choose", "pressure"]
+__all__ = ["Demand", "Place", "Urgency", "choose", "pressure"]
 
 # Servers compared for a request. Ten entries with reports some hundred ms old would
 # all pick the one best; a few drawn at random keep them apart.
@@ -19,8 +27,23 @@
 FADING_SECONDS = 2.0
 # A server in another region must have this part of its slots more free.
 FAR_PART = 0.08
-# Requests beyond its slots that a server may be given, as a part of its slots.
-WAITING_PART = 0.15
+# An engine with so many requests more than slots, as a part of its slots, has a queue
+# that already takes a fresh request past its goal: a slot is free each 90 ms.
+QUEUE_PART = 0.12
+# With so many waiting no further one is likely to be served before its deadline.
+FULL_PART = 1.0
+# A plain service works a queue off in so many rounds of its slots before deadlines.
+PLAIN_QUEUE_PART = 3.0
+# Shortly before a version is over, a server that has it may only get what begins at
+# once: with this part of its slots taken there is no queue.
+IDLE_PART = 0.6
+
+
+class Urgency:
+    """Classes of urgency at an engine, 0 is first and 9 last."""
+
+    FRESH = 3
+    LATE = 8
 
 
 @frozen
@@ -35,12 +58,18 @@
         Layers of the model.
     least_version : int
         Version of the weights that may run it at least; 0 for any.
+    soon_version : int
+        Version that will be the least one before a queue is worked off.
+    late : bool
+        Whether the goal cannot be kept any more.
     """
 
     data_centre: str
     model: str = ""
     layers: int = 0
     least_version: int = 0
+    soon_version: int = 0
+    late: bool = False
 
 
 @frozen
@@ -51,12 +80,18 @@
     ----------
     backend : Backend or None
         The server, or None when there is none.
+    urgency : int
+        The request's class of urgency there.
     full : bool
         Whether there are servers, all of them too full.
+    back_in : float or None
+        Seconds until a server can run it, when that is known.
     """
 
     backend: Backend | None
+    urgency: int = Urgency.FRESH
     full: bool = False
+    back_in: float | None = None
 
 
 def pressure(backend: Backend, now: float) -> float:
@@ -69,33 +104,57 @@
     backends: Sequence[Backend], demand: Demand, now: float, rng: random.Random
 ) -> Place:
     """The least pressed of a few servers that can run the request."""
-    able = [b for b in backends if _able(b, demand)]
+    able = [b for b in backends if _able(b, demand, now)]
     if not able:
-        return Place(None)
-    free = [b for b in able if b.full_until <= now and _room(b, now)]
+        return Place(None, back_in=_back_in(backends, demand, now))
+    free = [b for b in able if b.full_until <= now and not _full(b, demand, now)]
     if not free:
         return Place(None, full=True)
     drawn = rng.sample(free, min(DRAWN, len(free)))
-    return Place(min(drawn, key=lambda b: _price(b, demand, now)))
+    best = min(drawn, key=lambda b: _price(b, demand, now))
+    if demand.model and (demand.late or _queued(best, now)):
+        # Another of the free ones may have no queue yet.
+        best = min(free, key=lambda b: _price(b, demand, now))
+    late = demand.late or _queued(best, now)
+    return Place(best, Urgency.LATE if late else Urgency.FRESH)
 
 
-def _able(backend: Backend, demand: Demand) -> bool:
+def _able(backend: Backend, demand: Demand, now: float) -> bool:
     if not demand.model:
         return True
-    held = backend.holds(demand.model, demand.layers)
-    return held > 0 and held >= demand.least_version
+    news = backend.fresh_news(now)
+    if news is not None and not news.serving:
+        return False
+    held = backend.holds(demand.model, demand.layers, now)
+    if held <= 0 or held < demand.least_version:
+        return False
+    idle = pressure(backend, now) < backend.listed.slots * IDLE_PART
+    return held >= demand.soon_version or idle
+
 
+def _back_in(backends: Sequence[Backend], demand: Demand, now: float) -> float | None:
+    told = ((b.fresh_news(now), now - b.told_at) for b in backends)
+    known = [(news, age) for news, age in told if news is not None]
+    return back_in(known, demand.least_version) if demand.model else None
 
-def _room(backend: Backend, now: float) -> bool:
+
+def _full(backend: Backend, demand: Demand, now: float) -> bool:
     slots = backend.listed.slots
-    if not slots:
-        return True
-    return pressure(backend, now) < slots * (1 + WAITING_PART)
+    part = FULL_PART if demand.model else PLAIN_QUEUE_PART
+    return slots > 0 and pressure(backend, now) >= slots * (1 + part)
+
+
+def _queued(backend: Backend, now: float) -> bool:
+    slots = backend.listed.slots
+    return slots > 0 and pressure(backend, now) >= slots * (1 + QUEUE_PART)
 
 
 def _price(backend: Backend, demand: Demand, now: float) -> float:
     slots = max(backend.listed.slots, 1)
     price = pressure(backend, now) / slots
+    news = backend.fresh_news(now)
+    if news is not None:
+        price *= max(1.0, news.pace)
     if backend.listed.cold_seconds > 0:
         price += FAR_PART
     return price + (FAR_PART if backend.listed.data_centre != demand.data_centre else 0)
--- a/packages/wasabideck_policy/wasabideck_policy/superseding.py
+++ b/packages/wasabideck_policy/wasabideck_policy/superseding.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-__all__ = ["finishes_older"]
+__all__ = ["OVERHEAD", "finishes_older"]
 
 # So little is left of the older version that finishing it costs next to nothing.
 NEARLY_PART = 0.25
--- a/packages/wasabideck_policy/wasabideck_policy/views.py
+++ b/packages/wasabideck_policy/wasabideck_policy/views.py
@@ -198,6 +198,11 @@
         """All chunks of the manifest."""
         return (1 << len(self.digests)) - 1
 
+    @property
+    def missing(self) -> int:
+        """How many chunks are not here yet."""
+        return (self.whole & ~self.held).bit_count()
+
     @property
     def wanted(self) -> int:
         """Chunks that are neither here nor on their way."""
--- a/tests/beliefs/test_backends.py
+++ b/tests/beliefs/test_backends.py
@@ -60,11 +60,11 @@
     old = backends.take(listed("a", born=1))
     old.versions["m"] = 3
     new = backends.take(listed("a", born=2))
-    assert new.holds("m", 16) == 0
+    assert new.holds("m", 16, 100.0) == 0
 
 
 def test_layers_of_the_list_count_only_when_whole(backends):
     part = backends.take(listed("a", loaded=(Loaded("m", 2, 0, 8),)))
-    assert part.holds("m", 16) == 0
+    assert part.holds("m", 16, 100.0) == 0
     whole = backends.take(listed("a", loaded=(Loaded("m", 2, 0, 16),)))
-    assert whole.holds("m", 16) == 2
+    assert whole.holds("m", 16, 100.0) == 2
