Send a share of the drafts ahead of the others when engines are full

Cause: with more drafts than the engines write, all waited alike: 10 in 100 in time. Ruled out: urgency by total pressure (a queue of late ones keeps it up for all).

--- a/packages/wasabideck_forward/wasabideck_forward/delivery.py
+++ b/packages/wasabideck_forward/wasabideck_forward/delivery.py
@@ -86,8 +86,9 @@
     backend: Backend,
     caller: CallerConnection,
     clock: Callable[[], float],
+    first_event: Callable[[float], None],
 ) -> None:
-    """Pass an answer on to the caller.
+    """Pass an answer on to the caller; tells when its first event came.
 
     Raises
     ------
@@ -100,7 +101,9 @@
         raise ServerFailed(head.status, refused=True)
     streamed = header_of(head.headers, b"content-type").startswith(b"text/event-stream")
     if streamed and head.status < 300:
-        await _deliver_events(exchange, head, answer, backend, caller, clock)
+        await _deliver_events(
+            exchange, head, answer, backend, caller, clock, first_event
+        )
         return
     if exchange.delivered.events:
         # Half of a stream is with the caller: nothing else can go on behind it.
@@ -152,6 +155,7 @@
     backend: Backend,
     caller: CallerConnection,
     clock: Callable[[], float],
+    first_event: Callable[[float], None],
 ) -> None:
     delivered = exchange.delivered
     delivered.splitter.restart()
@@ -169,6 +173,8 @@
         if events and first:
             _check_follows(events[0], after)
             first = False
+            if not delivered.events:
+                first_event(clock())
         if events:
             await _write_events(delivered, head, events, caller)
     if delivered.splitter.partial:
--- a/packages/wasabideck_forward/wasabideck_forward/forwarder.py
+++ b/packages/wasabideck_forward/wasabideck_forward/forwarder.py
@@ -6,14 +6,16 @@
 import contextlib
 import random
 from collections.abc import Callable
+from functools import partial
 
 from attrs import define, field
 from wasabideck_base.events import Events
 from wasabideck_policy.backends import Backend
 from wasabideck_policy.beliefs import Beliefs
 from wasabideck_policy.configuration import EngineModel, Route
+from wasabideck_policy.fresh_share import FreshShare
 from wasabideck_policy.outliers import Outliers
-from wasabideck_policy.placement import Demand, Place, choose
+from wasabideck_policy.placement import Demand, Place, Urgency, choose
 from wasabideck_policy.retry_share import RetryShare
 
 from .caller_connection import CallerConnection
@@ -88,6 +90,10 @@
         Whether a server may have run it without having said how it ended.
     replaceable : bool
         Whether another server may be tried after the present one.
+    ahead : bool
+        Whether it is among those that engines run ahead of the others.
+    urgency : int or None
+        Its class of urgency at the engine.
     delivered : Delivered
         What the caller has of the answer so far.
     """
@@ -104,6 +110,7 @@
     uncertain: bool = False
     refused_by: int = 0
     replaceable: bool = False
+    ahead: bool = True
     urgency: int | None = None
     delivered: Delivered = field(factory=Delivered)
 
@@ -123,6 +130,7 @@
     outliers: Outliers = field(factory=Outliers)
     in_progress: int = 0
     _shares: dict[str, RetryShare] = field(factory=dict)
+    _fresh: dict[str, FreshShare] = field(factory=dict)
     _news: asyncio.Event = field(factory=asyncio.Event)
 
     def wake(self) -> None:
@@ -172,9 +180,12 @@
         until = min(req.arrived + route.timeout, deadline or float("inf"))
         self._share(service).request(now)
         engine = cfg.services[service].engine if service in cfg.services else None
-        return Exchange(
+        exchange = Exchange(
             req, route, service, until, deadline, organisation, priority, engine
         )
+        if engine is not None:
+            exchange.ahead = self._ahead(service).draw(self.rng)
+        return exchange
 
     async def _within_time(self, exchange: Exchange, caller: CallerConnection) -> None:
         try:
@@ -253,6 +264,7 @@
             beliefs.least_version(model, bounds.version_seconds, now),
             beliefs.least_version(model, bounds.queue_seconds, now),
             late=now > goal - FIRST_EVENT_SECONDS,
+            ahead=exchange.ahead,
         )
 
     async def _attempt(
@@ -275,7 +287,8 @@
             if head.refused or head.other_server:
                 exchange.uncertain = was_uncertain
                 exchange.refused_by += 1
-            await deliver(exchange, head, answer, backend, caller, self.clock)
+            first = partial(self.first_event, exchange)
+            await deliver(exchange, head, answer, backend, caller, self.clock, first)
             self._note(exchange.req, exchange, "answered")
             self.outliers.succeeded(backend.server)
             self.pool.give_back(backend, conn)
@@ -338,6 +351,15 @@
         share = self._share(exchange.service)
         return share.may_repeat(now, self.beliefs.entries)
 
+    def _ahead(self, service: str) -> FreshShare:
+        return self._fresh.setdefault(service, FreshShare())
+
+    def first_event(self, exchange: Exchange, now: float) -> None:
+        """Take in when a stream's first event came."""
+        if exchange.urgency == Urgency.FRESH:
+            seconds = now - exchange.req.arrived
+            self._ahead(exchange.service).observe(seconds, exchange.route.goal)
+
     def _share(self, service: str) -> RetryShare:
         if service not in self._shares:
             bounds = self.bounds
--- a/packages/wasabideck_policy/wasabideck_policy/placement.py
+++ b/packages/wasabideck_policy/wasabideck_policy/placement.py
@@ -1,11 +1,4 @@
-"""Which server gets a request, how urgent it is there, and when none should.
-
-Measured load: more drafts arrive than the engines can write, for the seconds until
-added engines have their weights, or while versions are swapped. Were all treated
-alike, every one would wait the same while in the engines' queues and come late. So a
-request that finds its best engine full goes there behind all that can still be in
-time: the engine admits by urgency, and loses no work to it.
-"""
+"""Which server gets a request, how urgent it is there, and when none should."""
 
 from __future__ import annotations
 
@@ -27,9 +20,8 @@
 FADING_SECONDS = 2.0
 # A server in another region must have this part of its slots more free.
 FAR_PART = 0.08
-# An engine with so many requests more than slots, as a part of its slots, has a queue
-# that already takes a fresh request past its goal: a slot is free each 90 ms.
-QUEUE_PART = 0.12
+# With this part of its slots taken, an engine has a place for a request at once.
+OPEN_PART = 0.9
 # With so many waiting no further one is likely to be served before its deadline.
 FULL_PART = 1.0
 # A plain service works a queue off in so many rounds of its slots before deadlines.
@@ -62,6 +54,8 @@
         Version that will be the least one before a queue is worked off.
     late : bool
         Whether the goal cannot be kept any more.
+    ahead : bool
+        Whether it is among those that are sent ahead of the others.
     """
 
     data_centre: str
@@ -70,6 +64,7 @@
     least_version: int = 0
     soon_version: int = 0
     late: bool = False
+    ahead: bool = True
 
 
 @frozen
@@ -112,10 +107,10 @@
         return Place(None, full=True)
     drawn = rng.sample(free, min(DRAWN, len(free)))
     best = min(drawn, key=lambda b: _price(b, demand, now))
-    if demand.model and (demand.late or _queued(best, now)):
-        # Another of the free ones may have no queue yet.
+    if demand.model and not _open(best, now):
+        # Another of the free ones may have a place at once.
         best = min(free, key=lambda b: _price(b, demand, now))
-    late = demand.late or _queued(best, now)
+    late = demand.late or not (demand.ahead or _open(best, now))
     return Place(best, Urgency.LATE if late else Urgency.FRESH)
 
 
@@ -144,9 +139,8 @@
     return slots > 0 and pressure(backend, now) >= slots * (1 + part)
 
 
-def _queued(backend: Backend, now: float) -> bool:
-    slots = backend.listed.slots
-    return slots > 0 and pressure(backend, now) >= slots * (1 + QUEUE_PART)
+def _open(backend: Backend, now: float) -> bool:
+    return pressure(backend, now) < backend.listed.slots * OPEN_PART
 
 
 def _price(backend: Backend, demand: Demand, now: float) -> float:
