Let agents hear from entries, and read a storm of configurations by its last one

Entries were 2.1 s behind. Ruled out: the store (4 ms), parsing (few ms each, now only the newest). Tests: test_table_watch (storm), test_hearsay. Conclusion: at the target size entries of a region have to share as well.

--- a/packages/wasabideck_base/wasabideck_base/believer.py
+++ b/packages/wasabideck_base/wasabideck_base/believer.py
@@ -28,6 +28,13 @@
 # time, and later ones are heard of when they ask (seconds).
 MEMBERS_SOON = 1.5
 MEMBERS_LATER = 15.0
+# An agent that no entry answers for so long reads the store itself (seconds).
+UNHEARD_SECONDS = 2.0
+# Engines' models and the origin change rarely: an agent takes a newer configuration in
+# no more often than this (seconds).
+CONFIGURED_SECONDS = 10.0
+# Who declarations come from when they do not come from a peer.
+STORE = "store"
 
 
 @define
@@ -53,6 +60,7 @@
     hearsay: Hearsay = field(init=False)
     operators: TableWatch = field(init=False)
     servers: TableWatch = field(init=False)
+    _telling: set[asyncio.Task] = field(factory=set)
 
     def __attrs_post_init__(self) -> None:
         """Put the watches together."""
@@ -63,9 +71,9 @@
         self.servers = self._watch(
             self.deployment.servers, self._took_servers, self._whole_servers
         )
-        followed = [self.operators]
-        if self.me.kind == ENTRY:
-            followed.append(self.servers)
+        # Agents hear from entries near by what operators declare: each configuration
+        # is some 40 KB, and would cross a region's thin link once for each agent.
+        followed = (self.operators, self.servers) if self._is_entry else ()
         watches = {w.table: w for w in followed}
         self.hearsay = Hearsay(
             self.me,
@@ -79,13 +87,19 @@
                 watches[table].behind(version) if table in watches else None
             ),
             seeds=self.cfg.inner_seeds(),
+            asked="" if self._is_entry else ENTRY,
         )
 
+    @property
+    def _is_entry(self) -> bool:
+        return self.me.kind == ENTRY
+
     def loops(self) -> list[Coroutine]:
         """What has to run for as long as the process does."""
-        loops = [self.operators.run(), self._keep_asking(), self._keep_members()]
-        # Only an entry has a use for the servers; each watch costs calls.
-        return [*loops, self.servers.run()] if self.me.kind == ENTRY else loops
+        loops = [self._keep_asking(), self._keep_members()]
+        if self._is_entry:
+            return [*loops, self.operators.run(), self.servers.run()]
+        return [*loops, self._keep_reading()]
 
     async def read_members(self) -> None:
         """Read who is there; what cannot be read is passed over with a line."""
@@ -114,6 +128,7 @@
             self.clock,
             self.events,
             self.rng,
+            rereads=table == self.deployment.operators,
         )
 
     # The operators' declarations
@@ -128,14 +143,20 @@
                 continue
             if declaration is not None:
                 found.append(declaration)
-        self.hearsay.merge(found, "store")
+        self.hearsay.merge(found, STORE)
 
     def _changed(self, newer: list[Declaration], source: str) -> None:
-        for declaration in newer:
+        # Of several that came together only the newest of a key is put in force.
+        for declaration in {d.key: d for d in newer}.values():
             if declaration.key == CONFIGURATION:
                 self._configure(declaration)
             else:
                 self._name_version(declaration)
+        weights = [d for d in newer if d.key != CONFIGURATION]
+        if weights and source == STORE and self._is_entry:
+            task = asyncio.create_task(self.hearsay.tell(weights))
+            self._telling.add(task)
+            task.add_done_callback(self._telling.discard)
 
     def _configure(self, declaration: Declaration) -> None:
         try:
@@ -198,13 +219,35 @@
     async def _keep_asking(self) -> None:
         while True:
             heard_at = self.operators.heard_at
-            failing = self.operators.failing
+            failing = self._is_entry and self.operators.failing
             await asyncio.sleep(CUT_OFF_SECONDS if failing else CALM_SECONDS)
             await self.hearsay.ask_one()
             self.beliefs.heard_at = max(
                 heard_at, self.hearsay.heard_at, self.operators.heard_at
             )
 
+    async def _keep_reading(self) -> None:
+        """Read what operators declare from the store while no entry tells it."""
+        configured_at = float("-inf")
+        while True:
+            now = self.clock()
+            if self.beliefs.configuration is None or self._unheard(now):
+                try:
+                    changes = await self.store.read(self.deployment.operators)
+                    self._took_operators(list(changes.rows))
+                except (PlatformUnavailable, PlatformRefused) as exc:
+                    self.events.emit("table.unavailable", why=str(exc))
+            if now - configured_at > CONFIGURED_SECONDS:
+                configured_at = now
+                self.hearsay.lacks.discard(CONFIGURATION)
+            elif self.beliefs.configuration is not None:
+                self.hearsay.lacks.add(CONFIGURATION)
+            await asyncio.sleep(CALM_SECONDS * self.rng.uniform(0.8, 1.2))
+
+    def _unheard(self, now: float) -> bool:
+        since = max(self.beliefs.began, self.hearsay.heard_at)
+        return now - since > UNHEARD_SECONDS
+
     async def _keep_members(self) -> None:
         await self._join()
         await asyncio.sleep(MEMBERS_SOON * self.rng.uniform(0.8, 1.2))
--- a/packages/wasabideck_base/wasabideck_base/hearsay.py
+++ b/packages/wasabideck_base/wasabideck_base/hearsay.py
@@ -2,13 +2,15 @@
 
 from __future__ import annotations
 
+import asyncio
 import random
 from collections.abc import Callable, Iterable
 
 from attrs import define, field
 from grpclib.server import Stream
 from wasabideck_policy.declarations import Declaration, Declarations
-from wasabideck_policy.membership import Member
+from wasabideck_policy.membership import AGENT, ENTRY, Member
+from wasabideck_policy.rendezvous import rank
 from wasabideck_wire import inner_pb2 as pb
 from wasabideck_wire.inner_grpc import PeersBase, PeersStub
 
@@ -29,6 +31,10 @@
 NEAR_PART = 0.7
 # A peer that gave no answer is not asked again for so long (seconds).
 SET_BACK_SECONDS = 3.0
+# Entries of a region that tell its agents of what they have just heard.
+TELLERS = 2
+# A number that no declaration reaches: whoever names it is sent nothing.
+ENOUGH = (1 << 63) - 1
 
 
 @define
@@ -43,6 +49,10 @@
         Version of the store that each followed table reflects here.
     behind : callable
         Told of a table of which a peer knows a newer version.
+    asked : str
+        Kind of the members that are asked; empty for all.
+    lacks : set of str
+        Keys of declarations of which nothing newer is wanted here.
     """
 
     me: Member
@@ -56,6 +66,8 @@
     declarations: Declarations = field(factory=Declarations)
     members: dict[str, Member] = field(factory=dict)
     seeds: list[str] = field(factory=list)
+    asked: str = ""
+    lacks: set[str] = field(factory=set)
     heard_at: float = float("-inf")
     _set_back: dict[str, float] = field(factory=dict)
 
@@ -89,23 +101,38 @@
             return
         if reply.heard:
             self.heard_at = self.clock()
-        found = [
-            Declaration(entry.scope, entry.ticket, entry.change)
-            for entry in reply.entries
-            if entry.slot == DECLARED
-        ]
-        self.merge(found, address)
+        self.merge(_declared(reply.entries), address)
         for entry in reply.entries:
             if entry.slot == TABLE:
                 self.behind(entry.scope, entry.ticket)
 
+    async def tell(self, declarations: list[Declaration]) -> None:
+        """Tell the agents near by at once of what was heard first here.
+
+        Only the first few entries in rank do: each agent hears it twice or so, also
+        when one of them is cut off, and not from every entry.
+        """
+        members = [m for m in self.members.values() if m.region == self.me.region]
+        entries = {m.vm for m in members if m.kind == ENTRY} | {self.me.vm}
+        if self.me.vm not in rank(self.me.region, entries)[:TELLERS]:
+            return
+        req = pb.SyncRequest(vm=self.me.vm, entries=[_entry(d) for d in declarations])
+        agents = [m.address for m in members if m.kind == AGENT]
+        await asyncio.gather(*(self._push(address, req) for address in agents))
+
+    async def _push(self, address: str, req: pb.SyncRequest) -> None:
+        channel = self.channels.get(address)
+        try:
+            await PeersStub(channel).Sync(req, timeout=CALL_SECONDS)
+        except LINK_FAILURES as exc:
+            self.channels.drop(address, channel)
+            self.events.emit("peer.silent", peer=address, why=type(exc).__name__)
+
     def answer(self, req: pb.SyncRequest) -> pb.SyncReply:
         """What a peer lacks of what is known here."""
         theirs = {e.scope: e.ticket for e in req.entries if e.slot == DECLARED}
-        entries = [
-            pb.Entry(scope=d.key, slot=DECLARED, ticket=d.number, change=d.content)
-            for d in self.declarations.newer_than(theirs)
-        ]
+        self.merge(_declared(req.entries), req.vm)
+        entries = [_entry(d) for d in self.declarations.newer_than(theirs)]
         entries += [
             pb.Entry(scope=e.scope, slot=TABLE, ticket=self.tables[e.scope]())
             for e in req.entries
@@ -117,7 +144,11 @@
     def _question(self) -> pb.SyncRequest:
         numbers = self.declarations.numbers()
         entries = [
-            pb.Entry(scope=key, slot=DECLARED, ticket=number)
+            pb.Entry(
+                scope=key,
+                slot=DECLARED,
+                ticket=ENOUGH if key in self.lacks else number,
+            )
             for key, number in numbers.items()
         ]
         entries += [
@@ -127,7 +158,11 @@
         return pb.SyncRequest(vm=self.me.vm, entries=entries)
 
     def _draw(self, now: float) -> str | None:
-        others = [m for m in self.members.values() if m.vm != self.me.vm]
+        others = [
+            m
+            for m in self.members.values()
+            if m.vm != self.me.vm and self.asked in ("", m.kind)
+        ]
         known = {m.address for m in others}
         open_ones = [a for a in known if self._set_back.get(a, 0.0) <= now]
         if not open_ones:
@@ -141,6 +176,24 @@
         return self.rng.choice(sorted(open_ones))
 
 
+def _entry(declaration: Declaration) -> pb.Entry:
+    return pb.Entry(
+        scope=declaration.key,
+        slot=DECLARED,
+        ticket=declaration.number,
+        change=declaration.content,
+    )
+
+
+def _declared(entries: Iterable[pb.Entry]) -> list[Declaration]:
+    """Declarations with their content; a question has the numbers only."""
+    return [
+        Declaration(entry.scope, entry.ticket, entry.change)
+        for entry in entries
+        if entry.slot == DECLARED and entry.change
+    ]
+
+
 @define
 class HearsayService(PeersBase):
     """Answers peers that ask for newer declarations."""
--- a/packages/wasabideck_base/wasabideck_base/table_watch.py
+++ b/packages/wasabideck_base/wasabideck_base/table_watch.py
@@ -21,6 +21,8 @@
 # After a change the next call waits a little: servers join and operators write in
 # bursts, and one answer then tells what would take a call for each (seconds).
 SETTLE_SECONDS = 0.4
+# Changes that follow each other so closely are a storm (seconds).
+STORM_SECONDS = 1.0
 # A peer that knows a newer row has had it from an answer that should have come here,
 # too; so long is allowed for it (seconds).
 BEHIND_SECONDS = 0.8
@@ -42,6 +44,8 @@
         Given all keys of the table after it was read whole.
     returned : callable
         Told when the store answers again after it had not.
+    rereads : bool
+        Whether the whole table is small, and its rows are large and change often.
     version : int
         Version of the store that the copy reflects; -1 before the first read.
     newest : int
@@ -58,8 +62,10 @@
     clock: Callable[[], float]
     events: Events
     rng: random.Random
+    rereads: bool = False
     version: int = -1
     newest: int = 0
+    _changed_at: float = float("-inf")
     heard_at: float = float("-inf")
     _rows: dict[str, int] = field(factory=dict)
     _failures: int = 0
@@ -123,8 +129,16 @@
             return
         self._answered()
         self._take(changes)
-        if changes.rows:
-            await asyncio.sleep(SETTLE_SECONDS)
+        if not changes.rows:
+            return
+        # The changes that come one after the other are all told, each whole; a table
+        # that is read tells only the last of them. Where operators write every few
+        # hundred ms, this keeps ten entries from filling a region's link.
+        now = self.clock()
+        close = now - self._changed_at < STORM_SECONDS
+        self._read_again = close and self.rereads
+        self._changed_at = now
+        await asyncio.sleep(SETTLE_SECONDS)
 
     async def _ask(self, call: object) -> Changes:
         """The answer to a call, which ``behind`` may break off."""
--- /dev/null
+++ b/tests/beliefs/test_hearsay.py
@@ -0,0 +1,150 @@
+"""What processes tell each other of the operators' declarations."""
+
+import asyncio
+import random
+
+import pytest
+from wasabideck_base.channels import Channels
+from wasabideck_base.events import Clock, Events
+from wasabideck_base.hearsay import Hearsay, HearsayService
+from wasabideck_base.inner_limits import InnerServer
+from wasabideck_policy.declarations import CONFIGURATION, Declaration
+from wasabideck_policy.membership import AGENT, ENTRY, Member
+
+
+class Process:
+    """One process with its inner protocol on a port of its own."""
+
+    def __init__(self, vm, kind=ENTRY):
+        self.vm, self.kind = vm, kind
+        self.changed, self.behind = [], []
+
+    async def start(self):
+        loop = asyncio.get_running_loop()
+        clock = Clock()
+        self.hearsay = Hearsay(
+            Member(self.vm, self.kind, "", "region"),
+            Channels(clock),
+            Events(self.vm, clock, lambda: 0.0),
+            loop.time,
+            random.Random(1),
+            lambda newer, source: self.changed.extend(newer),
+            {"servers": lambda: self.newest},
+            lambda table, version: self.behind.append((table, version)),
+        )
+        self.newest = 0
+        self.server = InnerServer([HearsayService(self.hearsay)])
+        await self.server.start("127.0.0.1", 0)
+        port = self.server._server.sockets[0].getsockname()[1]
+        self.address = f"127.0.0.1:{port}"
+
+    def knows(self, *others):
+        for other in others:
+            member = Member(other.vm, other.kind, other.address, "region")
+            self.hearsay.members[other.vm] = member
+
+    def stop(self):
+        self.server.close()
+        self.hearsay.channels.close()
+
+
+@pytest.fixture
+def meet():
+    """Run a scenario with processes that are stopped in the end."""
+
+    def run(scenario, *processes):
+        async def body():
+            async with asyncio.timeout(10):
+                for process in processes:
+                    await process.start()
+                try:
+                    await scenario()
+                finally:
+                    for process in processes:
+                        process.stop()
+
+        asyncio.run(body())
+
+    return run
+
+
+def test_a_revoked_key_is_heard_of_without_the_store(meet):
+    # The store turns one entry away while it serves all others, and the operators
+    # take a key away. The entry hears of it from a peer.
+    calm, cut = Process("calm"), Process("cut")
+
+    async def scenario():
+        cut.knows(calm)
+        newer = Declaration(CONFIGURATION, 7, b"without the key")
+        calm.hearsay.merge([newer], "store")
+        cut.hearsay.merge([Declaration(CONFIGURATION, 6, b"with it")], "store")
+        await cut.hearsay.ask_one()
+        assert cut.changed[-1] == newer
+
+    meet(scenario, calm, cut)
+
+
+def test_a_peer_that_knows_less_reverts_nothing(meet):
+    old, new = Process("old"), Process("new")
+
+    async def scenario():
+        new.knows(old)
+        old.hearsay.merge([Declaration(CONFIGURATION, 6, b"old")], "store")
+        new.hearsay.merge([Declaration(CONFIGURATION, 7, b"new")], "store")
+        await new.hearsay.ask_one()
+        assert [d.number for d in new.changed] == [7]
+
+    meet(scenario, old, new)
+
+
+def test_agents_near_by_are_told_at_once(meet):
+    entry, agent = Process("entry"), Process("agent", AGENT)
+
+    async def scenario():
+        entry.knows(agent)
+        named = Declaration("weights/m", 2, b"{}")
+        await entry.hearsay.tell([named])
+        assert agent.changed == [named]
+
+    meet(scenario, entry, agent)
+
+
+def test_an_agent_is_not_sent_what_it_does_not_want(meet):
+    # A configuration is 40 KB, and an agent's link carries the streams of its server.
+    entry, agent = Process("entry"), Process("agent", AGENT)
+
+    async def scenario():
+        agent.knows(entry)
+        agent.hearsay.merge([Declaration(CONFIGURATION, 1, b"one")], "store")
+        agent.hearsay.lacks.add(CONFIGURATION)
+        entry.hearsay.merge([Declaration(CONFIGURATION, 2, b"two")], "store")
+        await agent.hearsay.ask_one()
+        assert [d.number for d in agent.changed] == [1]
+        agent.hearsay.lacks.clear()
+        await agent.hearsay.ask_one()
+        assert [d.number for d in agent.changed] == [1, 2]
+
+    meet(scenario, entry, agent)
+
+
+def test_a_peer_with_a_newer_list_shows_that_the_watch_is_silent(meet):
+    behind, ahead = Process("behind"), Process("ahead")
+
+    async def scenario():
+        behind.knows(ahead)
+        ahead.newest, behind.newest = 9, 5
+        await behind.hearsay.ask_one()
+        assert behind.behind == [("servers", 9)]
+
+    meet(scenario, behind, ahead)
+
+
+def test_a_peer_that_does_not_answer_is_set_back(meet):
+    lone = Process("lone")
+
+    async def scenario():
+        lone.hearsay.members["gone"] = Member("gone", ENTRY, "127.0.0.1:1", "region")
+        await lone.hearsay.ask_one()
+        assert lone.hearsay._draw(lone.hearsay.clock()) is None
+
+    meet(scenario, lone)
--- a/tests/beliefs/test_table_watch.py
+++ b/tests/beliefs/test_table_watch.py
@@ -163,3 +163,26 @@
         hanging.cancel()
 
     asyncio.run(run())
+
+
+def test_a_storm_of_changes_is_read_by_its_last_one(seen, clock):
+    # Operators write a configuration of 40 KB four times a second. Followed, each of
+    # them is sent to each entry; the link between two regions was full with them, and
+    # entries were two seconds behind. The table itself holds only the last one.
+    store = ScriptedStore(
+        Changes((row("a", 1),), 1),
+        Changes((row("a", 2),), 2),
+        Changes((row("a", 3),), 3),
+        Changes((row("a", 6),), 6),
+        Changes((row("a", 9),), 9),
+    )
+    watch = watch_of(store, seen, clock)
+    watch.rereads = True
+
+    async def run():
+        for now in (0.0, 5.0, 5.4, 5.8, 20.0):
+            clock[0] = now
+            await watch.step()
+
+    asyncio.run(run())
+    assert store.calls == ["read", ("follow", 1), ("follow", 2), "read", ("follow", 6)]
