--- a/packages/wasabideck_base/wasabideck_base/believer.py
+++ b/packages/wasabideck_base/wasabideck_base/believer.py
@@ -74,7 +74,6 @@
         # Agents hear from entries near by what operators declare: each configuration
         # is some 40 KB, and would cross a region's thin link once for each agent.
         followed = (self.operators, self.servers) if self._is_entry else ()
-        watches = {w.table: w for w in followed}
         self.hearsay = Hearsay(
             self.me,
             self.channels,
@@ -82,10 +81,9 @@
             self.clock,
             self.rng,
             self._changed,
-            {name: lambda w=watch: w.newest for name, watch in watches.items()},
-            lambda table, version: (
-                watches[table].behind(version) if table in watches else None
-            ),
+            {watch.table: watch for watch in followed},
+            # Configurations are declarations already; servers are told as rows.
+            frozenset([self.servers.table] if followed else []),
             seeds=self.cfg.inner_seeds(),
             asked="" if self._is_entry else ENTRY,
         )
--- a/packages/wasabideck_base/wasabideck_base/hearsay.py
+++ b/packages/wasabideck_base/wasabideck_base/hearsay.py
@@ -16,12 +16,16 @@
 
 from .channels import LINK_FAILURES, Channels
 from .events import Events
+from .rows import Row
+from .table_watch import TableWatch
 
 __all__ = ["Hearsay", "HearsayService"]
 
 # What an entry of the inner protocol's message tells of.
 DECLARED = "declared"
 TABLE = "table"
+ROW = "row"
+GONE = "gone"
 CALL_SECONDS = 0.7
 # A process asks one peer so often: with every second process cut off from the store
 # a change is with 99 in 100 of the others after seven asks (seconds).
@@ -45,10 +49,10 @@
     ----------
     changed : callable
         Given declarations that replaced what was known.
-    tables : dict of str to callable
-        Version of the store that each followed table reflects here.
-    behind : callable
-        Told of a table of which a peer knows a newer version.
+    tables : dict of str to TableWatch
+        The tables that are followed here.
+    told : frozenset of str
+        Tables whose rows are told to peers that lack them.
     asked : str
         Kind of the members that are asked; empty for all.
     lacks : set of str
@@ -61,8 +65,8 @@
     clock: Callable[[], float]
     rng: random.Random
     changed: Callable[[list[Declaration], str], None]
-    tables: dict[str, Callable[[], int]]
-    behind: Callable[[str, int], None]
+    tables: dict[str, TableWatch]
+    told: frozenset[str] = frozenset()
     declarations: Declarations = field(factory=Declarations)
     members: dict[str, Member] = field(factory=dict)
     seeds: list[str] = field(factory=list)
@@ -103,8 +107,10 @@
             self.heard_at = self.clock()
         self.merge(_declared(reply.entries), address)
         for entry in reply.entries:
-            if entry.slot == TABLE:
-                self.behind(entry.scope, entry.ticket)
+            if entry.slot == TABLE and entry.scope in self.tables:
+                self.tables[entry.scope].behind(entry.ticket)
+        for table in self.told:
+            self.tables[table].hear(_rows(table, reply.entries))
 
     async def tell(self, declarations: list[Declaration]) -> None:
         """Tell the agents near by at once of what was heard first here.
@@ -133,12 +139,13 @@
         theirs = {e.scope: e.ticket for e in req.entries if e.slot == DECLARED}
         self.merge(_declared(req.entries), req.vm)
         entries = [_entry(d) for d in self.declarations.newer_than(theirs)]
-        entries += [
-            pb.Entry(scope=e.scope, slot=TABLE, ticket=self.tables[e.scope]())
-            for e in req.entries
-            if e.slot == TABLE and e.scope in self.tables
-            if self.tables[e.scope]() > e.ticket
-        ]
+        for entry in req.entries:
+            watch = self.tables.get(entry.scope) if entry.slot == TABLE else None
+            if watch is None or watch.newest <= entry.ticket:
+                continue
+            entries.append(pb.Entry(scope=entry.scope, slot=TABLE, ticket=watch.newest))
+            if entry.scope in self.told:
+                entries += [_row_entry(row) for row in watch.above(entry.ticket)]
         return pb.SyncReply(entries=entries, heard=len(self.declarations) > 0)
 
     def _question(self) -> pb.SyncRequest:
@@ -152,8 +159,8 @@
             for key, number in numbers.items()
         ]
         entries += [
-            pb.Entry(scope=table, slot=TABLE, ticket=max(0, version()))
-            for table, version in self.tables.items()
+            pb.Entry(scope=table, slot=TABLE, ticket=watch.newest)
+            for table, watch in self.tables.items()
         ]
         return pb.SyncRequest(vm=self.me.vm, entries=entries)
 
@@ -185,6 +192,30 @@
     )
 
 
+def _row_entry(row: Row) -> pb.Entry:
+    return pb.Entry(
+        scope=f"{row.table}/{row.key}",
+        slot=GONE if row.removed else ROW,
+        ticket=row.version,
+        change=row.value,
+    )
+
+
+def _rows(table: str, entries: Iterable[pb.Entry]) -> list[Row]:
+    prefix = f"{table}/"
+    return [
+        Row(
+            table,
+            entry.scope.removeprefix(prefix),
+            entry.change,
+            entry.ticket,
+            entry.slot == GONE,
+        )
+        for entry in entries
+        if entry.slot in (ROW, GONE) and entry.scope.startswith(prefix)
+    ]
+
+
 def _declared(entries: Iterable[pb.Entry]) -> list[Declaration]:
     """Declarations with their content; a question has the numbers only."""
     return [
--- a/packages/wasabideck_base/wasabideck_base/node_process.py
+++ b/packages/wasabideck_base/wasabideck_base/node_process.py
@@ -15,7 +15,7 @@
 import aiohttp
 import eliot
 from attrs import define, field
-from wasabideck_policy.membership import Member
+from wasabideck_policy.membership import AGENT, ENTRY, Member
 from wasabideck_policy.outcomes import WasabideckError
 
 from .believer import Believer
@@ -26,6 +26,7 @@
 from .hearsay import HearsayService
 from .inner_limits import InnerServer
 from .node import NodeSettings
+from .node_metrics import NodeMetrics, listen_for_scrapes
 
 __all__ = ["NodeProcess", "keep_alive_session", "node_process"]
 
@@ -35,6 +36,8 @@
 PROBE_EVERY_SECONDS = 1
 PROBES = 2
 USER_TIMEOUT_MS = 4000
+# Ports of the metrics; two programs on one VM need two.
+METRICS_PORTS = {ENTRY: 9464, AGENT: 9465}
 
 
 @define
@@ -94,6 +97,9 @@
         inner = InnerServer([HearsayService(believer.hearsay), *services(process)])
         observe_clock(inner, events.clock)
         await inner.start(cfg.ip, cfg.inner_port)
+        metrics = NodeMetrics()
+        events.listeners.append(metrics.count)
+        scrapes = await listen_for_scrapes(metrics, cfg.ip, METRICS_PORTS[kind], events)
         steps = [*believer.loops(), _keep_reloading(process, deployment, reload)]
         tasks = [asyncio.create_task(step) for step in steps]
         for task in tasks:
@@ -105,6 +111,8 @@
             for task in tasks:
                 task.cancel()
             inner.close()
+            if scrapes is not None:
+                scrapes.close()
             channels.close()
             events.emit("process.stopped", kind=kind)
 
--- a/packages/wasabideck_base/wasabideck_base/table_watch.py
+++ b/packages/wasabideck_base/wasabideck_base/table_watch.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 from attrs import define, field
 from wasabideck_policy.outcomes import WasabideckError
@@ -23,6 +23,8 @@
 SETTLE_SECONDS = 0.4
 # Changes that follow each other so closely are a storm (seconds).
 STORM_SECONDS = 1.0
+# Rows told to a peer at once: more than leave or join at the same moment.
+MOST_TOLD = 64
 # A peer that knows a newer row has had it from an answer that should have come here,
 # too; so long is allowed for it (seconds).
 BEHIND_SECONDS = 0.8
@@ -67,7 +69,7 @@
     newest: int = 0
     _changed_at: float = float("-inf")
     heard_at: float = float("-inf")
-    _rows: dict[str, int] = field(factory=dict)
+    _rows: dict[str, Row] = field(factory=dict)
     _failures: int = 0
     _read_again: bool = True
     _asking: asyncio.Task | None = None
@@ -97,6 +99,28 @@
         else:
             await self._follow()
 
+    def hear(self, rows: Iterable[Row]) -> None:
+        """Take in rows that a peer tells; the watch itself still has to bring them.
+
+        While the store turns this process away, or a connection to it is silent, a
+        server that leaves is known here a second later, and not when the call ends.
+        """
+        newer = [row for row in rows if row.version > self._known(row.key)]
+        for row in newer:
+            self._rows[row.key] = row
+        if newer and self.version >= 0:
+            self.events.emit("rows.heard", table=self.table, rows=len(newer))
+            self.took(newer)
+
+    def above(self, version: int) -> list[Row]:
+        """Rows that whoever has this version lacks, the newest ones if many."""
+        found = [row for row in self._rows.values() if row.version > version]
+        return sorted(found, key=lambda row: row.version)[-MOST_TOLD:]
+
+    def _known(self, key: str) -> int:
+        row = self._rows.get(key)
+        return row.version if row else -1
+
     def behind(self, newest: int) -> None:
         """Note that a peer knows a newer row: the present call may be silent."""
         now = self.clock()
@@ -154,9 +178,9 @@
             self._asking = None
 
     def _take(self, changes: Changes) -> None:
-        newer = [r for r in changes.rows if r.version > self._rows.get(r.key, -1)]
+        newer = [r for r in changes.rows if r.version > self._known(r.key)]
         for row in newer:
-            self._rows[row.key] = row.version
+            self._rows[row.key] = row
             self.newest = max(self.newest, row.version)
         self.version = max(self.version, changes.version)
         if newer:
--- a/packages/wasabideck_forward/wasabideck_forward/forwarder.py
+++ b/packages/wasabideck_forward/wasabideck_forward/forwarder.py
@@ -94,6 +94,8 @@
         Whether it is among those that engines run ahead of the others.
     urgency : int or None
         Its class of urgency at the engine.
+    first_seconds : float or None
+        How long its stream's first event took.
     delivered : Delivered
         What the caller has of the answer so far.
     """
@@ -112,6 +114,7 @@
     replaceable: bool = False
     ahead: bool = True
     urgency: int | None = None
+    first_seconds: float | None = None
     delivered: Delivered = field(factory=Delivered)
 
 
@@ -184,7 +187,9 @@
             req, route, service, until, deadline, organisation, priority, engine
         )
         if engine is not None:
-            exchange.ahead = self._ahead(service).draw(self.rng)
+            fresh = self._ahead(service)
+            fresh.arrive(now)
+            exchange.ahead = fresh.draw(self.rng)
         return exchange
 
     async def _within_time(self, exchange: Exchange, caller: CallerConnection) -> None:
@@ -290,6 +295,8 @@
             first = partial(self.first_event, exchange)
             await deliver(exchange, head, answer, backend, caller, self.clock, first)
             self._note(exchange.req, exchange, "answered")
+            if exchange.engine is not None:
+                self._ahead(exchange.service).end(self.clock())
             self.outliers.succeeded(backend.server)
             self.pool.give_back(backend, conn)
             conn = None
@@ -332,7 +339,9 @@
         self, exchange: Exchange, backend: Backend, exc: Exception
     ) -> None:
         refused = isinstance(exc, ServerFailed) and exc.refused
-        if not refused:
+        if isinstance(exc, Unreachable):
+            self.outliers.lost(backend.server, self.clock())
+        elif not refused:
             self.outliers.failed(backend.server, self.clock())
         self.events.emit(
             "attempt.failed",
@@ -356,8 +365,8 @@
 
     def first_event(self, exchange: Exchange, now: float) -> None:
         """Take in when a stream's first event came."""
+        seconds = exchange.first_seconds = now - exchange.req.arrived
         if exchange.urgency == Urgency.FRESH:
-            seconds = now - exchange.req.arrived
             self._ahead(exchange.service).observe(seconds, exchange.route.goal)
 
     def _share(self, service: str) -> RetryShare:
@@ -406,6 +415,12 @@
             seconds=round(self.clock() - req.arrived, 4),
             servers=exchange.tried if exchange else [],
             route=exchange.route.name if exchange else "",
+            first=_rounded(exchange.first_seconds) if exchange else None,
+            urgency=exchange.urgency if exchange else None,
             configuration=cfg.number if cfg else 0,
             **more,
         )
+
+
+def _rounded(seconds: float | None) -> float | None:
+    return None if seconds is None else round(seconds, 4)
--- a/packages/wasabideck_policy/wasabideck_policy/fresh_share.py
+++ b/packages/wasabideck_policy/wasabideck_policy/fresh_share.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 import random
+from math import exp
 
 from attrs import define
 
@@ -23,21 +24,56 @@
 DOWN = 0.9
 UP = 0.02
 LEAST = 0.1
+# Arrivals and ends are counted over about so long: a stream lasts 1 to 2 s, and the
+# rate at which they end tells the engines' rate a second before delays do.
+COUNTED_SECONDS = 1.5
+# Of what ends so much is sent ahead; the rest works off the queue of those before.
+ENDED_PART = 0.95
 
 
 @define
 class FreshShare:
-    """The share of requests that is sent ahead of the others, found by its delays."""
+    """The share of requests sent ahead, from the rate at which others end, and delays.
 
-    share: float = 1.0
+    Attributes
+    ----------
+    by_delay : float
+        The share that the delays of those sent ahead allow.
+    """
+
+    by_delay: float = 1.0
+    _arrived: float = 0.0
+    _ended: float = 0.0
+    _counted_at: float = 0.0
+
+    def arrive(self, now: float) -> None:
+        """Count a request."""
+        self._fade(now)
+        self._arrived += 1
+
+    def end(self, now: float) -> None:
+        """Count a request that was answered whole."""
+        self._fade(now)
+        self._ended += 1
 
     def observe(self, seconds: float, goal: float) -> None:
         """Take in how long the first event of a request sent ahead took."""
         if seconds > LATE_PART * goal:
-            self.share = max(LEAST, self.share * DOWN)
+            self.by_delay = max(LEAST, self.by_delay * DOWN)
         else:
-            self.share = min(1.0, self.share + UP)
+            self.by_delay = min(1.0, self.by_delay + UP)
+
+    def share(self) -> float:
+        """The share now, from 0 to 1; counts for nothing while places are free."""
+        by_rate = ENDED_PART * self._ended / max(self._arrived, 1.0)
+        return max(LEAST, min(self.by_delay, by_rate))
 
     def draw(self, rng: random.Random) -> bool:
         """Whether one more request is sent ahead."""
-        return self.share >= 1.0 or rng.random() < self.share
+        return rng.random() < self.share()
+
+    def _fade(self, now: float) -> None:
+        kept = exp((self._counted_at - now) / COUNTED_SECONDS)
+        self._arrived *= kept
+        self._ended *= kept
+        self._counted_at = now
--- a/packages/wasabideck_policy/wasabideck_policy/outliers.py
+++ b/packages/wasabideck_policy/wasabideck_policy/outliers.py
@@ -38,10 +38,18 @@
         record = self._records.setdefault(vm, _Record())
         record.failures += 1
         if record.failures % FAILURES == 0:
-            record.until = now + min(MOST_SECONDS, FIRST_SECONDS * 2**record.times)
-            record.times += 1
-            # One failure after its return is enough to leave it out again.
-            record.failures = FAILURES - 1
+            _leave_out(record, now)
+
+    def lost(self, vm: str, now: float) -> None:
+        """Leave a VM out at once: no connection to it came about.
+
+        Each request that tried it again would wait out the same time before it goes
+        elsewhere; a dark server cost every second one of an entry 0.3 s.
+        """
+        record = self._records.setdefault(vm, _Record())
+        # Requests that were under way to it at the same time tell the same.
+        if now >= record.until:
+            _leave_out(record, now)
 
     def out(self, vm: str, now: float) -> bool:
         """Whether a VM is left out now."""
@@ -53,3 +61,10 @@
         known = set(vms)
         left = {vm for vm in known if not self.out(vm, now)}
         return left if len(left) >= len(known) * (1 - MOST_SHARE) else known
+
+
+def _leave_out(record: _Record, now: float) -> None:
+    record.until = now + min(MOST_SECONDS, FIRST_SECONDS * 2**record.times)
+    record.times += 1
+    # One failure after its return is enough to leave it out again.
+    record.failures = FAILURES - 1
--- a/tests/forward/test_forwarding.py
+++ b/tests/forward/test_forwarding.py
@@ -3,6 +3,7 @@
 import asyncio
 
 import pytest
+from wasabideck_policy.backends import Listed
 from wasabideck_policy.configuration import CallerLimits, Kind
 
 from .conftest import (
@@ -399,3 +400,22 @@
             assert (headers[b"x-request-id"], body) == (b"req-%d" % n, b"%d" % n)
 
     play(scenario)
+
+
+def test_a_dark_server_costs_one_request_a_moment(play):
+    # A server's machine loses power: connections to it hang. Only the request that
+    # finds out waits for one; the next goes to the other server at once.
+    async def scenario():
+        entry = Entry(configuration(route()))
+        await entry.add_server(*(answers(b"%d" % n) for n in range(4)))
+        dark = Listed("i-dark", "s", "127.0.0.1:1", "dc", 8)
+        entry.beliefs.backends.take(dark)
+        entry.beliefs.backends.get("i-0").in_progress = 5
+        caller = await entry.caller()
+        for n in range(3):
+            await caller.ask(name=b"req-%d" % n)
+            assert (await caller.answer())[0] == 200
+        failed = [fields for kind, fields in entry.log if kind == "attempt.failed"]
+        assert len(failed) == 1
+
+    play(scenario)
