Fetch the newest version while an older one is loaded; report overtaken versions

Cause: an agent waited for its engine's swap, 1 to 2.5 s with an idle link, before it turned to the next version; the delivery of a version that was overtaken while it was loaded never got its row. Tests: test_agent (nine, on a fake engine, origin and store).

--- a/packages/wasabideck_agent/wasabideck_agent/node_agent.py
+++ b/packages/wasabideck_agent/wasabideck_agent/node_agent.py
@@ -38,6 +38,8 @@
 # While an order is in progress, each look may end a wait of the whole service.
 ORDER_LOOK_SECONDS = 0.05
 RETRY_SECONDS = 0.3
+# An engine that has accepted an order says that it is busy after so long (seconds).
+ACCEPTED_SECONDS = 0.15
 # What came meanwhile is staged so often during a transfer (seconds).
 STAGE_SECONDS = 0.4
 # A transfer that lasts longer than the links need may have a spoilt manifest, whose
@@ -130,6 +132,7 @@
     _sources: dict[int, dict[str, int]] = field(factory=dict)
     _reported: set[tuple[int, int]] = field(factory=set)
     _born: int = 0
+    _ordered: tuple[int, int] = (0, 0)
 
     async def run(self) -> None:
         """Bring the engine to what is named, for ever."""
@@ -151,28 +154,41 @@
             return False
         version = self._named(model)
         state = await self.engine.state()
-        if state.born != self._born:
-            self.staging.forget()
-            self._born = state.born
-        if _holds(state, model, version):
-            await self._settle(model, version, state)
+        self._notice(state)
+        held = _held(state, model)
+        if held:
+            self._report_once(model, held, state)
+        if held >= version:
+            await self._settle(model, held)
             return True
-        if state.busy:
+        if state.busy and self._ordered == (version, state.born):
             await asyncio.sleep(ORDER_LOOK_SECONDS)
             return False
+        # While an older version is being loaded the link is free for the newest.
         manifest = await self._manifest(model, version)
-        if not await self._gather(model, manifest):
-            return False
-        await self._swap(model, manifest, state)
+        if await self._gather(model, manifest):
+            await self._swap(model, manifest)
         return False
 
+    def _notice(self, state: EngineState) -> None:
+        """Take in a restart of the engine, and the end of a swap."""
+        if state.born != self._born:
+            self.staging.forget()
+            self._born = state.born
+        since = self._swapping_since
+        if since is None or state.busy:
+            return
+        if self.process.clock() - since >= ACCEPTED_SECONDS:
+            self._swapping_since = None
+            self.tell(state)
+
     def describe(self, state: EngineState) -> tuple[int, bool, float, int]:
         """What entries are told: version held, serving, ready in, newest named."""
         model = self._model()
         if model is None:
             return 0, False, 0.0, 0
         named = self._named(model)
-        held = max((p.version for p in state.loaded if _whole(p, model)), default=0)
+        held = _held(state, model)
         swapping = self._swapping_since is not None
         serving = held > 0 and not state.busy and not swapping
         return held, serving, self._ready_in(model, held, named), named
@@ -202,14 +218,8 @@
         named = self.process.believer.beliefs.newest_version(model.model)
         return named or FIRST_VERSION
 
-    async def _settle(
-        self, model: EngineModel, version: int, state: EngineState
-    ) -> None:
-        """Report what is in force, and hold its chunks for servers that lack them."""
-        key = (version, state.born)
-        if key not in self._reported:
-            self._reported.add(key)
-            self._report(model, version)
+    async def _settle(self, model: EngineModel, version: int) -> None:
+        """Hold the chunks of what is in force for servers that lack them."""
         if failure := await self.log.try_write():
             self._emit("table.unavailable", why=str(failure))
         manifest = await self._manifest(model, version)
@@ -218,6 +228,14 @@
             self._emit("staging.taken-up", version=version, pieces=taken)
         self._forget_before(version)
 
+    def _report_once(
+        self, model: EngineModel, version: int, state: EngineState
+    ) -> None:
+        """Report a version in force, also one that a newer has overtaken."""
+        if (version, state.born) not in self._reported:
+            self._reported.add((version, state.born))
+            self._report(model, version)
+
     async def _manifest(self, model: EngineModel, version: int) -> Manifest:
         if version not in self._manifests:
             manifest = await self._origin().manifest(model.model, version)
@@ -308,23 +326,17 @@
                 return True
         return False
 
-    async def _swap(
-        self, model: EngineModel, manifest: Manifest, state: EngineState
-    ) -> None:
-        """Order the engine to load what lies staged, and wait until it has."""
+    async def _swap(self, model: EngineModel, manifest: Manifest) -> None:
+        """Order the engine to load what lies staged."""
+        if (await self.engine.state()).busy:
+            await asyncio.sleep(ORDER_LOOK_SECONDS)
+            return
         version = int(manifest.version)
         await self.staging.mend(manifest)
+        state = await self.engine.state()
         # Entries hear first, so that they send elsewhere what would wait out the swap.
         self._swapping_since = self.process.clock()
         self.tell(state)
-        try:
-            await self._order(model, version, state)
-        finally:
-            self._swapping_since = None
-
-    async def _order(
-        self, model: EngineModel, version: int, state: EngineState
-    ) -> None:
         answer = await self.engine.load(model.model, version, queue=True)
         self._emit(
             "order.sent",
@@ -334,12 +346,10 @@
             waiting=state.waiting,
         )
         if answer is OrderAnswer.REFUSED:
+            self._swapping_since = None
             await asyncio.sleep(RETRY_SECONDS)
             return
-        while (await self.engine.state()).busy:
-            await asyncio.sleep(ORDER_LOOK_SECONDS)
-        self._swapping_since = None
-        self.tell(await self.engine.state())
+        self._ordered = (version, state.born)
 
     def _transfer(self, manifest: Manifest) -> Transfer:
         cfg = self.process.cfg
@@ -437,5 +447,6 @@
     return part.first == 0 and part.last >= model.layers
 
 
-def _holds(state: EngineState, model: EngineModel, version: int) -> bool:
-    return any(p.version >= version and _whole(p, model) for p in state.loaded)
+def _held(state: EngineState, model: EngineModel) -> int:
+    """Version of which an engine holds all layers; 0 for none."""
+    return max((p.version for p in state.loaded if _whole(p, model)), default=0)
--- /dev/null
+++ b/tests/adapter/test_agent.py
@@ -0,0 +1,277 @@
+"""An agent brings the engine beside it to the named version, piece by piece."""
+
+import asyncio
+import hashlib
+import random
+from types import SimpleNamespace
+
+import pytest
+from wasabideck_agent.chunk_store import ChunkStore
+from wasabideck_agent.chunks_service import ChunksService
+from wasabideck_agent.deliveries_log import DeliveriesLog
+from wasabideck_agent.links import Link, Links
+from wasabideck_agent.node_agent import NodeAgent
+from wasabideck_agent.staging import Staging
+from wasabideck_base.channels import Channels
+from wasabideck_base.events import Clock, Events
+from wasabideck_base.http import PlatformUnavailable
+from wasabideck_base.node import NodeSettings, StoreSettings
+from wasabideck_policy.backends import Loaded
+from wasabideck_policy.beliefs import Beliefs
+from wasabideck_policy.configuration import (
+    Configuration,
+    EngineModel,
+    OriginPlace,
+    Service,
+)
+from wasabideck_policy.engine_state import EngineState, OrderAnswer
+from wasabideck_policy.manifests import Manifest
+
+CHUNKS = 8
+MODEL = EngineModel(
+    "m", 4, 0.007, 0.0, 30_000.0, layers=4, chunks=CHUNKS, chunk_bytes=8
+)
+
+
+def piece(version, index):
+    return b"v%d-%05d" % (version, index)
+
+
+def digest(data):
+    return hashlib.sha256(data).hexdigest()
+
+
+class FakeOrigin:
+    """Knows every version; may be down, or send a wrong piece now and then."""
+
+    def __init__(self):
+        self.reads, self.down, self.wrong = [], False, set()
+
+    async def manifest(self, model, version):
+        if self.down:
+            raise PlatformUnavailable("origin", "down", False)
+        digests = tuple(digest(piece(version, i)) for i in range(CHUNKS))
+        return Manifest(model, str(version), 8, 8 * CHUNKS, digests)
+
+    async def piece(self, model, version, index):
+        self.reads.append((version, index))
+        if self.down:
+            raise PlatformUnavailable("origin", "down", False)
+        if (version, index) in self.wrong:
+            self.wrong.discard((version, index))
+            return b"spoilt!!"
+        return piece(version, index)
+
+
+class FakeEngine:
+    """Loads what lies staged, as it lies, some looks after it was ordered to."""
+
+    def __init__(self):
+        self.lying, self.loaded, self.orders = {}, (), []
+        self.loading, self.looks, self.born = None, 0, 1
+
+    async def state(self):
+        if self.loading:
+            self.looks -= 1
+            if self.looks <= 0:
+                version, pieces = self.loading
+                good = all(pieces.get(i) == piece(version, i) for i in range(CHUNKS))
+                assert good, "loaded a piece that was missing, spoilt or of another one"
+                self.loaded, self.loading = (Loaded("m", version, 0, 4),), None
+        return EngineState(self.loaded, self.loading is not None, born=self.born)
+
+    async def stage(self, model, index, data):
+        self.lying[index] = data
+
+    async def staged(self, model):
+        return sorted(self.lying)
+
+    async def staged_piece(self, model, index):
+        return self.lying.get(index)
+
+    async def load(self, model, version, queue):
+        self.orders.append(version)
+        if self.loading:
+            return OrderAnswer.REFUSED
+        self.loading, self.looks = (version, dict(self.lying)), 3
+        return OrderAnswer.BEGUN
+
+
+class FakeStore:
+    def __init__(self):
+        self.rows = {}
+
+    async def write(self, writes, expected=()):
+        self.rows.update({w.key: w.value for w in writes})
+
+
+@pytest.fixture
+def engine():
+    return FakeEngine()
+
+
+@pytest.fixture
+def origin():
+    return FakeOrigin()
+
+
+@pytest.fixture
+def rows():
+    return FakeStore()
+
+
+@pytest.fixture
+def agent(engine, origin, rows):
+    cfg = NodeSettings("vm", "127.0.0.1", "dc", "r", 0, StoreSettings(""), service="s")
+    clock = [0.0]
+    events = Events("vm", Clock(), lambda: 0.0)
+    beliefs = Beliefs(0.0)
+    beliefs.configuration = Configuration(
+        1,
+        {},
+        {
+            "s": Service("s", engine=MODEL),
+            "o": Service("o", origin=OriginPlace("o:1", "dc", 1.0)),
+        },
+    )
+
+    async def read_members():
+        return None
+
+    believer = SimpleNamespace(
+        beliefs=beliefs,
+        hearsay=SimpleNamespace(members={}),
+        read_members=read_members,
+        store=rows,
+    )
+    process = SimpleNamespace(
+        cfg=cfg,
+        events=events,
+        session=None,
+        channels=Channels(Clock()),
+        believer=believer,
+        clock=lambda: clock[0],
+        rng=random.Random(1),
+    )
+    store = ChunkStore()
+    links = Links(Link(), Link(), Link())
+    made = NodeAgent(
+        process,
+        SimpleNamespace(open_origin=lambda session, address: origin),
+        engine,
+        store,
+        ChunksService(store, links, 3),
+        links,
+        Staging(engine, store, events),
+        DeliveriesLog(rows),
+    )
+    process.time = clock
+    return made
+
+
+def steps(agent, until):
+    """Take steps until a condition holds; time passes a second a step."""
+
+    async def run():
+        async with asyncio.timeout(20):
+            while not until():
+                agent.process.time[0] += 1.0
+                await agent.step()
+
+    asyncio.run(run())
+
+
+def holds(engine, version):
+    return lambda: engine.loaded == (Loaded("m", version, 0, 4),)
+
+
+def test_an_empty_engine_gets_the_first_version(agent, engine, rows):
+    steps(agent, lambda: rows.rows)
+    assert holds(engine, 1)()
+    assert engine.orders == [1]
+
+
+def test_a_named_version_replaces_the_one_in_force(agent, engine):
+    steps(agent, holds(engine, 1))
+    agent.process.believer.beliefs.name_version("m", 2, 0.0)
+    steps(agent, holds(engine, 2))
+    assert engine.orders == [1, 2]
+
+
+def test_a_piece_that_turned_bad_where_it_lay_is_mended_before_the_order(agent, engine):
+    # A piece rots in the engine's staging place after it was put there. The engine
+    # takes pieces as they are: it would serve spoilt weights to every caller.
+    put = engine.stage
+
+    async def rotting(model, index, data):
+        await put(model, index, data)
+        if index == 3 and len(engine.lying) == CHUNKS and not engine.orders:
+            engine.stage = put
+            engine.lying[3] = b"rotten!!"
+
+    engine.stage = rotting
+    steps(agent, holds(engine, 1))
+    assert engine.lying[3] == piece(1, 3)
+
+
+def test_a_spoilt_piece_of_the_origin_is_read_again(agent, engine, origin):
+    origin.wrong = {(1, 2), (1, 5)}
+    steps(agent, holds(engine, 1))
+    assert origin.reads.count((1, 2)) == 2
+
+
+def test_staged_pieces_are_not_read_again_after_a_restart(agent, engine, origin):
+    # Every machine of ours loses power, and the servers live: what lies staged is
+    # good, and 2 MB from one origin would take every agent seconds.
+    engine.lying = {i: piece(1, i) for i in range(CHUNKS) if i != 6}
+    steps(agent, holds(engine, 1))
+    assert origin.reads == [(1, 6)]
+
+
+def test_an_engine_that_restarted_empty_is_loaded_again(agent, engine, rows):
+    steps(agent, holds(engine, 1))
+    engine.loaded, engine.born = (), 2
+    steps(agent, holds(engine, 1))
+    assert engine.orders == [1, 1]
+
+
+def test_a_version_overtaken_while_it_is_loaded_is_still_reported(agent, engine, rows):
+    # Version 3 is named while version 2 is being loaded. A manager asks afterwards
+    # who served version 2: without its row the answer would be nobody.
+    steps(agent, holds(engine, 1))
+    beliefs = agent.process.believer.beliefs
+    beliefs.name_version("m", 2, 0.0)
+    steps(agent, lambda: engine.loading is not None)
+    beliefs.name_version("m", 3, 0.0)
+    steps(agent, lambda: any(key.startswith(f"{3:020d}") for key in rows.rows))
+    assert any(key.startswith(f"{2:020d}") for key in rows.rows)
+    assert engine.orders[-1] == 3
+
+
+def test_the_link_is_used_for_the_newest_while_an_older_one_is_loaded(
+    agent, engine, origin
+):
+    steps(agent, holds(engine, 1))
+    beliefs = agent.process.believer.beliefs
+    beliefs.name_version("m", 2, 0.0)
+    steps(agent, lambda: engine.loading is not None)
+    engine.looks = 10_000
+    beliefs.name_version("m", 3, 0.0)
+
+    async def one_step():
+        await agent.step()
+
+    asyncio.run(one_step())
+    assert sum(version == 3 for version, _ in origin.reads) == CHUNKS
+    assert engine.loading is not None
+
+
+def test_an_origin_that_is_down_is_no_end(agent, engine, origin):
+    async def run():
+        origin.down = True
+        with pytest.raises(PlatformUnavailable):
+            await agent.step()
+        origin.down = False
+
+    asyncio.run(run())
+    steps(agent, holds(engine, 1))
