Send ahead what the rate of ends allows; report versions that were overtaken

Cause: a share that follows delays took 25 events in time to recover from a swap, and drafts came late for seconds after servers were back; an agent that fetches the next version for seconds told neither entries nor the report that the last one had loaded.

--- a/packages/wasabideck_agent/wasabideck_agent/node_agent.py
+++ b/packages/wasabideck_agent/wasabideck_agent/node_agent.py
@@ -154,10 +154,11 @@
             return False
         version = self._named(model)
         state = await self.engine.state()
-        self._notice(state)
+        if state.born != self._born:
+            self.staging.forget()
+            self._born = state.born
+        self._notice(model, state)
         held = _held(state, model)
-        if held:
-            self._report_once(model, held, state)
         if held >= version:
             await self._settle(model, held)
             return True
@@ -170,17 +171,19 @@
             await self._swap(model, manifest)
         return False
 
-    def _notice(self, state: EngineState) -> None:
-        """Take in a restart of the engine, and the end of a swap."""
-        if state.born != self._born:
-            self.staging.forget()
-            self._born = state.born
+    def _notice(self, model: EngineModel, state: EngineState) -> None:
+        """Take in that a swap has ended and a version is in force.
+
+        Also while the main loop fetches the next version for seconds: entries would
+        send nothing to a server that has long loaded, and the report would lack a
+        version that another one overtook.
+        """
         since = self._swapping_since
-        if since is None or state.busy:
-            return
-        if self.process.clock() - since >= ACCEPTED_SECONDS:
-            self._swapping_since = None
-            self.tell(state)
+        if since is not None and not state.busy:
+            if self.process.clock() - since >= ACCEPTED_SECONDS:
+                self._swapping_since = None
+        if held := _held(state, model):
+            self._report_once(model, held, state)
 
     def describe(self, state: EngineState) -> tuple[int, bool, float, int]:
         """What entries are told: version held, serving, ready in, newest named."""
@@ -188,6 +191,7 @@
         if model is None:
             return 0, False, 0.0, 0
         named = self._named(model)
+        self._notice(model, state)
         held = _held(state, model)
         swapping = self._swapping_since is not None
         serving = held > 0 and not state.busy and not swapping
--- a/packages/wasabideck_forward/wasabideck_forward/forwarder.py
+++ b/packages/wasabideck_forward/wasabideck_forward/forwarder.py
@@ -15,7 +15,7 @@
 from wasabideck_policy.configuration import EngineModel, Route
 from wasabideck_policy.fresh_share import FreshShare
 from wasabideck_policy.outliers import Outliers
-from wasabideck_policy.placement import Demand, Place, Urgency, choose
+from wasabideck_policy.placement import Demand, Place, choose
 from wasabideck_policy.retry_share import RetryShare
 
 from .caller_connection import CallerConnection
@@ -365,9 +365,7 @@
 
     def first_event(self, exchange: Exchange, now: float) -> None:
         """Take in when a stream's first event came."""
-        seconds = exchange.first_seconds = now - exchange.req.arrived
-        if exchange.urgency == Urgency.FRESH:
-            self._ahead(exchange.service).observe(seconds, exchange.route.goal)
+        exchange.first_seconds = now - exchange.req.arrived
 
     def _share(self, service: str) -> RetryShare:
         if service not in self._shares:
--- a/tests/adapter/test_agent.py
+++ b/tests/adapter/test_agent.py
@@ -243,6 +243,8 @@
     beliefs.name_version("m", 2, 0.0)
     steps(agent, lambda: engine.loading is not None)
     beliefs.name_version("m", 3, 0.0)
+    # The look at the engine that entries are told of; the main loop is at the origin.
+    agent.describe(EngineState((Loaded("m", 2, 0, 4),), busy=False, born=1))
     steps(agent, lambda: any(key.startswith(f"{3:020d}") for key in rows.rows))
     assert any(key.startswith(f"{2:020d}") for key in rows.rows)
     assert engine.orders[-1] == 3
@@ -262,6 +264,9 @@
         await agent.step()
 
     asyncio.run(one_step())
+    agent.process.time[0] += 1.0
+    loaded = EngineState((Loaded("m", 2, 0, 4),), busy=False, born=1)
+    assert agent.describe(loaded)[:2] == (2, True)
     assert sum(version == 3 for version, _ in origin.reads) == CHUNKS
     assert engine.loading is not None
 
