--- a/packages/wasabideck_agent/wasabideck_agent/node_agent.py
+++ b/packages/wasabideck_agent/wasabideck_agent/node_agent.py
@@ -9,6 +9,7 @@
 
 from attrs import define, field
 from wasabideck_base.deployment import Deployment
+from wasabideck_base.events import Events
 from wasabideck_base.node import NodeSettings
 from wasabideck_base.node_process import NodeProcess, node_process
 from wasabideck_base.settings import WeightsSettings
@@ -134,13 +135,18 @@
     _born: int = 0
     _ordered: tuple[int, int] = (0, 0)
 
+    @property
+    def events(self) -> Events:
+        """Where this agent's decisions are written."""
+        return self.process.events
+
     async def run(self) -> None:
         """Bring the engine to what is named, for ever."""
         while True:
             try:
                 settled = await self.step()
             except WasabideckError as exc:
-                self._emit("reconcile.failed", why=f"{type(exc).__name__}: {exc}")
+                self.events.emit("reconcile.failed", why=f"{type(exc).__name__}: {exc}")
                 await asyncio.sleep(RETRY_SECONDS * self.process.rng.uniform(0.7, 1.3))
                 continue
             if settled:
@@ -225,11 +231,11 @@
     async def _settle(self, model: EngineModel, version: int) -> None:
         """Hold the chunks of what is in force for servers that lack them."""
         if failure := await self.log.try_write():
-            self._emit("table.unavailable", why=str(failure))
+            self.events.emit("table.unavailable", why=str(failure))
         manifest = await self._manifest(model, version)
         if not self.store.whole(manifest):
             taken = await self.staging.take_up(manifest)
-            self._emit("staging.taken-up", version=version, pieces=taken)
+            self.events.emit("staging.taken-up", version=version, pieces=taken)
         self._forget_before(version)
 
     def _report_once(
@@ -249,7 +255,7 @@
     def _know(self, version: int, manifest: Manifest) -> None:
         self._manifests[version] = manifest
         self.store.know(manifest)
-        self._emit("manifest.read", version=version, manifest=manifest.digest)
+        self.events.emit("manifest.read", version=version, manifest=manifest.digest)
 
     def _origin(self) -> NumberedOrigin:
         place = self.process.believer.beliefs.configuration.origin()
@@ -266,7 +272,9 @@
         if version not in self._begun:
             self._begun[version] = time.time()
             self._named_at[version] = self.process.clock()
-            self._emit("transfer.begun", manifest=manifest.digest, version=version)
+            self.events.emit(
+                "transfer.begun", manifest=manifest.digest, version=version
+            )
         await self.process.believer.read_members()
         transfer = self._gathering = self._transfer(manifest)
         fetching = asyncio.create_task(transfer.run())
@@ -294,7 +302,9 @@
             missing = transfer.view.wanted.bit_count()
             if self._named(model) != version and version not in self._finishing:
                 if not self._finishes(manifest, missing):
-                    self._emit("transfer.superseded", version=version, missing=missing)
+                    self.events.emit(
+                        "transfer.superseded", version=version, missing=missing
+                    )
                     return False
                 self._finishing.add(version)
             now = self.process.clock()
@@ -304,7 +314,7 @@
                     return False
         fetching.result()
         await self.staging.place(manifest)
-        self._emit(
+        self.events.emit(
             "transfer.verified", manifest=manifest.digest, sources=transfer.sources
         )
         return True
@@ -342,7 +352,7 @@
         self._swapping_since = self.process.clock()
         self.tell(state)
         answer = await self.engine.load(model.model, version, queue=True)
-        self._emit(
+        self.events.emit(
             "order.sent",
             version=version,
             answer=answer.value,
@@ -410,7 +420,7 @@
             sources=self._sources.get(version, {}),
         )
         self.log.add(delivery)
-        self._emit(
+        self.events.emit(
             "version.in-force",
             version=version,
             seconds=round(now - delivery.begun, 3),
@@ -424,9 +434,6 @@
         if old:
             self.store.keep_only({m.digest for m in self._manifests.values()})
 
-    def _emit(self, kind: str, **fields: object) -> None:
-        self.process.events.emit(kind, **fields)
-
     async def _wait(self, seconds: float) -> None:
         """Wait for news, at most so long."""
         self.news.clear()
--- a/packages/wasabideck_base/wasabideck_base/believer.py
+++ b/packages/wasabideck_base/wasabideck_base/believer.py
@@ -196,11 +196,11 @@
                 self.events.emit("row.unreadable", why=str(exc))
                 continue
             known = backends.get(row.key)
-            if known is None or known.listed.leaving != listed.leaving:
-                kind = "server.leaving" if listed.leaving else "server.joined"
-                self.events.emit(
-                    kind, server=row.key, service=listed.service, version=row.version
-                )
+            told = {"server": row.key, "service": listed.service}
+            if listed.leaving and (known is None or not known.listed.leaving):
+                self.events.emit("server.leaving", **told, version=row.version)
+            elif known is None:
+                self.events.emit("server.joined", **told, version=row.version)
             backends.take(listed)
 
     def _whole_servers(self, rows: list[Row]) -> None:
--- a/packages/wasabideck_base/wasabideck_base/vocabulary.py
+++ b/packages/wasabideck_base/wasabideck_base/vocabulary.py
@@ -104,4 +104,56 @@
     "transfer.verified": Kind("all chunks are held and verified, from these sources"),
     "transfer.ended": Kind("a transfer has ended, whole or given up"),
     "version.in-force": Kind("an engine serves what its ticket names"),
+    "attempt.failed": Kind(
+        "a server did not take a request, or gave no whole answer",
+        "nothing for one; many of one server: see that server",
+    ),
+    "configuration.in-force": Kind("a process uses a newer configuration"),
+    "configuration.unusable": Kind(
+        "a newer configuration cannot be read; the former one stays",
+        "mend the field that it names and write it again",
+    ),
+    "declaration.seen": Kind("a process heard of a newer configuration or version"),
+    "manifest.read": Kind("an agent read a version's digests from the origin"),
+    "metrics.unavailable": Kind(
+        "the metrics' port is taken; there are no metrics",
+        "find who else listens there",
+    ),
+    "peer.silent": Kind(
+        "a peer did not answer and is asked later again",
+        "nothing for one; many: see that VM's links",
+    ),
+    "request.ended": Kind("how a request ended, where it was sent, and why"),
+    "row.unreadable": Kind(
+        "another writer's row cannot be read and was passed over",
+        "find who writes it",
+    ),
+    "rows.heard": Kind(
+        "a peer told of servers before the store did",
+        "see the store, as this process hears it",
+    ),
+    "server.gone": Kind("a server is not listed any more"),
+    "server.joined": Kind("a server is listed"),
+    "server.leaving": Kind("a server gets no new requests any more"),
+    "settings.reloaded": Kind("changed settings are in use"),
+    "settings.unusable": Kind(
+        "changed settings cannot be read; the former ones stay in use",
+        "mend the field that it names",
+    ),
+    "staging.mended": Kind(
+        "staged pieces were wrong or missing and were put anew",
+        "the same VM again and again: replace it",
+    ),
+    "staging.taken-up": Kind("pieces that lay staged already were taken for peers"),
+    "store.back": Kind("the store answers this process again"),
+    "store.lost": Kind(
+        "the store does not answer; a process goes on with what it knows",
+        "see the store, and this VM's path to it",
+    ),
+    "transfer.superseded": Kind("an overtaken version was dropped for the newest"),
+    "watch.behind": Kind(
+        "a peer knows a newer row; the silent call was broken off",
+        "nothing for one; many: connections to the store go silent",
+    ),
+    "watch.history-lost": Kind("the store forgot its history; the table is read whole"),
 }
--- a/packages/wasabideck_forward/wasabideck_forward/forwarder.py
+++ b/packages/wasabideck_forward/wasabideck_forward/forwarder.py
@@ -44,8 +44,9 @@
 # One that did not run what it was sent for another reason (restarted, reloading).
 CHANGED_SECONDS = 0.4
 # A request waits here for a server that is said to be back within so long: refused, it
-# would come back after the same time, and might be refused once more (seconds).
-LONGEST_WAIT = 2.0
+# would come back after the same time, and might be refused once more. Callers leave a
+# stream that shows nothing for 2 to 2.5 s; longer waits are for nobody (seconds).
+LONGEST_WAIT = 1.2
 # What is kept of the deadline for the server's own work on a request that waited.
 WORK_SECONDS = 1.0
 # A little before its goal a request that has not been sent cannot be in time any more:
--- a/packages/wasabideck_policy/wasabideck_policy/placement.py
+++ b/packages/wasabideck_policy/wasabideck_policy/placement.py
@@ -22,8 +22,9 @@
 FAR_PART = 0.08
 # With this part of its slots taken, an engine has a place for a request at once.
 OPEN_PART = 0.9
-# With so many waiting no further one is likely to be served before its deadline.
-FULL_PART = 1.0
+# With so many waiting, as a part of its slots, one more would wait past the 2 to 2.5 s
+# after which callers leave: what is not sent ahead gets 1 to 2 places a second.
+FULL_PART = 0.5
 # A plain service works a queue off in so many rounds of its slots before deadlines.
 PLAIN_QUEUE_PART = 3.0
 # Shortly before a version is over, a server that has it may only get what begins at
