Look at a caller's socket before its request is sent once more

Ruled out: lost cancellations (timeouts count cancels), paused reading. Test: test_forwarding, a loop held up for 0.6 s; fails three times of three without the guard, on uvloop.

--- a/packages/wasabideck_forward/wasabideck_forward/caller_connection.py
+++ b/packages/wasabideck_forward/wasabideck_forward/caller_connection.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import select
 from collections import deque
 from collections.abc import Callable, Sequence
 from http import HTTPStatus
@@ -21,6 +22,7 @@
 # request sent at the last moment does not cross the close (seconds).
 IDLE_SLACK_SECONDS = 1.0
 _BODYLESS = frozenset((204, 304))
+_CLOSED = select.POLLRDHUP | select.POLLHUP | select.POLLERR
 
 
 @define(eq=False)
@@ -249,6 +251,18 @@
         if self._front.closing or idle > limits.idle_seconds + IDLE_SLACK_SECONDS:
             self._transport.close()
 
+    def has_left(self) -> bool:
+        """Whether the caller has closed, also when this loop has not come to it yet.
+
+        A loop that is behind runs its timers before it reads: a server that fell
+        silent would be replaced for a caller that left a second ago.
+        """
+        if self._transport.is_closing():
+            return True
+        poll = select.poll()
+        poll.register(self._transport.get_extra_info("socket").fileno(), _CLOSED)
+        return bool(poll.poll(0))
+
     @property
     def busy(self) -> bool:
         """Whether a request is being read or answered."""
--- a/packages/wasabideck_forward/wasabideck_forward/forwarder.py
+++ b/packages/wasabideck_forward/wasabideck_forward/forwarder.py
@@ -23,6 +23,7 @@
 from .messages import AnswerHead, CallerRequest, Sending, Wire
 from .refusals import (
     AllFull,
+    CallerLeft,
     ConfigurationUnknown,
     KeyUnknown,
     NeverSent,
@@ -93,6 +94,8 @@
         Whether another server may be tried after the present one.
     ahead : bool
         Whether it is among those that engines run ahead of the others.
+    waited : bool
+        Whether it waited for a server that was soon to be back.
     urgency : int or None
         Its class of urgency at the engine.
     first_seconds : float or None
@@ -114,6 +117,7 @@
     refused_by: int = 0
     replaceable: bool = False
     ahead: bool = True
+    waited: bool = False
     urgency: int | None = None
     first_seconds: float | None = None
     delivered: Delivered = field(factory=Delivered)
@@ -208,6 +212,8 @@
     async def _try_servers(self, exchange: Exchange, caller: CallerConnection) -> None:
         while True:
             backend = await self._place(exchange)
+            if (exchange.tried or exchange.waited) and caller.has_left():
+                raise CallerLeft(exchange.service)
             try:
                 await self._attempt(exchange, backend, caller)
             except (Unreachable, AnswerBroken, ServerFailed) as exc:
@@ -244,6 +250,7 @@
             limit = min(began + LONGEST_WAIT, exchange.until - WORK_SECONDS)
             if back_in is None or now + back_in > limit:
                 raise NoServer(exchange.service, back_in)
+            exchange.waited = True
             with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(back_in):
                     await self._news.wait()
@@ -389,8 +396,9 @@
         exc: Refusal,
         caller: CallerConnection,
     ) -> None:
-        self._note(req, exchange, "refused", reason=type(exc).__name__, why=str(exc))
-        if caller.begun:
+        outcome = "left" if isinstance(exc, CallerLeft) else "refused"
+        self._note(req, exchange, outcome, reason=type(exc).__name__, why=str(exc))
+        if caller.begun or isinstance(exc, CallerLeft):
             caller.break_off()
             return
         body = b'{"error":"%s"}' % type(exc).__name__.encode()
--- a/packages/wasabideck_forward/wasabideck_forward/refusals.py
+++ b/packages/wasabideck_forward/wasabideck_forward/refusals.py
@@ -6,6 +6,7 @@
 
 __all__ = [
     "AllFull",
+    "CallerLeft",
     "ConfigurationUnknown",
     "KeyUnknown",
     "NeverSent",
@@ -28,6 +29,10 @@
     status = 503
 
 
+class CallerLeft(Refusal):
+    """The caller has closed its connection; nobody reads an answer any more."""
+
+
 class ConfigurationUnknown(Refusal):
     """No configuration, or none that is known to be the newest, has been heard."""
 
--- a/tests/forward/conftest.py
+++ b/tests/forward/conftest.py
@@ -6,6 +6,7 @@
 import struct
 
 import pytest
+import uvloop
 from wasabideck_adapter.wire import WIRE
 from wasabideck_base.events import Clock, Events
 from wasabideck_forward.caller_connection import CallerConnection, Front
@@ -235,13 +236,16 @@
 
 @pytest.fixture
 def play():
-    """Run a scenario coroutine function with a limit of time."""
+    """Run a scenario with a limit of time, on the loop that the programs run on.
+
+    It runs timers before it reads, and the standard library's does not.
+    """
 
     def run(scenario):
         async def limited():
             async with asyncio.timeout(10):
                 await scenario()
 
-        asyncio.run(limited())
+        uvloop.run(limited())
 
     return run
--- a/tests/forward/test_forwarding.py
+++ b/tests/forward/test_forwarding.py
@@ -1,6 +1,7 @@
 """What callers get, and what servers are sent, through an entry."""
 
 import asyncio
+import time
 
 import pytest
 from wasabideck_policy.backends import Listed
@@ -419,3 +420,30 @@
         assert len(failed) == 1
 
     play(scenario)
+
+
+def test_nothing_is_sent_on_for_a_caller_that_left_while_the_loop_was_behind(play):
+    # A server falls silent, and its caller leaves. The entry's loop is a second behind:
+    # it runs the timer that replaces the server before it reads the caller's close, and
+    # another engine writes a draft for nobody.
+    async def scenario():
+        entry = Entry(configuration(route(timeout=5.0)))
+        silent = await entry.add_server(hangs)
+        other = await entry.add_server(answers(), answers())
+        first, second = (entry.beliefs.backends.get(name) for name in ("i-0", "i-1"))
+        caller = await entry.caller()
+        # Leaves a kept connection to the other server, which needs no wait to use.
+        first.in_progress = 5
+        await caller.ask(name=b"req-0")
+        await caller.answer()
+        first.in_progress, second.in_progress = 0, 5
+        await caller.ask()
+        while not silent.requests:
+            await asyncio.sleep(0.001)
+        caller.writer.transport.abort()
+        # The close is in the kernel; the loop is held up until the timer is due, too.
+        time.sleep(0.6)
+        await asyncio.sleep(0.3)
+        assert len(other.requests) == 1
+
+    play(scenario)
