Give a server's own failure where no other did better; one module for an exchange

Cause: after a server's 500 an entry looked for another; with none, or time up, it told the caller 502 or 504 of its own in the server's place (two tests, failed first). Exchange and Delivered move out of forwarder and delivery, which named each other's types as object.

--- a/packages/wasabideck_forward/wasabideck_forward/delivery.py
+++ b/packages/wasabideck_forward/wasabideck_forward/delivery.py
@@ -5,17 +5,17 @@
 import asyncio
 from collections.abc import Callable
 
-from attrs import define, field
 from wasabideck_policy.backends import Backend
 from wasabideck_policy.configuration import Kind
 from wasabideck_policy.outcomes import WasabideckError
 
 from .caller_connection import CallerConnection
-from .event_stream import Event, EventSplitter
+from .event_stream import Event
+from .exchange import Delivered, Exchange
 from .messages import AnswerHead, header_of, passed_on
 from .server_connection import Answer, AnswerBroken
 
-__all__ = ["Delivered", "ServerFailed", "deliver", "head_of"]
+__all__ = ["ServerFailed", "deliver", "head_of", "write_whole"]
 
 # A plain answer up to this size is held until it is whole, so that one that breaks
 # off can still become another server's answer or an honest failure.
@@ -46,31 +46,8 @@
         self.refused = refused
 
 
-@define(eq=False)
-class Delivered:
-    """What a caller has of an answer so far.
-
-    Attributes
-    ----------
-    last_event : bytes
-        Id of the last event that was written to the caller.
-    fallback : tuple or None
-        A server's whole failure, for when no other server does better.
-    """
-
-    last_event: bytes = b""
-    events: int = 0
-    splitter: EventSplitter = field(factory=EventSplitter)
-    fallback: tuple[AnswerHead, bytes] | None = None
-
-    async def write_fallback(self, caller: CallerConnection) -> None:
-        """Write the failure that was kept."""
-        head, body = self.fallback
-        await _write_whole(caller, head, body)
-
-
 async def head_of(
-    exchange: object, answer: Answer, backend: Backend, clock: Callable[[], float]
+    exchange: Exchange, answer: Answer, backend: Backend, clock: Callable[[], float]
 ) -> AnswerHead:
     """An answer's head; raises ``AnswerBroken``, also for a silent server."""
     patience = SILENT_PLAIN if exchange.route.kind is Kind.SAFE else SILENT_FIRST
@@ -80,7 +57,7 @@
 
 
 async def deliver(
-    exchange: object,
+    exchange: Exchange,
     head: AnswerHead,
     answer: Answer,
     backend: Backend,
@@ -112,7 +89,7 @@
 
 
 async def _deliver_plain(
-    exchange: object, head: AnswerHead, answer: Answer, caller: CallerConnection
+    exchange: Exchange, head: AnswerHead, answer: Answer, caller: CallerConnection
 ) -> None:
     body = bytearray()
     while part := await answer.read():
@@ -123,7 +100,7 @@
     if head.status >= 500 and exchange.route.idempotent:
         exchange.delivered.fallback = (head, bytes(body))
         raise ServerFailed(head.status, refused=False)
-    await _write_whole(caller, head, bytes(body))
+    await write_whole(caller, head, bytes(body))
 
 
 async def _pass_through(
@@ -138,7 +115,8 @@
     caller.end()
 
 
-async def _write_whole(caller: CallerConnection, head: AnswerHead, body: bytes) -> None:
+async def write_whole(caller: CallerConnection, head: AnswerHead, body: bytes) -> None:
+    """Write a server's whole answer, unchanged."""
     length = len(body)
     if not body and header_of(head.headers, b"content-length").isdigit():
         # The answer to HEAD names the length of what it leaves out.
@@ -149,7 +127,7 @@
 
 
 async def _deliver_events(
-    exchange: object,
+    exchange: Exchange,
     head: AnswerHead,
     answer: Answer,
     backend: Backend,
--- /dev/null
+++ b/packages/wasabideck_forward/wasabideck_forward/exchange.py
@@ -0,0 +1,74 @@
+"""One request on its way, and what its caller has of the answer so far."""
+
+from __future__ import annotations
+
+from attrs import define, field
+from wasabideck_policy.configuration import EngineModel, Route
+
+from .event_stream import EventSplitter
+from .messages import AnswerHead, CallerRequest
+
+__all__ = ["Delivered", "Exchange"]
+
+
+@define(eq=False)
+class Delivered:
+    """What a caller has of an answer so far.
+
+    Attributes
+    ----------
+    last_event : bytes
+        Id of the last event that was written to the caller.
+    fallback : tuple or None
+        A server's whole failure, for when no other server does better.
+    """
+
+    last_event: bytes = b""
+    events: int = 0
+    splitter: EventSplitter = field(factory=EventSplitter)
+    fallback: tuple[AnswerHead, bytes] | None = None
+
+
+@define(eq=False)
+class Exchange:
+    """One request on its way.
+
+    Attributes
+    ----------
+    until : float
+        When it has to have an answer, seconds.
+    deadline : float or None
+        When the caller stops waiting, seconds.
+    uncertain : bool
+        Whether a server may have run it without having said how it ended.
+    replaceable : bool
+        Whether another server may be tried after the present one.
+    ahead : bool
+        Whether it is among those that engines run ahead of the others.
+    waited : bool
+        Whether it waited for a server that was soon to be back.
+    urgency : int or None
+        Its class of urgency at the engine.
+    first_seconds : float or None
+        How long its stream's first event took.
+    delivered : Delivered
+        What the caller has of the answer so far.
+    """
+
+    req: CallerRequest
+    route: Route
+    service: str
+    until: float
+    deadline: float | None
+    organisation: str = ""
+    priority: int | None = None
+    engine: EngineModel | None = None
+    tried: list[str] = field(factory=list)
+    uncertain: bool = False
+    refused_by: int = 0
+    replaceable: bool = False
+    ahead: bool = True
+    waited: bool = False
+    urgency: int | None = None
+    first_seconds: float | None = None
+    delivered: Delivered = field(factory=Delivered)
--- a/packages/wasabideck_forward/wasabideck_forward/forwarder.py
+++ b/packages/wasabideck_forward/wasabideck_forward/forwarder.py
@@ -12,14 +12,14 @@
 from wasabideck_base.events import Events
 from wasabideck_policy.backends import Backend
 from wasabideck_policy.beliefs import Beliefs
-from wasabideck_policy.configuration import EngineModel, Route
 from wasabideck_policy.fresh_share import FreshShare
 from wasabideck_policy.outliers import Outliers
 from wasabideck_policy.placement import Demand, Place, choose
 from wasabideck_policy.retry_share import RetryShare
 
 from .caller_connection import CallerConnection
-from .delivery import Delivered, ServerFailed, deliver, head_of
+from .delivery import ServerFailed, deliver, head_of, write_whole
+from .exchange import Exchange
 from .messages import AnswerHead, CallerRequest, Sending, Wire
 from .refusals import (
     AllFull,
@@ -78,51 +78,6 @@
     queue_seconds: float
 
 
-@define(eq=False)
-class Exchange:
-    """One request on its way.
-
-    Attributes
-    ----------
-    until : float
-        When it has to have an answer, seconds.
-    deadline : float or None
-        When the caller stops waiting, seconds.
-    uncertain : bool
-        Whether a server may have run it without having said how it ended.
-    replaceable : bool
-        Whether another server may be tried after the present one.
-    ahead : bool
-        Whether it is among those that engines run ahead of the others.
-    waited : bool
-        Whether it waited for a server that was soon to be back.
-    urgency : int or None
-        Its class of urgency at the engine.
-    first_seconds : float or None
-        How long its stream's first event took.
-    delivered : Delivered
-        What the caller has of the answer so far.
-    """
-
-    req: CallerRequest
-    route: Route
-    service: str
-    until: float
-    deadline: float | None
-    organisation: str = ""
-    priority: int | None = None
-    engine: EngineModel | None = None
-    tried: list[str] = field(factory=list)
-    uncertain: bool = False
-    refused_by: int = 0
-    replaceable: bool = False
-    ahead: bool = True
-    waited: bool = False
-    urgency: int | None = None
-    first_seconds: float | None = None
-    delivered: Delivered = field(factory=Delivered)
-
-
 @define
 class Forwarder:
     """Answers requests by sending them to backend servers, one hop."""
@@ -225,10 +180,6 @@
             if caller.begun:
                 self._break_off(exchange, caller, "OutcomeUnknown")
                 return
-            if exchange.delivered.fallback:
-                await exchange.delivered.write_fallback(caller)
-                self._note(exchange.req, exchange, "answered")
-                return
             if exchange.uncertain:
                 raise OutcomeUnknown(backend.server)
             raise ServersRefused(backend.server)
@@ -396,6 +347,12 @@
         exc: Refusal,
         caller: CallerConnection,
     ) -> None:
+        kept = exchange.delivered.fallback if exchange else None
+        if kept and not caller.begun and not isinstance(exc, CallerLeft):
+            # A server's own failure says more than that no other one did better.
+            await write_whole(caller, *kept)
+            self._note(req, exchange, "answered", reason=type(exc).__name__)
+            return
         outcome = "left" if isinstance(exc, CallerLeft) else "refused"
         self._note(req, exchange, outcome, reason=type(exc).__name__, why=str(exc))
         if caller.begun or isinstance(exc, CallerLeft):
--- a/tests/forward/test_forwarding.py
+++ b/tests/forward/test_forwarding.py
@@ -157,6 +157,24 @@
     play(scenario)
 
 
+@pytest.mark.parametrize("others", [(), (hangs,)])
+def test_a_servers_failure_is_not_replaced_by_one_of_ours(play, others):
+    # The one server there is answers 500, or the second falls silent until time is
+    # up. The caller was told 502 or 504 instead of what the server had said.
+    async def scenario():
+        entry = Entry(configuration(route(timeout=0.6)))
+        await entry.add_server(answers(b"no", b"500 Internal Server Error"))
+        for script in others:
+            await entry.add_server(script)
+            entry.beliefs.backends.get("i-1").in_progress = 5
+        caller = await entry.caller()
+        await caller.ask()
+        status, _, body = await caller.answer()
+        assert (status, body) == (500, b"no")
+
+    play(scenario)
+
+
 def test_no_more_servers_than_the_route_allows(play):
     async def scenario():
         entry = Entry(configuration(route(attempts=2)))
