Rank chunks over the VMs beside listed servers only

After the loss of power each chunk's first readers were VMs that no longer exist; questions to them took 2 s each, and no engine was loaded for 16 s. Ruled out: the origin (answers), staging (pieces taken up), the store (answers). Change: at a transfer's start and each 3 s an agent reads the list of servers; a peer counts lost after 0.6 s without an answer.

--- a/packages/wasabideck_agent/wasabideck_agent/node_agent.py
+++ b/packages/wasabideck_agent/wasabideck_agent/node_agent.py
@@ -10,6 +10,7 @@
 from attrs import define, field
 from wasabideck_base.deployment import Deployment
 from wasabideck_base.events import Events
+from wasabideck_base.http import PlatformRefused, PlatformUnavailable
 from wasabideck_base.node import NodeSettings
 from wasabideck_base.node_process import NodeProcess, node_process
 from wasabideck_base.settings import WeightsSettings
@@ -65,6 +66,9 @@
 # A question for holdings and its answer are a kilobyte with all headers: asked once a
 # chunk they took 6 in 100 of the link, and the answers to fetches tell the same.
 ASK_SLOTS = 3.0
+# A peer that lives answers within 0.2 s, also with a full link; one that is gone holds
+# up the questions to others for so long (seconds).
+CALL_SECONDS = 0.6
 UPLOADS = 3
 # Part of its link that an agent fills with the chunks that it sends. The server's
 # streams go out over the same link: with the whole of it filled, 6 events in 10 were
@@ -128,6 +132,7 @@
     _swapping_since: float | None = None
     _manifests: dict[int, Manifest] = field(factory=dict)
     _begun: dict[int, float] = field(factory=dict)
+    _listed_ips: set[str] | None = None
     _named_at: dict[int, float] = field(factory=dict)
     _finishing: set[int] = field(factory=set)
     _sources: dict[int, dict[str, int]] = field(factory=dict)
@@ -275,7 +280,7 @@
             self.events.emit(
                 "transfer.begun", manifest=manifest.digest, version=version
             )
-        await self.process.believer.read_members()
+        await asyncio.gather(self.process.believer.read_members(), self._read_listed())
         transfer = self._gathering = self._transfer(manifest)
         fetching = asyncio.create_task(transfer.run())
         try:
@@ -310,6 +315,7 @@
             now = self.process.clock()
             if now - read_at > MANIFEST_SECONDS:
                 read_at = now
+                await self._read_listed()
                 if await self._reread(model, manifest):
                     return False
         fetching.result()
@@ -391,12 +397,38 @@
         near = 1 + sum(peer.region == cfg.region for peer in peers)
         return SPARE_COPIES * (1 + len(peers)) / near
 
+    async def _read_listed(self) -> None:
+        """Read beside which VMs a server of this service is listed.
+
+        Rows of members stay when a VM is gone for good. Chunks are ranked over all
+        peers: with a dozen gone ones each chunk waited for VMs that nobody hears of
+        again, and after a loss of power no server was loaded for 16 seconds.
+        """
+        deployment, believer = self.deployment, self.process.believer
+        try:
+            changes = await believer.store.read(deployment.servers)
+        except (PlatformUnavailable, PlatformRefused) as exc:
+            self.events.emit("members.unavailable", why=str(exc))
+            return
+        ips = set()
+        for row in changes.rows:
+            try:
+                listed = deployment.listed_of(row)
+            except WasabideckError as exc:
+                self.events.emit("row.unreadable", why=str(exc))
+                continue
+            if listed.service == self.process.cfg.service and not listed.leaving:
+                ips.add(listed.address.rpartition(":")[0])
+        self._listed_ips = ips
+
     def _peers(self) -> list[Member]:
         cfg = self.process.cfg
         return [
             m
             for m in self.process.believer.hearsay.members.values()
             if m.kind == AGENT and m.vm != cfg.vm and m.service == cfg.service
+            if self._listed_ips is None
+            or m.address.rpartition(":")[0] in self._listed_ips
         ]
 
     def _count(self, version: int, sources: dict[str, int]) -> None:
@@ -450,6 +482,7 @@
         ask_slots=ASK_SLOTS,
         spare_copies=spare_copies,
         uploads=UPLOADS,
+        call_seconds=CALL_SECONDS,
         link_rate=cfg.link_rate,
     )
 
--- a/packages/wasabideck_agent/wasabideck_agent/transfer.py
+++ b/packages/wasabideck_agent/wasabideck_agent/transfer.py
@@ -45,7 +45,6 @@
 
 __all__ = ["Transfer", "limits_of"]
 
-CALL_TIMEOUT = 2.0
 # A fetch waits behind a few others at its sender; one that takes this many slots has
 # stalled. The floor keeps small chunks on fast links from being given up early.
 FETCH_SLOTS = 24.0
@@ -306,7 +305,7 @@
             manifest=self._digest, vm=self.me.vm, have=to_bitmap(self.view.held)
         )
         try:
-            reply = await stub.Holdings(req, timeout=CALL_TIMEOUT)
+            reply = await stub.Holdings(req, timeout=self.cfg.call_seconds)
         except LINK_FAILURES:
             self._lose(vm)
             return
--- a/packages/wasabideck_base/wasabideck_base/settings.py
+++ b/packages/wasabideck_base/wasabideck_base/settings.py
@@ -190,6 +190,8 @@
         Chunks fetched at once within the region while one comes from the origin.
     ask_slots : float
         A fed agent asks for holdings once in the time that so many chunks take.
+    call_seconds : float
+        A peer that has not told its holdings for so long counts as lost.
     spare_copies : float
         Copies beyond the first that all agents together may read from the origin.
     link_rate : float
@@ -209,6 +211,7 @@
     fetches_beside_origin: int = field(default=64, validator=at_least(0))
     spare_copies: float = field(default=0.0, validator=at_least(0))
     ask_slots: float = field(default=1.0, validator=at_least(0))
+    call_seconds: float = field(default=2.0, validator=at_least(0.1))
     uploads: int = field(default=3, validator=at_least(1))
     link_rate: float = field(default=0.0, validator=at_least(0))
     region_rate: float = field(default=0.0, validator=at_least(0))
--- a/tests/adapter/test_agent.py
+++ b/tests/adapter/test_agent.py
@@ -3,6 +3,7 @@
 import asyncio
 import hashlib
 import random
+import time
 from types import SimpleNamespace
 
 import pytest
@@ -16,7 +17,8 @@
 from wasabideck_base.events import Clock, Events
 from wasabideck_base.http import PlatformUnavailable
 from wasabideck_base.node import NodeSettings, StoreSettings
-from wasabideck_policy.backends import Loaded
+from wasabideck_base.rows import Changes, Row
+from wasabideck_policy.backends import Listed, Loaded
 from wasabideck_policy.beliefs import Beliefs
 from wasabideck_policy.configuration import (
     Configuration,
@@ -26,6 +28,7 @@
 )
 from wasabideck_policy.engine_state import EngineState, OrderAnswer
 from wasabideck_policy.manifests import Manifest
+from wasabideck_policy.membership import AGENT, Member
 
 CHUNKS = 8
 MODEL = EngineModel(
@@ -99,7 +102,10 @@
 
 class FakeStore:
     def __init__(self):
-        self.rows = {}
+        self.rows, self.listed = {}, []
+
+    async def read(self, table):
+        return Changes(tuple(Row(table, ip, b"", 1) for ip in self.listed), 1)
 
     async def write(self, writes, expected=()):
         self.rows.update({w.key: w.value for w in writes})
@@ -157,7 +163,11 @@
     links = Links(Link(), Link(), Link())
     made = NodeAgent(
         process,
-        SimpleNamespace(open_origin=lambda session, address: origin),
+        SimpleNamespace(
+            open_origin=lambda session, address: origin,
+            servers="servers",
+            listed_of=lambda row: Listed(row.key, "s", f"{row.key}:1", "dc"),
+        ),
         engine,
         store,
         ChunksService(store, links, 3),
@@ -280,3 +290,31 @@
 
     asyncio.run(run())
     steps(agent, holds(engine, 1))
+
+
+def test_vms_that_are_gone_for_good_hold_up_nothing(agent, engine, rows):
+    # Servers were replaced all day, and the rows of their agents stay. Then all power
+    # is lost: each chunk's first readers are VMs that no longer exist, and no engine
+    # was loaded for 16 seconds.
+    rows.listed = ["127.0.0.1"]
+    members = agent.process.believer.hearsay.members
+    loop_time = time.monotonic
+
+    async def run():
+        async def swallow(reader, writer):
+            await reader.read()
+
+        silent = await asyncio.start_server(swallow, "127.0.0.2", 0)
+        port = silent.sockets[0].getsockname()[1]
+        for number in range(12):
+            name = f"gone-{number}"
+            members[name] = Member(name, AGENT, f"127.0.0.2:{port}", "r", "dc", "s")
+        began = loop_time()
+        async with asyncio.timeout(20):
+            while not engine.orders:
+                agent.process.time[0] += 1.0
+                await agent.step()
+        silent.close()
+        return loop_time() - began
+
+    assert asyncio.run(run()) < 1.0
