--- a/packages/wasabideck_base/wasabideck_base/believer.py
+++ b/packages/wasabideck_base/wasabideck_base/believer.py
@@ -33,6 +33,11 @@
 # Engines' models and the origin change rarely: an agent takes a newer configuration in
 # no more often than this (seconds).
 CONFIGURED_SECONDS = 10.0
+# Leases last three heartbeats, 3.6 s: what was shorter by far let none lapse (seconds).
+OUTAGE_SECONDS = 1.0
+# Word of a server that leaves takes so long, half a second of waiting for more of it
+# included (seconds).
+HEARING_SECONDS = 0.8
 # Who declarations come from when they do not come from a peer.
 STORE = "store"
 
@@ -65,6 +70,8 @@
     def __attrs_post_init__(self) -> None:
         """Put the watches together."""
         self.beliefs = Beliefs(self.clock())
+        drain = self.cfg.bounds.drain
+        self.beliefs.backends.mass_seconds = max(0.0, drain - HEARING_SECONDS)
         self.operators = self._watch(
             self.deployment.operators, self._took_operators, lambda rows: None
         )
@@ -122,7 +129,9 @@
             table,
             took,
             whole,
-            self._returned if table == self.deployment.servers else lambda: None,
+            self._returned
+            if table == self.deployment.servers
+            else lambda seconds: None,
             self.clock,
             self.events,
             self.rng,
@@ -209,8 +218,10 @@
         for server in gone:
             self.events.emit("server.gone", server=server, version=0)
 
-    def _returned(self) -> None:
-        self.beliefs.backends.outage_ended = self.clock()
+    def _returned(self, lasted: float) -> None:
+        # A broken connection is no outage: no lease runs out in so short a time.
+        if lasted >= OUTAGE_SECONDS:
+            self.beliefs.backends.outage_ended = self.clock()
 
     # Peers
 
--- a/packages/wasabideck_base/wasabideck_base/table_watch.py
+++ b/packages/wasabideck_base/wasabideck_base/table_watch.py
@@ -45,7 +45,7 @@
     whole : callable
         Given all keys of the table after it was read whole.
     returned : callable
-        Told when the store answers again after it had not.
+        Told for how many seconds the store had not answered when it does again.
     rereads : bool
         Whether the whole table is small, and its rows are large and change often.
     version : int
@@ -60,7 +60,7 @@
     table: str
     took: Callable[[list[Row]], None]
     whole: Callable[[list[Row]], None]
-    returned: Callable[[], None]
+    returned: Callable[[float], None]
     clock: Callable[[], float]
     events: Events
     rng: random.Random
@@ -71,6 +71,7 @@
     heard_at: float = float("-inf")
     _rows: dict[str, Row] = field(factory=dict)
     _failures: int = 0
+    _failing_since: float = 0.0
     _read_again: bool = True
     _asking: asyncio.Task | None = None
     _owed: tuple[int, float] | None = None
@@ -88,6 +89,8 @@
             except HistoryLost as exc:
                 self.events.emit("watch.history-lost", table=self.table, why=str(exc))
                 self._read_again = True
+                # A whole read may be stale, and what follows it lost again.
+                await asyncio.sleep(FIRST_PAUSE)
             except (PlatformUnavailable, PlatformRefused) as exc:
                 self._failed(exc)
                 await asyncio.sleep(self._pause())
@@ -190,12 +193,14 @@
         self.heard_at = self.clock()
         if self._failures:
             self._failures = 0
-            self.events.emit("store.back", table=self.table)
-            self.returned()
+            lasted = self.heard_at - self._failing_since
+            self.events.emit("store.back", table=self.table, seconds=round(lasted, 3))
+            self.returned(lasted)
 
     def _failed(self, exc: WasabideckError) -> None:
         self._failures += 1
         if self._failures == 1:
+            self._failing_since = self.clock()
             self.events.emit("store.lost", table=self.table, why=str(exc))
 
     def _pause(self) -> float:
--- a/packages/wasabideck_forward/wasabideck_forward/entry_process.py
+++ b/packages/wasabideck_forward/wasabideck_forward/entry_process.py
@@ -26,8 +26,9 @@
 # hears of it: from so much earlier on requests go to newer weights only (seconds).
 VERSION_MARGIN = 0.7
 # Before that, a request that is sent to older weights may have to wait in the server's
-# queue, and begin too late: from so much earlier on only idle ones get any (seconds).
-QUEUE_MARGIN = 1.3
+# queue, and begin too late: from so much earlier on those with a free place alone get
+# any. Callers leave after 2.4 s, and what waits for them goes with them (seconds).
+QUEUE_MARGIN = 3.1
 # After the signal to stop the balancer needs two checks, a second apart, to notice;
 # until then new connections are still taken (seconds).
 NOTICED_SECONDS = 3.0
--- a/packages/wasabideck_policy/wasabideck_policy/backends.py
+++ b/packages/wasabideck_policy/wasabideck_policy/backends.py
@@ -17,6 +17,9 @@
 # share of a service on, the removals are held as after a known outage.
 MASS_SHARE = 0.34
 MASS_LEAST = 3
+# Unless an outage is known they may as well have left together: they are held only as
+# long as a leaving server may get requests, less what word of it takes (seconds).
+MASS_SECONDS = 1.2
 
 
 @frozen
@@ -74,6 +77,8 @@
         What its agent last told, at ``told_at``.
     full_until : float
         Until when it is taken to be full, having refused a request.
+    held_until : float
+        Until when its removal from the list is not believed; 0 while it is listed.
     """
 
     listed: Listed
@@ -83,7 +88,7 @@
     heard_at: float = 0.0
     news: EngineNews | None = None
     full_until: float = 0.0
-    removed_at: float = 0.0
+    held_until: float = 0.0
     versions: dict[str, int] = field(factory=dict)
 
     @property
@@ -124,10 +129,13 @@
     ----------
     outage_ended : float
         When the list was last back after an outage, seconds.
+    mass_seconds : float
+        How long a mass of removals is not believed without a known outage.
     """
 
     _known: dict[str, Backend] = field(factory=dict)
     outage_ended: float = -RETURN_SECONDS
+    mass_seconds: float = MASS_SECONDS
 
     def __len__(self) -> int:
         return len(self._known)
@@ -166,7 +174,7 @@
         elif known.listed.loaded != listed.loaded:
             known.versions.clear()
         known.listed = listed
-        known.removed_at = 0.0
+        known.held_until = 0.0
         return known
 
     def keep_only(self, listed: set[str], now: float) -> list[str]:
@@ -178,14 +186,15 @@
     def remove(self, servers: Iterable[str], now: float) -> None:
         """Note that entries were removed: gone at once, or held after an outage."""
         found = [self._known[name] for name in servers if name in self._known]
-        mass = self._is_mass(found)
+        held_until = self.outage_ended + RETURN_SECONDS
+        if self._is_mass(found):
+            held_until = max(held_until, now + self.mass_seconds)
         for backend in found:
-            held = mass or now - self.outage_ended < RETURN_SECONDS
             # One that was leaving when it was last listed has left.
-            if not held or backend.listed.leaving:
+            if held_until <= now or backend.listed.leaving:
                 del self._known[backend.server]
-            elif not backend.removed_at:
-                backend.removed_at = now
+            elif not backend.held_until:
+                backend.held_until = held_until
 
     def _is_mass(self, removed: list[Backend]) -> bool:
         """Whether so many of a service vanished at once that the list is at fault."""
@@ -197,10 +206,7 @@
 
     def _drop_removed(self, now: float) -> None:
         for backend in list(self._known.values()):
-            if not backend.removed_at:
-                continue
-            since = max(backend.removed_at, self.outage_ended)
-            if now - since >= RETURN_SECONDS:
+            if backend.held_until and now >= backend.held_until:
                 del self._known[backend.server]
 
 
--- a/packages/wasabideck_policy/wasabideck_policy/placement.py
+++ b/packages/wasabideck_policy/wasabideck_policy/placement.py
@@ -29,7 +29,7 @@
 PLAIN_QUEUE_PART = 3.0
 # Shortly before a version is over, a server that has it may only get what begins at
 # once: with this part of its slots taken there is no queue.
-IDLE_PART = 0.6
+IDLE_PART = 0.8
 
 
 class Urgency:
--- a/tests/beliefs/test_backends.py
+++ b/tests/beliefs/test_backends.py
@@ -1,7 +1,13 @@
 """What is believed of servers through outages of the list."""
 
 import pytest
-from wasabideck_policy.backends import RETURN_SECONDS, Backends, Listed, Loaded
+from wasabideck_policy.backends import (
+    MASS_SECONDS,
+    RETURN_SECONDS,
+    Backends,
+    Listed,
+    Loaded,
+)
 
 
 def listed(server, service="s", leaving=False, **kw):
@@ -38,7 +44,7 @@
     backends.remove(["a", "bb"], 100.1)
     backends.take(listed("bb"))
     assert names(backends, 100.2) == {"a", "bb", "ccc", "dddd"}
-    assert names(backends, 100.1 + RETURN_SECONDS) == {"bb", "ccc", "dddd"}
+    assert names(backends, 100.0 + RETURN_SECONDS) == {"bb", "ccc", "dddd"}
 
 
 def test_a_server_that_was_leaving_is_not_held(backends):
@@ -53,7 +59,15 @@
     # it; then one answer takes three of four servers away.
     backends.remove(["a", "bb", "ccc"], 100.0)
     assert names(backends, 100.0) == {"a", "bb", "ccc", "dddd"}
-    assert names(backends, 100.0 + RETURN_SECONDS) == {"dddd"}
+    assert names(backends, 100.0 + MASS_SECONDS) == {"dddd"}
+
+
+def test_a_mass_of_leaving_servers_gets_nothing_for_longer_than_allowed(backends):
+    # Three of four servers are replaced at once, and never say that they leave: only
+    # their entries vanish. Requests may reach them for two seconds, word included.
+    backends.mass_seconds = 1.2
+    backends.remove(["a", "bb", "ccc"], 100.4)
+    assert names(backends, 102.0) == {"dddd"}
 
 
 def test_a_restart_under_the_same_name_holds_nothing_of_before(backends):
--- a/tests/beliefs/test_hearsay.py
+++ b/tests/beliefs/test_hearsay.py
@@ -45,7 +45,7 @@
             "servers",
             self.took.extend,
             lambda rows: None,
-            lambda: None,
+            lambda seconds: None,
             loop.time,
             Events(self.vm, Clock(), lambda: 0.0),
             random.Random(1),
--- a/tests/beliefs/test_table_watch.py
+++ b/tests/beliefs/test_table_watch.py
@@ -37,7 +37,7 @@
     def __init__(self):
         self.took, self.whole, self.returned = [], [], 0
 
-    def count_return(self):
+    def count_return(self, seconds):
         self.returned += 1
 
 
