--- a/packages/wasabideck_agent/wasabideck_agent/transfer.py
+++ b/packages/wasabideck_agent/wasabideck_agent/transfer.py
@@ -16,6 +16,7 @@
 from wasabideck_base.settings import WeightsSettings
 from wasabideck_base.weights import Origin
 from wasabideck_policy.baselines import POLICIES
+from wasabideck_policy.fetch_window import FetchWindow
 from wasabideck_policy.manifests import CorruptChunk, Manifest
 from wasabideck_policy.membership import Member
 from wasabideck_policy.outcomes import WasabideckError
@@ -117,6 +118,7 @@
     begun: float = 0.0
     read_at: float = 0.0
     view: View = field(init=False)
+    window: FetchWindow = field(init=False)
     _digest: str = field(init=False)
     _members: list[Member] = field(factory=list)
     _addresses: dict[str, str] = field(factory=dict)
@@ -137,6 +139,9 @@
             limits_of(self.cfg, self.manifest.chunk_bytes, self._spare()),
             held=self.store.held(self.manifest),
         )
+        limits = self.view.limits
+        most = limits.near + limits.far + limits.reads
+        self.window = FetchWindow(most, limits.slot)
         self.view.fed_at = self.begun = self.read_at = self.view.begun
 
     def _spare(self) -> int:
@@ -182,7 +187,7 @@
 
     def _start_fetches(self) -> None:
         policy = POLICIES[self.cfg.policy]
-        while self.view.wanted:
+        while self.view.wanted and self.view.active.bit_count() < self.window.limit:
             fetch = policy.fetch(self.view, self.clock(), self.rng)
             if fetch is None:
                 return
@@ -211,6 +216,7 @@
 
     async def _fetch(self, fetch: Fetch) -> None:
         digest = self.manifest.chunks[fetch.index]
+        begun = self.clock()
         try:
             data = await self._read(fetch, digest)
             self.store.add(digest, data, fetch.source)
@@ -225,6 +231,7 @@
         except (PlatformUnavailable, PlatformRefused):
             origin_failed(self.view, self.clock())
         else:
+            self.window.took(self.clock() - begun)
             self._got(fetch, len(data))
 
     def _got(self, fetch: Fetch, size: int) -> None:
