--- a/packages/wasabideck_base/wasabideck_base/believer.py
+++ b/packages/wasabideck_base/wasabideck_base/believer.py
@@ -183,9 +183,10 @@
         bounds = self.cfg.bounds
         since = now
         if now - self.beliefs.began < bounds.stable:
-            # What was named before this process began may be long due; it counts as
-            # so old that the bound ends when the process counts as calm again.
-            since = self.beliefs.began - bounds.version + bounds.stable
+            # What was named before this process began may be long due. It counts as so
+            # old that its time ends a good while before the process counts as calm:
+            # what is sent by then may begin a little later.
+            since = self.beliefs.began - bounds.version + bounds.stable / 2
         if self.beliefs.name_version(model, declaration.number, since):
             self.on_version(model, declaration.number)
 
