Keep an agent's news apart from the load that answers tell; more time for stopping

Cause: an answer's load made what an agent had said last count as fresh, however old: seen while reading. Test: test_placement (failed first).

--- a/packages/wasabideck_forward/wasabideck_forward/entry_process.py
+++ b/packages/wasabideck_forward/wasabideck_forward/entry_process.py
@@ -32,8 +32,9 @@
 # After the signal to stop the balancer needs two checks, a second apart, to notice;
 # until then new connections are still taken (seconds).
 NOTICED_SECONDS = 3.0
-# What is left of the time for stopping when the last connections are closed.
-CLOSING_SECONDS = 0.5
+# What is left of the time for stopping when the last connections are closed: on a slow
+# VM the end of all loops took over half a second, and the process was killed (seconds).
+CLOSING_SECONDS = 1.3
 
 
 async def run_entry(cfg: NodeSettings, deployment: Deployment) -> None:
--- a/packages/wasabideck_policy/wasabideck_policy/backends.py
+++ b/packages/wasabideck_policy/wasabideck_policy/backends.py
@@ -74,7 +74,7 @@
     versions : dict of str to int
         Versions of weights that its answers or its agent told of, by model.
     news : EngineNews or None
-        What its agent last told, at ``told_at``.
+        What its agent last told, at ``news_at``; its own answers tell of load only.
     full_until : float
         Until when it is taken to be full, having refused a request.
     held_until : float
@@ -87,6 +87,7 @@
     told_at: float = 0.0
     heard_at: float = 0.0
     news: EngineNews | None = None
+    news_at: float = 0.0
     full_until: float = 0.0
     held_until: float = 0.0
     versions: dict[str, int] = field(factory=dict)
@@ -100,11 +101,11 @@
         """Take in what its agent tells of it."""
         self.news = news
         self.others = max(0, news.pressed - self.in_progress)
-        self.told_at = now
+        self.told_at = self.news_at = now
 
     def fresh_news(self, now: float) -> EngineNews | None:
         """What its agent told, unless that was too long ago."""
-        return self.news if now - self.told_at <= FRESH_SECONDS else None
+        return self.news if now - self.news_at <= FRESH_SECONDS else None
 
     def holds(self, model: str, layers: int, now: float) -> int:
         """Version of which it holds all layers of the model; 0 for none."""
--- a/packages/wasabideck_policy/wasabideck_policy/placement.py
+++ b/packages/wasabideck_policy/wasabideck_policy/placement.py
@@ -129,7 +129,7 @@
 
 
 def _back_in(backends: Sequence[Backend], demand: Demand, now: float) -> float | None:
-    told = ((b.fresh_news(now), now - b.told_at) for b in backends)
+    told = ((b.fresh_news(now), now - b.news_at) for b in backends)
     known = [(news, age) for news, age in told if news is not None]
     return back_in(known, demand.least_version) if demand.model else None
 
--- a/tests/beliefs/test_placement.py
+++ b/tests/beliefs/test_placement.py
@@ -59,3 +59,13 @@
     found = place([engine("a", 30), engine("b", 40)])
     assert found.backend is None
     assert found.full
+
+
+def test_an_answer_does_not_make_old_news_of_an_agent_fresh():
+    # An agent dies while its engine swaps. The engine loads and serves; what the agent
+    # said last, "no requests now", must not count as said just now with each answer.
+    backend = engine("a", 3, serving=False, ready_in=0.5)
+    backend.versions["m"] = 1
+    backend.news_at = NOW - 5.0
+    backend.told_at = NOW
+    assert place([backend]).backend is backend
