--- a/tests/adapter/test_agent.py
+++ b/tests/adapter/test_agent.py
@@ -215,12 +215,13 @@
 
     async def rotting(model, index, data):
         await put(model, index, data)
-        if index == 3 and len(engine.lying) == CHUNKS and not engine.orders:
+        if len(engine.lying) == CHUNKS and not engine.orders:
             engine.stage = put
             engine.lying[3] = b"rotten!!"
 
     engine.stage = rotting
     steps(agent, holds(engine, 1))
+    assert engine.stage == put, "the piece never turned bad"
     assert engine.lying[3] == piece(1, 3)
 
 
