--- a/tests/forward/test_crashing_requests.py
+++ b/tests/forward/test_crashing_requests.py
@@ -27,9 +27,9 @@
 
 
 def _prefer(entry, server):
-    """Have the next request go to this server: all others are busier."""
+    """Have the next request go to this server: all others are full."""
     for name in entry.beliefs.backends.names():
-        entry.beliefs.backends.get(name).in_progress = 0 if name == server else 6
+        entry.beliefs.backends.get(name).in_progress = 0 if name == server else 100
 
 
 @pytest.mark.parametrize("kind", [Kind.UNSAFE, Kind.SAFE])
