--- a/packages/wasabideck_agent/wasabideck_agent/node_agent.py
+++ b/packages/wasabideck_agent/wasabideck_agent/node_agent.py
@@ -10,13 +10,11 @@
 from attrs import define, field
 from wasabideck_base.deployment import Deployment
 from wasabideck_base.events import Events
-from wasabideck_base.http import PlatformRefused, PlatformUnavailable
 from wasabideck_base.node import NodeSettings
 from wasabideck_base.node_process import NodeProcess, node_process
 from wasabideck_base.settings import WeightsSettings
 from wasabideck_policy.backends import Loaded
 from wasabideck_policy.configuration import EngineModel
-from wasabideck_policy.deliveries import Delivery
 from wasabideck_policy.engine_state import EngineState, OrderAnswer
 from wasabideck_policy.manifests import Manifest
 from wasabideck_policy.membership import AGENT, Member
@@ -26,7 +24,9 @@
 from .chunk_store import ChunkStore
 from .chunks_service import ChunksService
 from .deliveries_log import DeliveriesLog
+from .delivery_book import DeliveryBook
 from .links import Link, Links
+from .listed_peers import ListedPeers
 from .news_loop import NewsLoop
 from .origin_chunks import NumberedOrigin, OriginChunks
 from .staging import Engine, Staging
@@ -90,7 +90,8 @@
             chunks,
             links,
             Staging(engine, store, process.events),
-            DeliveriesLog(process.believer.store),
+            _book(process),
+            ListedPeers(process, deployment),
         )
         process.believer.on_version = lambda model, number: agent.news.set()
         news = NewsLoop(process, engine, agent.describe)
@@ -105,6 +106,11 @@
                 task.result()
 
 
+def _book(process: NodeProcess) -> DeliveryBook:
+    log = DeliveriesLog(process.believer.store)
+    return DeliveryBook(process.cfg.vm, process.cfg.service, log, process.events)
+
+
 @define
 class NodeAgent:
     """State of one agent on a node.
@@ -124,18 +130,15 @@
     chunks: ChunksService
     links: Links
     staging: Staging
-    log: DeliveriesLog
+    deliveries: DeliveryBook
+    peers: ListedPeers
     news: asyncio.Event = field(factory=asyncio.Event)
     tell: Callable[[EngineState], None] = lambda state: None
     _gathering: Transfer | None = None
     _swapping_since: float | None = None
     _manifests: dict[int, Manifest] = field(factory=dict)
-    _begun: dict[int, float] = field(factory=dict)
-    _listed_ips: set[str] | None = None
     _named_at: dict[int, float] = field(factory=dict)
     _finishing: set[int] = field(factory=set)
-    _sources: dict[int, dict[str, int]] = field(factory=dict)
-    _reported: set[tuple[int, int]] = field(factory=set)
     _born: int = 0
     _ordered: tuple[int, int] = (0, 0)
 
@@ -193,7 +196,9 @@
             if self.process.clock() - since >= ACCEPTED_SECONDS:
                 self._swapping_since = None
         if held := _held(state, model):
-            self._report_once(model, held, state)
+            manifest = self._manifests.get(held)
+            wall = time.time()
+            self.deliveries.in_force(model.model, held, manifest, state.born, wall)
 
     def describe(self, state: EngineState) -> tuple[int, bool, float, int]:
         """What entries are told: version held, serving, ready in, newest named."""
@@ -234,22 +239,13 @@
 
     async def _settle(self, model: EngineModel, version: int) -> None:
         """Hold the chunks of what is in force for servers that lack them."""
-        if failure := await self.log.try_write():
-            self.events.emit("table.unavailable", why=str(failure))
+        await self.deliveries.write()
         manifest = await self._manifest(model, version)
         if not self.store.whole(manifest):
             taken = await self.staging.take_up(manifest)
             self.events.emit("staging.taken-up", version=version, pieces=taken)
         self._forget_before(version)
 
-    def _report_once(
-        self, model: EngineModel, version: int, state: EngineState
-    ) -> None:
-        """Report a version in force, also one that a newer has overtaken."""
-        if (version, state.born) not in self._reported:
-            self._reported.add((version, state.born))
-            self._report(model, version)
-
     async def _manifest(self, model: EngineModel, version: int) -> Manifest:
         if version not in self._manifests:
             manifest = await self._origin().manifest(model.model, version)
@@ -273,13 +269,12 @@
             await self.staging.place(manifest)
             return True
         await self.staging.take_up(manifest)
-        if version not in self._begun:
-            self._begun[version] = time.time()
+        if self.deliveries.begin(version, time.time()):
             self._named_at[version] = self.process.clock()
             self.events.emit(
                 "transfer.begun", manifest=manifest.digest, version=version
             )
-        await asyncio.gather(self.process.believer.read_members(), self._read_listed())
+        await asyncio.gather(self.process.believer.read_members(), self.peers.read())
         transfer = self._gathering = self._transfer(manifest)
         fetching = asyncio.create_task(transfer.run())
         try:
@@ -288,7 +283,7 @@
             self._gathering = None
             fetching.cancel()
             await asyncio.gather(fetching, return_exceptions=True)
-            self._count(version, transfer.sources)
+            self.deliveries.count(version, transfer.sources)
 
     async def _attend(
         self,
@@ -314,7 +309,7 @@
             now = self.process.clock()
             if now - read_at > MANIFEST_SECONDS:
                 read_at = now
-                await self._read_listed()
+                await self.peers.read()
                 if await self._reread(model, manifest):
                     return False
         fetching.result()
@@ -381,7 +376,7 @@
             self.process.channels,
             self.links,
             self.process.events,
-            self._peers,
+            self.peers.members,
             _weights(cfg, self._spare_copies()),
             self.process.rng,
         )
@@ -392,72 +387,10 @@
         place = self.process.believer.beliefs.configuration.origin()
         if place is None or cfg.regions.get(place.data_centre) != cfg.region:
             return 0.0
-        peers = self._peers()
+        peers = self.peers.members()
         near = 1 + sum(peer.region == cfg.region for peer in peers)
         return SPARE_COPIES * (1 + len(peers)) / near
 
-    async def _read_listed(self) -> None:
-        """Read beside which VMs a server of this service is listed.
-
-        Rows of members stay when a VM is gone for good. Chunks are ranked over all
-        peers: with a dozen gone ones each chunk waited for VMs that nobody hears of
-        again, and after a loss of power no server was loaded for 16 seconds.
-        """
-        deployment, believer = self.deployment, self.process.believer
-        try:
-            changes = await believer.store.read(deployment.servers)
-        except (PlatformUnavailable, PlatformRefused) as exc:
-            self.events.emit("members.unavailable", why=str(exc))
-            return
-        ips = set()
-        for row in changes.rows:
-            try:
-                listed = deployment.listed_of(row)
-            except WasabideckError as exc:
-                self.events.emit("row.unreadable", why=str(exc))
-                continue
-            if listed.service == self.process.cfg.service and not listed.leaving:
-                ips.add(listed.address.rpartition(":")[0])
-        self._listed_ips = ips
-
-    def _peers(self) -> list[Member]:
-        cfg = self.process.cfg
-        return [
-            m
-            for m in self.process.believer.hearsay.members.values()
-            if m.kind == AGENT and m.vm != cfg.vm and m.service == cfg.service
-            if self._listed_ips is None
-            or m.address.rpartition(":")[0] in self._listed_ips
-        ]
-
-    def _count(self, version: int, sources: dict[str, int]) -> None:
-        total = self._sources.setdefault(version, {})
-        for source, size in sources.items():
-            total[source] = total.get(source, 0) + size
-
-    def _report(self, model: EngineModel, version: int) -> None:
-        now = time.time()
-        manifest = self._manifests.get(version)
-        delivery = Delivery(
-            vm=self.process.cfg.vm,
-            service=self.process.cfg.service,
-            slot="model",
-            ticket=version,
-            model=model.model,
-            version=str(version),
-            manifest=manifest.digest if manifest else "",
-            begun=self._begun.get(version, now),
-            in_force=now,
-            sources=self._sources.get(version, {}),
-        )
-        self.log.add(delivery)
-        self.events.emit(
-            "version.in-force",
-            version=version,
-            seconds=round(now - delivery.begun, 3),
-            sources=delivery.sources,
-        )
-
     def _forget_before(self, version: int) -> None:
         old = [known for known in self._manifests if known < version]
         for known in old:
--- a/tests/adapter/test_agent.py
+++ b/tests/adapter/test_agent.py
@@ -10,14 +10,16 @@
 from wasabideck_agent.chunk_store import ChunkStore
 from wasabideck_agent.chunks_service import ChunksService
 from wasabideck_agent.deliveries_log import DeliveriesLog
+from wasabideck_agent.delivery_book import DeliveryBook
 from wasabideck_agent.links import Link, Links
+from wasabideck_agent.listed_peers import ListedPeers
 from wasabideck_agent.node_agent import NodeAgent
 from wasabideck_agent.staging import Staging
 from wasabideck_base.channels import Channels
 from wasabideck_base.events import Clock, Events
 from wasabideck_base.http import PlatformUnavailable
 from wasabideck_base.node import NodeSettings, StoreSettings
-from wasabideck_base.rows import Changes, Row
+from wasabideck_base.rows import Changes, Row, WriteConflict
 from wasabideck_policy.backends import Listed, Loaded
 from wasabideck_policy.beliefs import Beliefs
 from wasabideck_policy.configuration import (
@@ -72,8 +74,10 @@
     def __init__(self):
         self.lying, self.loaded, self.orders = {}, (), []
         self.loading, self.looks, self.born = None, 0, 1
+        self.asked = 0
 
     async def state(self):
+        self.asked += 1
         if self.loading:
             self.looks -= 1
             if self.looks <= 0:
@@ -108,6 +112,8 @@
         return Changes(tuple(Row(table, ip, b"", 1) for ip in self.listed), 1)
 
     async def write(self, writes, expected=()):
+        if any(row.version == 0 and row.key in self.rows for row in expected):
+            raise WriteConflict(expected[0].key)
         self.rows.update({w.key: w.value for w in writes})
 
 
@@ -127,7 +133,17 @@
 
 
 @pytest.fixture
-def agent(engine, origin, rows):
+def make_agent(engine, origin, rows):
+    """Start an agent beside the engine, as if it had just been started."""
+    return lambda: new_agent(engine, origin, rows)
+
+
+@pytest.fixture
+def agent(make_agent):
+    return make_agent()
+
+
+def new_agent(engine, origin, rows):
     cfg = NodeSettings("vm", "127.0.0.1", "dc", "r", 0, StoreSettings(""), service="s")
     clock = [0.0]
     events = Events("vm", Clock(), lambda: 0.0)
@@ -161,19 +177,21 @@
     )
     store = ChunkStore()
     links = Links(Link(), Link(), Link())
+    deployment = SimpleNamespace(
+        open_origin=lambda session, address: origin,
+        servers="servers",
+        listed_of=lambda row: Listed(row.key, "s", f"{row.key}:1", "dc"),
+    )
     made = NodeAgent(
         process,
-        SimpleNamespace(
-            open_origin=lambda session, address: origin,
-            servers="servers",
-            listed_of=lambda row: Listed(row.key, "s", f"{row.key}:1", "dc"),
-        ),
+        deployment,
         engine,
         store,
         ChunksService(store, links, 3),
         links,
         Staging(engine, store, events),
-        DeliveriesLog(rows),
+        DeliveryBook("vm", "s", DeliveriesLog(rows), events),
+        ListedPeers(process, deployment),
     )
     process.time = clock
     return made
@@ -246,6 +264,26 @@
     assert engine.orders == [1, 1]
 
 
+def test_an_agent_that_starts_again_leaves_the_report_as_it_was(
+    agent, engine, rows, make_agent
+):
+    # A manager asks from where a VM got its weights, an hour after its agent was
+    # killed and started again: the new one found the engine served, wrote a row of its
+    # own over the delivery's, and the report says "held already".
+    steps(agent, lambda: rows.rows)
+    before = dict(rows.rows)
+    assert b'"origin":64' in next(iter(before.values()))
+    engine.asked = 0
+    steps(make_agent(), lambda: engine.asked > 5)
+    assert rows.rows == before
+
+
+def test_weights_that_lie_there_from_the_start_are_reported(make_agent, engine, rows):
+    engine.loaded = (Loaded("m", 1, 0, 4),)
+    steps(make_agent(), lambda: rows.rows)
+    assert list(rows.rows) == [f"{1:020d}/s/vm/model"]
+
+
 def test_a_version_overtaken_while_it_is_loaded_is_still_reported(agent, engine, rows):
     # Version 3 is named while version 2 is being loaded. A manager asks afterwards
     # who served version 2: without its row the answer would be nobody.
