--- a/packages/wasabideck_agent/wasabideck_agent/delivery_book.py
+++ b/packages/wasabideck_agent/wasabideck_agent/delivery_book.py
@@ -28,6 +28,7 @@
     log: DeliveriesLog
     events: Events
     _begun: dict[int, float] = field(factory=dict)
+    _verified: dict[int, float] = field(factory=dict)
     _sources: dict[int, dict[str, int]] = field(factory=dict)
     _reported: set[tuple[int, int]] = field(factory=set)
 
@@ -37,6 +38,10 @@
         self._begun.setdefault(version, wall)
         return new
 
+    def verify(self, version: int, wall: float) -> None:
+        """Note when all chunks of a version were held and verified."""
+        self._verified.setdefault(version, wall)
+
     def count(self, version: int, sources: dict[str, int]) -> None:
         """Add bytes that came, by source."""
         total = self._sources.setdefault(version, {})
@@ -68,6 +73,7 @@
             version=str(version),
             manifest=manifest.digest if manifest else "",
             begun=self._begun.get(version, wall),
+            verified=self._verified.get(version, 0.0),
             in_force=wall,
             sources=self._sources.get(version, {}),
         )
--- a/packages/wasabideck_agent/wasabideck_agent/node_agent.py
+++ b/packages/wasabideck_agent/wasabideck_agent/node_agent.py
@@ -314,6 +314,7 @@
                     return False
         fetching.result()
         await self.staging.place(manifest)
+        self.deliveries.verify(version, time.time())
         self.events.emit(
             "transfer.verified", manifest=manifest.digest, sources=transfer.sources
         )
--- a/tests/adapter/test_agent.py
+++ b/tests/adapter/test_agent.py
@@ -6,6 +6,7 @@
 import time
 from types import SimpleNamespace
 
+import orjson
 import pytest
 from wasabideck_agent.chunk_store import ChunkStore
 from wasabideck_agent.chunks_service import ChunksService
@@ -272,7 +273,9 @@
     # own over the delivery's, and the report says "held already".
     steps(agent, lambda: rows.rows)
     before = dict(rows.rows)
-    assert b'"origin":64' in next(iter(before.values()))
+    told = orjson.loads(next(iter(before.values())))
+    assert told["sources"] == {"origin": 64}
+    assert 0 < told["begun"] <= told["verified"] <= told["in_force"]
     engine.asked = 0
     steps(make_agent(), lambda: engine.asked > 5)
     assert rows.rows == before
