Tell each other when a version was named, so that a restart refuses nothing

Cause: an entry that heard of a version within three seconds of its own start took it for one that had been named long ago, and refused all drafts until some server had it, for up to seven seconds.

Ruled out: real lack of servers (other entries served on), too long a Retry-After.

Change: what the store's watch brings after its first read was named just now, also to a young process. For what the first read brought, entries tell each other how long ago it was named; one that only guesses asks five times a second in its first three seconds, and passes no guess on. Without a peer that knows, the guess stays as it was: due before the process counts as calm.

--- a/packages/wasabideck_base/wasabideck_base/believer.py
+++ b/packages/wasabideck_base/wasabideck_base/believer.py
@@ -8,14 +8,18 @@
 
 from attrs import define, field
 from wasabideck_policy.beliefs import Beliefs
-from wasabideck_policy.declarations import CONFIGURATION, Declaration
+from wasabideck_policy.declarations import (
+    CONFIGURATION,
+    Declaration,
+    weights_model,
+)
 from wasabideck_policy.membership import ENTRY, Member
 from wasabideck_policy.outcomes import WasabideckError
 
 from .channels import Channels
 from .deployment import Deployment
 from .events import Events
-from .hearsay import CALM_SECONDS, CUT_OFF_SECONDS, Hearsay
+from .hearsay import CALM_SECONDS, CUT_OFF_SECONDS, Ages, Hearsay
 from .http import PlatformRefused, PlatformUnavailable
 from .member_rows import MEMBERS, MalformedMember, member_of, member_row
 from .node import NodeSettings
@@ -66,6 +70,7 @@
     operators: TableWatch = field(init=False)
     servers: TableWatch = field(init=False)
     _telling: set[asyncio.Task] = field(factory=set)
+    _read_operators: bool = False
 
     def __attrs_post_init__(self) -> None:
         """Put the watches together."""
@@ -73,7 +78,7 @@
         drain = self.cfg.bounds.drain
         self.beliefs.backends.mass_seconds = max(0.0, drain - HEARING_SECONDS)
         self.operators = self._watch(
-            self.deployment.operators, self._took_operators, lambda rows: None
+            self.deployment.operators, self._took_operators, self._whole_operators
         )
         self.servers = self._watch(
             self.deployment.servers, self._took_servers, self._whole_servers
@@ -93,6 +98,7 @@
             frozenset([self.servers.table] if followed else []),
             seeds=self.cfg.inner_seeds(),
             asked="" if self._is_entry else ENTRY,
+            ages=Ages(self._age_of, self._unsure, self._heard_age),
         )
 
     @property
@@ -152,13 +158,17 @@
                 found.append(declaration)
         self.hearsay.merge(found, STORE)
 
+    def _whole_operators(self, rows: list[Row]) -> None:
+        # What the store tells from now on was declared just now.
+        self._read_operators = True
+
     def _changed(self, newer: list[Declaration], source: str) -> None:
         # Of several that came together only the newest of a key is put in force.
         for declaration in {d.key: d for d in newer}.values():
             if declaration.key == CONFIGURATION:
                 self._configure(declaration)
             else:
-                self._name_version(declaration)
+                self._name_version(declaration, source)
         weights = [d for d in newer if d.key != CONFIGURATION]
         if weights and source == STORE and self._is_entry:
             task = asyncio.create_task(self.hearsay.tell(weights))
@@ -177,19 +187,54 @@
         self.beliefs.configuration = cfg
         self.events.emit("configuration.in-force", number=cfg.number)
 
-    def _name_version(self, declaration: Declaration) -> None:
-        model = declaration.key.partition("/")[2]
-        now = self.clock()
-        bounds = self.cfg.bounds
-        since = now
-        if now - self.beliefs.began < bounds.stable:
-            # What was named before this process began may be long due. It counts as so
-            # old that its time ends a good while before the process counts as calm:
-            # what is sent by then may begin a little later.
-            since = self.beliefs.began - bounds.version + bounds.stable / 2
-        if self.beliefs.name_version(model, declaration.number, since):
+    def _name_version(self, declaration: Declaration, source: str) -> None:
+        model = weights_model(declaration.key)
+        since, certain = self._since(declaration, source, self.clock())
+        if self.beliefs.name_version(model, declaration.number, since, certain):
             self.on_version(model, declaration.number)
 
+    def _since(
+        self, declaration: Declaration, source: str, now: float
+    ) -> tuple[float, bool]:
+        """From when on a version's time counts, and whether that is no guess.
+
+        What was named before this process began may be long due. An entry that took
+        its own start for that time sent drafts to weights that were over; one that
+        took everything heard in its first seconds for overdue refused all drafts for
+        seven seconds, once for each entry of a rolling restart beside a rollout.
+        """
+        if declaration.age is not None:
+            return now - declaration.age, True
+        if source == STORE and self._read_operators:
+            return now, True
+        bounds = self.cfg.bounds
+        if now - self.beliefs.began >= bounds.stable:
+            # Heard late, by a second or so: near enough here, and not passed on.
+            return now, False
+        # Until a peer tells, it counts as so old that its time ends a good while before
+        # the process counts as calm: what is sent by then may begin a little later.
+        return self.beliefs.began - bounds.version + bounds.stable / 2, False
+
+    def _age_of(self, key: str) -> float | None:
+        if key == CONFIGURATION:
+            return None
+        return self.beliefs.version_age(weights_model(key), self.clock())
+
+    def _unsure(self, key: str) -> bool:
+        # Later the guess is over, whoever was asked.
+        young = self.clock() - self.beliefs.began < self.cfg.bounds.stable
+        known = key != CONFIGURATION and self.beliefs.undated(weights_model(key))
+        return young and known
+
+    def _heard_age(self, declaration: Declaration) -> None:
+        """Take in a peer's word on when a version was named that is known here."""
+        if declaration.key == CONFIGURATION:
+            return
+        model, number = weights_model(declaration.key), declaration.number
+        since = self.clock() - declaration.age
+        if self.beliefs.date_version(model, number, since):
+            self.events.emit("version.dated", version=number, age=declaration.age)
+
     # The servers' entries
 
     def _took_servers(self, rows: list[Row]) -> None:
@@ -230,7 +275,8 @@
         while True:
             heard_at = self.operators.heard_at
             failing = self._is_entry and self.operators.failing
-            await asyncio.sleep(CUT_OFF_SECONDS if failing else CALM_SECONDS)
+            unsure = any(map(self._unsure, self.hearsay.declarations.numbers()))
+            await asyncio.sleep(CUT_OFF_SECONDS if failing or unsure else CALM_SECONDS)
             await self.hearsay.ask_one()
             self.beliefs.heard_at = max(
                 heard_at, self.hearsay.heard_at, self.operators.heard_at
--- a/packages/wasabideck_base/wasabideck_base/hearsay.py
+++ b/packages/wasabideck_base/wasabideck_base/hearsay.py
@@ -6,7 +6,7 @@
 import random
 from collections.abc import Callable, Iterable
 
-from attrs import define, field
+from attrs import define, field, frozen
 from grpclib.server import Stream
 from wasabideck_policy.declarations import Declaration, Declarations
 from wasabideck_policy.membership import AGENT, ENTRY, Member
@@ -21,7 +21,7 @@
 from .rows import Row
 from .table_watch import TableWatch
 
-__all__ = ["Hearsay", "HearsayService"]
+__all__ = ["Ages", "Hearsay", "HearsayService"]
 
 # What an entry of the inner protocol's message tells of.
 DECLARED = "declared"
@@ -46,6 +46,25 @@
 ENOUGH = (1 << 63) - 1
 
 
+@frozen
+class Ages:
+    """What a process knows of the times at which things were declared.
+
+    Attributes
+    ----------
+    of : callable
+        Seconds since the newest declaration of a key; None when not known.
+    unsure : callable
+        Whether a key's newest declaration is known, and its time is only guessed.
+    heard : callable
+        Given a known declaration whose age a peer tells.
+    """
+
+    of: Callable[[str], float | None] = lambda key: None
+    unsure: Callable[[str], bool] = lambda key: False
+    heard: Callable[[Declaration], None] = lambda declaration: None
+
+
 @define
 class Hearsay:
     """A process's declarations, and how it hears newer ones from its peers.
@@ -62,6 +81,8 @@
         Kind of the members that are asked; empty for all.
     lacks : set of str
         Keys of declarations of which nothing newer is wanted here.
+    ages : Ages
+        When things were declared, as far as is known here.
     quarantine : Quarantine
         Requests that crashed servers, as this process and its peers saw it.
     """
@@ -79,13 +100,18 @@
     seeds: list[str] = field(factory=list)
     asked: str = ""
     lacks: set[str] = field(factory=set)
+    ages: Ages = Ages()
     quarantine: Quarantine = field(factory=Quarantine)
     heard_at: float = float("-inf")
     _set_back: dict[str, float] = field(factory=dict)
 
     def merge(self, found: Iterable[Declaration], source: str) -> None:
         """Take declarations in, and tell of those that are newer."""
+        found = list(found)
         newer = self.declarations.merge(found)
+        for declaration in found:
+            if declaration.age is not None and declaration not in newer:
+                self.ages.heard(declaration)
         for declaration in newer:
             self.events.emit(
                 "declaration.seen",
@@ -131,7 +157,8 @@
         entries = {m.vm for m in members if m.kind == ENTRY} | {self.me.vm}
         if self.me.vm not in rank(self.me.region, entries)[:TELLERS]:
             return
-        req = pb.SyncRequest(vm=self.me.vm, entries=[_entry(d) for d in declarations])
+        entries = [self._entry(d) for d in declarations]
+        req = pb.SyncRequest(vm=self.me.vm, entries=entries)
         agents = [m.address for m in members if m.kind == AGENT]
         await asyncio.gather(*(self._push(address, req) for address in agents))
 
@@ -148,7 +175,7 @@
         theirs = {e.scope: e.ticket for e in req.entries if e.slot == DECLARED}
         self.merge(_declared(req.entries), req.vm)
         self._hear_crashes(req.quarantined)
-        entries = [_entry(d) for d in self.declarations.newer_than(theirs)]
+        entries = [self._entry(d) for d in self.declarations.newer_than(theirs)]
         for entry in req.entries:
             watch = self.tables.get(entry.scope) if entry.slot == TABLE else None
             if watch is None or watch.newest <= entry.ticket:
@@ -175,7 +202,7 @@
             pb.Entry(
                 scope=key,
                 slot=DECLARED,
-                ticket=ENOUGH if key in self.lacks else number,
+                ticket=self._asked_from(key, number),
             )
             for key, number in numbers.items()
         ]
@@ -187,6 +214,23 @@
             vm=self.me.vm, entries=entries, quarantined=self._crashes()
         )
 
+    def _asked_from(self, key: str, number: int) -> int:
+        """The number that a peer is told is known here."""
+        if key in self.lacks:
+            return ENOUGH
+        # Without the newest one it tells that once more, and since when it holds.
+        return number - 1 if self.ages.unsure(key) else number
+
+    def _entry(self, declaration: Declaration) -> pb.Entry:
+        age = self.ages.of(declaration.key)
+        return pb.Entry(
+            scope=declaration.key,
+            slot=DECLARED,
+            ticket=declaration.number,
+            change=declaration.content,
+            age_ms=0 if age is None else max(1, int(age * 1000)),
+        )
+
     def _draw(self, now: float) -> str | None:
         others = [
             m
@@ -206,15 +250,6 @@
         return self.rng.choice(sorted(open_ones))
 
 
-def _entry(declaration: Declaration) -> pb.Entry:
-    return pb.Entry(
-        scope=declaration.key,
-        slot=DECLARED,
-        ticket=declaration.number,
-        change=declaration.content,
-    )
-
-
 def _row_entry(row: Row) -> pb.Entry:
     return pb.Entry(
         scope=f"{row.table}/{row.key}",
@@ -242,7 +277,12 @@
 def _declared(entries: Iterable[pb.Entry]) -> list[Declaration]:
     """Declarations with their content; a question has the numbers only."""
     return [
-        Declaration(entry.scope, entry.ticket, entry.change)
+        Declaration(
+            entry.scope,
+            entry.ticket,
+            entry.change,
+            entry.age_ms / 1000 if entry.age_ms else None,
+        )
         for entry in entries
         if entry.slot == DECLARED and entry.change
     ]
--- a/packages/wasabideck_policy/wasabideck_policy/beliefs.py
+++ b/packages/wasabideck_policy/wasabideck_policy/beliefs.py
@@ -22,10 +22,14 @@
     ----------
     since : float
         From when on the time that a version may take is counted, seconds.
+    certain : bool
+        Whether that is when it was named, and not a guess of a process that began
+        later.
     """
 
     number: int
     since: float
+    certain: bool = True
 
 
 @define
@@ -61,17 +65,42 @@
         """Whether a newer configuration may exist unheard."""
         return now - self.heard_at > STALE_SECONDS
 
-    def name_version(self, model: str, number: int, since: float) -> bool:
+    def name_version(
+        self, model: str, number: int, since: float, certain: bool = True
+    ) -> bool:
         """Take in a named version; whether it is newer than the known one."""
         if number <= self.newest_version(model):
             return False
-        self._versions.setdefault(model, []).append(NamedVersion(number, since))
+        named = NamedVersion(number, since, certain)
+        self._versions.setdefault(model, []).append(named)
         return True
 
+    def date_version(self, model: str, number: int, since: float) -> bool:
+        """Take in when the newest version was named; whether that was not known."""
+        named = self._newest(model)
+        if named is None or named.number != number or named.certain:
+            return False
+        named.since, named.certain = since, True
+        return True
+
+    def undated(self, model: str) -> bool:
+        """Whether the newest version was named at a time that is only guessed."""
+        named = self._newest(model)
+        return named is not None and not named.certain
+
+    def version_age(self, model: str, now: float) -> float | None:
+        """Seconds since the newest version was named; None when not known."""
+        named = self._newest(model)
+        return now - named.since if named is not None and named.certain else None
+
     def newest_version(self, model: str) -> int:
         """The newest version that was named; 0 when none was."""
+        named = self._newest(model)
+        return named.number if named else 0
+
+    def _newest(self, model: str) -> NamedVersion | None:
         named = self._versions.get(model)
-        return named[-1].number if named else 0
+        return named[-1] if named else None
 
     def least_version(self, model: str, within: float, now: float) -> int:
         """The version that a request may begin on at least; 0 for any.
--- a/packages/wasabideck_policy/wasabideck_policy/declarations.py
+++ b/packages/wasabideck_policy/wasabideck_policy/declarations.py
@@ -6,7 +6,13 @@
 
 from attrs import define, field, frozen
 
-__all__ = ["CONFIGURATION", "Declaration", "Declarations", "weights_key"]
+__all__ = [
+    "CONFIGURATION",
+    "Declaration",
+    "Declarations",
+    "weights_key",
+    "weights_model",
+]
 
 # What the operators' configuration touches.
 CONFIGURATION = "configuration"
@@ -17,6 +23,11 @@
     return f"weights/{model}"
 
 
+def weights_model(key: str) -> str:
+    """The model whose weights a key of ``weights_key`` touches."""
+    return key.partition("/")[2]
+
+
 @frozen
 class Declaration:
     """The whole new state of one touched thing, as it was declared.
@@ -27,11 +38,14 @@
         Larger numbers replace smaller ones of the same key.
     content : bytes
         The declaration as the operator wrote it.
+    age : float or None
+        Seconds since it was declared, when whoever told of it could say.
     """
 
     key: str
     number: int
     content: bytes
+    age: float | None = field(default=None, eq=False)
 
 
 @define
--- a/tests/beliefs/test_believer.py
+++ b/tests/beliefs/test_believer.py
@@ -11,6 +11,7 @@
 from wasabideck_base.events import Clock, Events
 from wasabideck_base.node import NodeSettings, StoreSettings
 from wasabideck_base.rows import Row
+from wasabideck_policy.declarations import Declaration, weights_key
 from wasabideck_policy.membership import ENTRY, Member
 
 MARGIN = 0.7
@@ -71,6 +72,56 @@
     assert due(believer, clock) == 2
 
 
+def test_a_version_named_after_a_restart_has_its_whole_time(believer, clock):
+    # Entries are stopped and started in turn while a version is named. Each that had
+    # started less than three seconds before refused all drafts for seven seconds, as it
+    # took the version for one that had been named long ago.
+    believer._whole_operators([])
+    clock[0] += 1.0
+    name_version(believer, 2)
+    clock[0] += 7.0
+    assert due(believer, clock) == 0
+    clock[0] += 0.5
+    assert due(believer, clock) == 2
+
+
+def declared(number, age=None):
+    content = b'{"model":"m","version":%d}' % number
+    return Declaration(weights_key("m"), number, content, age)
+
+
+def test_a_peer_tells_a_restarted_process_when_a_version_was_named(believer, clock):
+    # An entry starts again two seconds after a version was named. The store tells no
+    # times, and the entry refused all drafts until the version was in force.
+    clock[0] += 0.2
+    name_version(believer, 2)
+    asked = believer.hearsay._question().entries
+    assert [entry.ticket for entry in asked if entry.slot == "declared"] == [1]
+    believer.hearsay.merge([declared(2, age=2.2)], "peer")
+    clock[0] += 5.0
+    assert due(believer, clock) == 0
+    clock[0] += 0.2
+    assert due(believer, clock) == 2
+
+
+def test_a_guess_is_told_to_nobody(believer, clock):
+    # All entries start again together. Were one's guess another's knowledge, nobody
+    # would know any more that it was a guess.
+    clock[0] += 0.2
+    name_version(believer, 2)
+    assert believer.hearsay._entry(declared(2)).age_ms == 0
+    believer.hearsay.merge([declared(2, age=2.2)], "peer")
+    assert believer.hearsay._entry(declared(2)).age_ms == 2200
+
+
+def test_nobody_is_asked_for_times_for_ever(believer, clock):
+    clock[0] += 0.2
+    name_version(believer, 2)
+    assert believer._unsure(weights_key("m"))
+    clock[0] += believer.cfg.bounds.stable
+    assert not believer._unsure(weights_key("m"))
+
+
 def test_rows_of_other_writers_change_nothing(believer):
     rows = [Row("servers", "i-1", b"\xff", 5), Row("servers", "i-2", b"{}", 6)]
     believer._took_servers(rows)
