Tell ages of overtaken versions as well

An entry that started again after version 3 was named learnt its age, and knew nothing of version 2, named two seconds earlier: it sent drafts to version 1 until version 3 was due.

Change: entries tell the ages of the newest version and of all whose time is not over, each apart from the declaration; one of them that is a guess, and nothing is told.

Tests: test_believer.py, two more; the first fails on the commit before.

--- a/packages/wasabideck_base/wasabideck_base/believer.py
+++ b/packages/wasabideck_base/wasabideck_base/believer.py
@@ -98,7 +98,7 @@
             frozenset([self.servers.table] if followed else []),
             seeds=self.cfg.inner_seeds(),
             asked="" if self._is_entry else ENTRY,
-            ages=Ages(self._age_of, self._unsure, self._heard_age),
+            ages=Ages(self._ages_of, self._unsure, self._heard_age),
         )
 
     @property
@@ -203,8 +203,6 @@
         took everything heard in its first seconds for overdue refused all drafts for
         seven seconds, once for each entry of a rolling restart beside a rollout.
         """
-        if declaration.age is not None:
-            return now - declaration.age, True
         if source == STORE and self._read_operators:
             return now, True
         bounds = self.cfg.bounds
@@ -215,10 +213,11 @@
         # the process counts as calm: what is sent by then may begin a little later.
         return self.beliefs.began - bounds.version + bounds.stable / 2, False
 
-    def _age_of(self, key: str) -> float | None:
+    def _ages_of(self, key: str) -> dict[int, float]:
         if key == CONFIGURATION:
-            return None
-        return self.beliefs.version_age(weights_model(key), self.clock())
+            return {}
+        within, now = self.cfg.bounds.version, self.clock()
+        return self.beliefs.version_ages(weights_model(key), within, now)
 
     def _unsure(self, key: str) -> bool:
         # Later the guess is over, whoever was asked.
@@ -226,14 +225,11 @@
         known = key != CONFIGURATION and self.beliefs.undated(weights_model(key))
         return young and known
 
-    def _heard_age(self, declaration: Declaration) -> None:
-        """Take in a peer's word on when a version was named that is known here."""
-        if declaration.key == CONFIGURATION:
-            return
-        model, number = weights_model(declaration.key), declaration.number
-        since = self.clock() - declaration.age
-        if self.beliefs.date_version(model, number, since):
-            self.events.emit("version.dated", version=number, age=declaration.age)
+    def _heard_age(self, key: str, number: int, age: float) -> None:
+        """Take in a peer's word on when a version was named."""
+        since = self.clock() - age
+        if self.beliefs.date_version(weights_model(key), number, since):
+            self.events.emit("version.dated", version=number, age=age)
 
     # The servers' entries
 
--- a/packages/wasabideck_base/wasabideck_base/hearsay.py
+++ b/packages/wasabideck_base/wasabideck_base/hearsay.py
@@ -25,6 +25,7 @@
 
 # What an entry of the inner protocol's message tells of.
 DECLARED = "declared"
+NAMED = "named"
 TABLE = "table"
 ROW = "row"
 GONE = "gone"
@@ -53,16 +54,16 @@
     Attributes
     ----------
     of : callable
-        Seconds since the newest declaration of a key; None when not known.
+        Seconds since declarations of a key, by number; empty when not known.
     unsure : callable
         Whether a key's newest declaration is known, and its time is only guessed.
     heard : callable
-        Given a known declaration whose age a peer tells.
+        Given a key, a number and an age that a peer tells.
     """
 
-    of: Callable[[str], float | None] = lambda key: None
+    of: Callable[[str], dict[int, float]] = lambda key: {}
     unsure: Callable[[str], bool] = lambda key: False
-    heard: Callable[[Declaration], None] = lambda declaration: None
+    heard: Callable[[str, int, float], None] = lambda key, number, age: None
 
 
 @define
@@ -107,11 +108,7 @@
 
     def merge(self, found: Iterable[Declaration], source: str) -> None:
         """Take declarations in, and tell of those that are newer."""
-        found = list(found)
         newer = self.declarations.merge(found)
-        for declaration in found:
-            if declaration.age is not None and declaration not in newer:
-                self.ages.heard(declaration)
         for declaration in newer:
             self.events.emit(
                 "declaration.seen",
@@ -139,7 +136,7 @@
             return
         if reply.heard:
             self.heard_at = self.clock()
-        self.merge(_declared(reply.entries), address)
+        self._hear(reply.entries, address)
         self._hear_crashes(reply.quarantined)
         for entry in reply.entries:
             if entry.slot == TABLE and entry.scope in self.tables:
@@ -157,7 +154,7 @@
         entries = {m.vm for m in members if m.kind == ENTRY} | {self.me.vm}
         if self.me.vm not in rank(self.me.region, entries)[:TELLERS]:
             return
-        entries = [self._entry(d) for d in declarations]
+        entries = self._entries(declarations)
         req = pb.SyncRequest(vm=self.me.vm, entries=entries)
         agents = [m.address for m in members if m.kind == AGENT]
         await asyncio.gather(*(self._push(address, req) for address in agents))
@@ -173,9 +170,9 @@
     def answer(self, req: pb.SyncRequest) -> pb.SyncReply:
         """What a peer lacks of what is known here."""
         theirs = {e.scope: e.ticket for e in req.entries if e.slot == DECLARED}
-        self.merge(_declared(req.entries), req.vm)
+        self._hear(req.entries, req.vm)
         self._hear_crashes(req.quarantined)
-        entries = [self._entry(d) for d in self.declarations.newer_than(theirs)]
+        entries = self._entries(self.declarations.newer_than(theirs))
         for entry in req.entries:
             watch = self.tables.get(entry.scope) if entry.slot == TABLE else None
             if watch is None or watch.newest <= entry.ticket:
@@ -189,6 +186,12 @@
             quarantined=self._crashes(),
         )
 
+    def _hear(self, entries: Iterable[pb.Entry], source: str) -> None:
+        self.merge(_declared(entries), source)
+        for entry in entries:
+            if entry.slot == NAMED:
+                self.ages.heard(entry.scope, entry.ticket, entry.age_ms / 1000)
+
     def _crashes(self) -> list[pb.Quarantined]:
         told = crashes_to(self.quarantine, self.events.wall())
         return sorted(told, key=lambda crash: crash.until)[-MOST_CRASHES_TOLD:]
@@ -221,15 +224,17 @@
         # Without the newest one it tells that once more, and since when it holds.
         return number - 1 if self.ages.unsure(key) else number
 
-    def _entry(self, declaration: Declaration) -> pb.Entry:
-        age = self.ages.of(declaration.key)
-        return pb.Entry(
-            scope=declaration.key,
-            slot=DECLARED,
-            ticket=declaration.number,
-            change=declaration.content,
-            age_ms=0 if age is None else max(1, int(age * 1000)),
-        )
+    def _entries(self, declarations: Iterable[Declaration]) -> list[pb.Entry]:
+        """Declarations, and since when they hold where that is known."""
+        entries = []
+        for declaration in declarations:
+            key = declaration.key
+            entries.append(_entry(declaration))
+            entries += [
+                pb.Entry(scope=key, slot=NAMED, ticket=number, age_ms=int(age * 1000))
+                for number, age in self.ages.of(key).items()
+            ]
+        return entries
 
     def _draw(self, now: float) -> str | None:
         others = [
@@ -250,6 +255,15 @@
         return self.rng.choice(sorted(open_ones))
 
 
+def _entry(declaration: Declaration) -> pb.Entry:
+    return pb.Entry(
+        scope=declaration.key,
+        slot=DECLARED,
+        ticket=declaration.number,
+        change=declaration.content,
+    )
+
+
 def _row_entry(row: Row) -> pb.Entry:
     return pb.Entry(
         scope=f"{row.table}/{row.key}",
@@ -277,12 +291,7 @@
 def _declared(entries: Iterable[pb.Entry]) -> list[Declaration]:
     """Declarations with their content; a question has the numbers only."""
     return [
-        Declaration(
-            entry.scope,
-            entry.ticket,
-            entry.change,
-            entry.age_ms / 1000 if entry.age_ms else None,
-        )
+        Declaration(entry.scope, entry.ticket, entry.change)
         for entry in entries
         if entry.slot == DECLARED and entry.change
     ]
--- a/packages/wasabideck_policy/wasabideck_policy/beliefs.py
+++ b/packages/wasabideck_policy/wasabideck_policy/beliefs.py
@@ -76,11 +76,20 @@
         return True
 
     def date_version(self, model: str, number: int, since: float) -> bool:
-        """Take in when the newest version was named; whether that was not known."""
-        named = self._newest(model)
-        if named is None or named.number != number or named.certain:
+        """Take in when a version was named; whether that was not known.
+
+        Also of one that the newest has overtaken, and that a process which began later
+        never heard of: its time goes on, and what is older may not be begun after it.
+        """
+        versions = self._versions.setdefault(model, [])
+        known = next((v for v in versions if v.number == number), None)
+        if known is None:
+            versions.append(NamedVersion(number, since))
+            versions.sort(key=lambda named: named.number)
+            return True
+        if known.certain:
             return False
-        named.since, named.certain = since, True
+        known.since, known.certain = since, True
         return True
 
     def undated(self, model: str) -> bool:
@@ -88,10 +97,19 @@
         named = self._newest(model)
         return named is not None and not named.certain
 
-    def version_age(self, model: str, now: float) -> float | None:
-        """Seconds since the newest version was named; None when not known."""
-        named = self._newest(model)
-        return now - named.since if named is not None and named.certain else None
+    def version_ages(self, model: str, within: float, now: float) -> dict[int, float]:
+        """Seconds since versions were named: the newest, and all within some seconds.
+
+        Nothing while one of them is a guess: whoever is told has to know of all.
+        """
+        versions = self._versions.get(model, [])
+        if not all(named.certain for named in versions):
+            return {}
+        return {
+            named.number: now - named.since
+            for named in versions
+            if named is versions[-1] or now - named.since < within
+        }
 
     def newest_version(self, model: str) -> int:
         """The newest version that was named; 0 when none was."""
--- a/packages/wasabideck_policy/wasabideck_policy/declarations.py
+++ b/packages/wasabideck_policy/wasabideck_policy/declarations.py
@@ -38,14 +38,11 @@
         Larger numbers replace smaller ones of the same key.
     content : bytes
         The declaration as the operator wrote it.
-    age : float or None
-        Seconds since it was declared, when whoever told of it could say.
     """
 
     key: str
     number: int
     content: bytes
-    age: float | None = field(default=None, eq=False)
 
 
 @define
--- a/tests/beliefs/test_believer.py
+++ b/tests/beliefs/test_believer.py
@@ -13,6 +13,7 @@
 from wasabideck_base.rows import Row
 from wasabideck_policy.declarations import Declaration, weights_key
 from wasabideck_policy.membership import ENTRY, Member
+from wasabideck_wire import inner_pb2 as pb
 
 MARGIN = 0.7
 
@@ -85,9 +86,20 @@
     assert due(believer, clock) == 2
 
 
-def declared(number, age=None):
-    content = b'{"model":"m","version":%d}' % number
-    return Declaration(weights_key("m"), number, content, age)
+def told(*named):
+    """What a peer tells of versions: numbers, and ages in seconds."""
+    key = weights_key("m")
+    return [
+        pb.Entry(scope=key, slot="named", ticket=number, age_ms=int(age * 1000))
+        for number, age in named
+    ]
+
+
+def tells(believer):
+    """Ages in seconds that a peer would be told, by number."""
+    key = weights_key("m")
+    entries = believer.hearsay._entries([Declaration(key, 9, b"{}")])
+    return {e.ticket: e.age_ms / 1000 for e in entries if e.slot == "named"}
 
 
 def test_a_peer_tells_a_restarted_process_when_a_version_was_named(believer, clock):
@@ -97,7 +109,7 @@
     name_version(believer, 2)
     asked = believer.hearsay._question().entries
     assert [entry.ticket for entry in asked if entry.slot == "declared"] == [1]
-    believer.hearsay.merge([declared(2, age=2.2)], "peer")
+    believer.hearsay._hear(told((2, 2.2)), "peer")
     clock[0] += 5.0
     assert due(believer, clock) == 0
     clock[0] += 0.2
@@ -109,9 +121,37 @@
     # would know any more that it was a guess.
     clock[0] += 0.2
     name_version(believer, 2)
-    assert believer.hearsay._entry(declared(2)).age_ms == 0
-    believer.hearsay.merge([declared(2, age=2.2)], "peer")
-    assert believer.hearsay._entry(declared(2)).age_ms == 2200
+    assert tells(believer) == {}
+    believer.hearsay._hear(told((2, 2.2)), "peer")
+    assert tells(believer) == {2: pytest.approx(2.2)}
+
+
+def test_a_restarted_process_hears_of_a_version_that_was_overtaken(believer, clock):
+    # Version 3 is named two seconds after version 2, and an entry starts again. The
+    # store tells of the newest only: the entry knew when version 3 was named, and sent
+    # drafts to version 1 two seconds after the time of version 2 was over.
+    clock[0] += 0.2
+    name_version(believer, 3)
+    believer.hearsay._hear(told((2, 4.0), (3, 2.0)), "peer")
+    assert due(believer, clock) == 0
+    assert tells(believer) == {2: pytest.approx(4.0), 3: pytest.approx(2.0)}
+    clock[0] += 3.4
+    assert due(believer, clock) == 2
+    clock[0] += 2.0
+    assert due(believer, clock) == 3
+
+
+def test_who_lacks_an_overtaken_version_tells_no_ages(believer, clock):
+    # An entry guesses at version 2, and sees version 3 named. Told of version 3 alone,
+    # another one would take itself to know of all that is due.
+    clock[0] += 0.2
+    name_version(believer, 2)
+    believer._whole_operators([])
+    name_version(believer, 3)
+    assert tells(believer) == {}
+    assert due(believer, clock) == 0
+    clock[0] += 1.0
+    assert due(believer, clock) == 2
 
 
 def test_nobody_is_asked_for_times_for_ever(believer, clock):
