--- a/packages/wasabideck_base/wasabideck_base/node_process.py
+++ b/packages/wasabideck_base/wasabideck_base/node_process.py
@@ -39,8 +39,8 @@
 # Bytes of one answer of the inner protocol that may be under way. Chunks leave a VM
 # over the link that carries its server's streams, and what is under way waits in that
 # link's queue, with the streams' events behind it. With whole chunks of 24 KB under way
-# 46 in 100 of the drafts begun during a rollout had an event over 120 ms late, with
-# 4 KB 6 to 10 in 100. It also follows the link's real rate, whatever its nominal one.
+# 43 and 46 in 100 of the drafts begun during a rollout had an event over 120 ms late,
+# with 4 KB 1 to 5 in 100. It also follows a link's real rate, whatever the nominal one.
 ANSWER_WINDOW = 4096
 # Ports of the metrics; two programs on one VM need two.
 METRICS_PORTS = {ENTRY: 9464, AGENT: 9465}
