Say in a request's line which weights it was sent to, and how long they had

The lines of requests that were begun on weights that were over named the server alone. Whether an entry took the server for one with newer weights, or sent to it with too little time left, could only be guessed from the times at which entries had heard of the version. `request.ended` now has `weights`, the version that the last server was taken to hold, and `over_in`, the seconds that were left for beginning on it by this process's own count. Nothing that decides has changed.

--- a/packages/wasabideck_forward/wasabideck_forward/exchange.py
+++ b/packages/wasabideck_forward/wasabideck_forward/exchange.py
@@ -51,6 +51,10 @@
         Its class of urgency at the engine.
     first_seconds : float or None
         How long its stream's first event took.
+    weights : int
+        Version that its server was taken to hold when it was last sent; 0 for none.
+    over_in : float or None
+        Seconds for which that version might still be begun then; None without end.
     delivered : Delivered
         What the caller has of the answer so far.
     """
@@ -71,4 +75,6 @@
     waited: bool = False
     urgency: int | None = None
     first_seconds: float | None = None
+    weights: int = 0
+    over_in: float | None = None
     delivered: Delivered = field(factory=Delivered)
--- a/packages/wasabideck_forward/wasabideck_forward/forwarder.py
+++ b/packages/wasabideck_forward/wasabideck_forward/forwarder.py
@@ -250,6 +250,7 @@
             conn = await self.pool.take(backend, exchange.route.idempotent)
             answer = Answer(exchange.req.head.request, exchange.req.method == b"HEAD")
             was_uncertain, exchange.uncertain = exchange.uncertain, True
+            self._note_weights(exchange, backend)
             conn.send(self._message(exchange, backend), answer)
             head = await head_of(exchange, answer, backend, self.clock)
             self._learn(exchange, backend, head)
@@ -286,6 +287,16 @@
         )
         return self.wire.write_request(exchange.req, sending) + exchange.req.body
 
+    def _note_weights(self, exchange: Exchange, backend: Backend) -> None:
+        """Keep for the log what was believed of the server's weights at sending."""
+        if exchange.engine is None:
+            return
+        model, now = exchange.engine.model, self.clock()
+        held = backend.holds(model, exchange.engine.layers, now)
+        over_at = self.beliefs.over_at(model, held, self.bounds.version_seconds)
+        exchange.weights = held
+        exchange.over_in = None if over_at is None else over_at - now
+
     def _learn(self, exchange: Exchange, backend: Backend, head: AnswerHead) -> None:
         now = self.clock()
         if head.load is not None:
@@ -390,6 +401,8 @@
             route=exchange.route.name if exchange else "",
             first=_rounded(exchange.first_seconds) if exchange else None,
             urgency=exchange.urgency if exchange else None,
+            weights=exchange.weights if exchange else 0,
+            over_in=_rounded(exchange.over_in) if exchange else None,
             configuration=cfg.number if cfg else 0,
             **more,
         )
--- a/packages/wasabideck_policy/wasabideck_policy/beliefs.py
+++ b/packages/wasabideck_policy/wasabideck_policy/beliefs.py
@@ -136,3 +136,15 @@
             if now - named.since >= within
         )
         return max(due, default=0)
+
+    def over_at(self, model: str, version: int, within: float) -> float | None:
+        """When a version may not be begun any more, seconds; None while none is newer.
+
+        Parameters
+        ----------
+        within : float
+            Seconds that servers have to come to a named version.
+        """
+        newer = (v.since for v in self._versions.get(model, ()) if v.number > version)
+        first = min(newer, default=None)
+        return None if first is None else first + within
--- a/tests/forward/conftest.py
+++ b/tests/forward/conftest.py
@@ -13,11 +13,12 @@
 from wasabideck_forward.crash_watch import CrashWatch
 from wasabideck_forward.forwarder import Bounds, Forwarder
 from wasabideck_forward.server_pool import ServerPool
-from wasabideck_policy.backends import Listed
+from wasabideck_policy.backends import Listed, Loaded
 from wasabideck_policy.beliefs import Beliefs
 from wasabideck_policy.configuration import (
     CallerLimits,
     Configuration,
+    EngineModel,
     Kind,
     Organisation,
     Route,
@@ -31,12 +32,22 @@
     return Route("r", "h.example", prefix, kind, shares=(("s", 1.0),), **given)
 
 
-def configuration(*routes, number=1, limits=None, keys=None):
+ENGINE = EngineModel(
+    "m", slots=8, step=0.008, step_per_request=0.0, read_rate=30000.0, layers=4
+)
+
+
+def loaded(version):
+    """Layers that a server with a version whole is listed with."""
+    return (Loaded(ENGINE.model, version, 0, ENGINE.layers),)
+
+
+def configuration(*routes, number=1, limits=None, keys=None, engine=None):
     ordered = tuple(sorted(routes, key=lambda r: -len(r.prefix)))
     return Configuration(
         number,
         {"h.example": ordered},
-        {"s": Service("s")},
+        {"s": Service("s", engine=engine)},
         limits or CallerLimits(),
         keys,
     )
