--- a/tests/beliefs/test_believer.py
+++ b/tests/beliefs/test_believer.py
@@ -10,7 +10,7 @@
 from wasabideck_base.channels import Channels
 from wasabideck_base.events import Clock, Events
 from wasabideck_base.node import NodeSettings, StoreSettings
-from wasabideck_base.rows import Row
+from wasabideck_base.rows import Changes, Row
 from wasabideck_policy.declarations import Declaration, weights_key
 from wasabideck_policy.membership import ENTRY, Member
 from wasabideck_wire import inner_pb2 as pb
@@ -154,6 +154,94 @@
     assert due(believer, clock) == 2
 
 
+def test_who_hears_late_of_a_version_takes_the_age_of_who_heard_in_time(
+    believer, clock
+):
+    # Two entries hear of version 2 from the store, one of them 0.9 s later: its process
+    # stood still, or its watch had gone silent. Each took the time at which it heard
+    # for certain, and the later one sent drafts to version 1 for 0.9 s too long.
+    clock[0] += 60.0
+    believer._whole_operators([])
+    name_version(believer, 2)
+    believer.hearsay._hear(told((2, 0.9)), "peer")
+    clock[0] += 6.3
+    assert due(believer, clock) == 0
+    clock[0] += 0.1
+    assert due(believer, clock) == 2
+    believer.hearsay._hear(told((2, 1.0)), "who heard later still")
+    assert due(believer, clock) == 2
+
+
+def test_ages_are_told_to_peers_that_lack_nothing(believer, clock):
+    # Both know version 2; without the age in questions and answers, nothing would ever
+    # put the later one right.
+    key = weights_key("m")
+    clock[0] += 60.0
+    believer._whole_operators([])
+    name_version(believer, 2)
+    clock[0] += 1.0
+    asked = pb.SyncRequest(entries=[pb.Entry(scope=key, slot="declared", ticket=2)])
+    for entries in (
+        believer.hearsay._question().entries,
+        believer.hearsay.answer(asked).entries,
+    ):
+        ages = [(e.ticket, e.age_ms) for e in entries if e.slot == "named"]
+        assert ages == [(2, 1000)]
+    clock[0] += believer.cfg.bounds.version
+    over = [e for e in believer.hearsay._question().entries if e.slot == "named"]
+    assert over == []
+
+
+def answers_in_turn(believer, clock, *answers):
+    """Have the store answer a whole read and then calls; each at its time."""
+
+    async def answer(*call):
+        clock[0], changes = answers[len(asked)]
+        asked.append(call)
+        return changes
+
+    asked = []
+    believer.store.read = believer.store.follow = answer
+
+    async def run():
+        for _ in answers:
+            await believer.operators.step()
+
+    asyncio.run(run())
+
+
+def operators_row(key, version, number):
+    return Row("op", key, b'{"model":"m","version":%d}' % number, version)
+
+
+def test_a_version_is_as_old_as_it_can_be(believer, clock):
+    # After a change an entry waits 0.4 s before it asks the store for more. A version
+    # that was named meanwhile had its time counted from the answer, and not from when
+    # it may have been named: drafts were begun on the one before for 0.4 s too long.
+    began = clock[0]
+    answers_in_turn(
+        believer,
+        clock,
+        (began + 5.0, Changes((), 1)),
+        (began + 20.0, Changes((operators_row("other", 2, 1),), 2)),
+        (began + 20.45, Changes((operators_row("version/m", 3, 2),), 3)),
+    )
+    assert tells(believer) == {2: pytest.approx(0.45)}
+
+
+def test_a_version_that_the_store_tells_at_once_is_new(believer, clock):
+    # The call hung for 15 s while nothing changed: the version is as old as the answer
+    # takes, and not as old as the last answer.
+    began = clock[0]
+    answers_in_turn(
+        believer,
+        clock,
+        (began + 5.0, Changes((), 1)),
+        (began + 20.0, Changes((operators_row("version/m", 3, 2),), 3)),
+    )
+    assert tells(believer)[2] < 0.2
+
+
 def test_nobody_is_asked_for_times_for_ever(believer, clock):
     clock[0] += 0.2
     name_version(believer, 2)
