Tell ages also after a start together, of what is over, and date what a peer told first

After entries started together, a version from before stayed a guess in all of them, and as long as one is a guess none tells any age: those that heard late stayed late. A version that a peer told, without an age, was never dated by the store's own answer a moment later, which was nothing new; it stayed up to 0.5 s too young. And a version that was known by its age alone woke no agent.

Now the store's answers date each version that they tell, known or not; a guess is none any more once its time is over in any case; the newest version that is over is told with those that run; ages wake agents as declarations do. An answer counts as held back from half a second on, as 40 KB over a full link took 0.3 to 0.4 s: mistaken for held, it left 0.4 s out. Not mended: connections of all entries that fall silent at once, where a version is taken for a second old at the most (docs/design/platform.md).

--- a/packages/wasabideck_base/wasabideck_base/believer.py
+++ b/packages/wasabideck_base/wasabideck_base/believer.py
@@ -157,6 +157,15 @@
             if declaration is not None:
                 found.append(declaration)
         self.hearsay.merge(found, STORE)
+        if self._read_operators:
+            self._date(found)
+
+    def _date(self, declarations: list[Declaration]) -> None:
+        """Bound ages by the store's answer, also of what a peer told before it."""
+        for declaration in declarations:
+            if declaration.key != CONFIGURATION:
+                since = min(self.clock(), self.operators.told_from)
+                self._take_since(declaration.key, declaration.number, since)
 
     def _whole_operators(self, rows: list[Row]) -> None:
         # What the store tells from now on was declared just now.
@@ -189,8 +198,9 @@
 
     def _name_version(self, declaration: Declaration, source: str) -> None:
         model = weights_model(declaration.key)
-        since, certain = self._since(declaration, source, self.clock())
-        if self.beliefs.name_version(model, declaration.number, since, certain):
+        now = self.clock()
+        since, certain = self._since(declaration, source, now)
+        if self.beliefs.name_version(model, declaration.number, since, certain, now):
             self.on_version(model, declaration.number)
 
     def _since(
@@ -204,12 +214,13 @@
         seven seconds, once for each entry of a rolling restart beside a rollout.
         """
         if source == STORE and self._read_operators:
-            # Counted from the answer, a version was up to half a second too young where
-            # it was named in the pause after another change.
-            return min(now, self.operators.told_from), True
+            # Named in the pause after another change, or while the answer was on its
+            # way, a version is older than the answer: see ``_date``.
+            return now, True
         bounds = self.cfg.bounds
         if now - self.beliefs.began >= bounds.stable:
-            # Heard late, by a second or so: near enough here, and not passed on.
+            # Heard late, by a second or so, until a peer or the store tells when it
+            # was named; not passed on.
             return now, False
         # Until a peer tells, it counts as so old that its time ends a good while before
         # the process counts as calm: what is sent by then may begin a little later.
@@ -233,9 +244,18 @@
 
     def _heard_age(self, key: str, number: int, age: float) -> None:
         """Take in a peer's word on when a version was named."""
-        since = self.clock() - age
-        if self.beliefs.date_version(weights_model(key), number, since):
-            self.events.emit("version.dated", version=number, age=age)
+        self._take_since(key, number, self.clock() - age)
+
+    def _take_since(self, key: str, number: int, since: float) -> None:
+        model = weights_model(key)
+        newest = self.beliefs.newest_version(model)
+        if not self.beliefs.date_version(model, number, since):
+            return
+        age = round(self.clock() - since, 3)
+        self.events.emit("version.dated", version=number, age=age)
+        if number > newest:
+            # Its declaration comes as nothing new.
+            self.on_version(model, number)
 
     # The servers' entries
 
--- a/packages/wasabideck_base/wasabideck_base/table_watch.py
+++ b/packages/wasabideck_base/wasabideck_base/table_watch.py
@@ -28,9 +28,11 @@
 # A peer that knows a newer row has had it from an answer that should have come here,
 # too; so long is allowed for it (seconds).
 BEHIND_SECONDS = 0.8
-# An answer that takes longer was held back by the store until something changed: what
-# it tells is as old as its way here, some 10 ms (seconds).
-AT_ONCE_SECONDS = 0.1
+# An answer that takes longer was held back by the store until something changed; over a
+# full link 40 KB took 0.3 to 0.4 s. What it tells is as old as its way here: 10 ms, and
+# ten times that where a link is busy (seconds).
+HELD_SECONDS = 0.5
+WAY_SECONDS = 0.1
 # Pauses between tries while the store gives no answer (seconds). The longest stays
 # under the time in which a change has to be in force after the store's return.
 FIRST_PAUSE = 0.15
@@ -167,8 +169,8 @@
             await asyncio.sleep(self._pause())
             return
         self._answered()
-        if self.heard_at - asked_at > AT_ONCE_SECONDS:
-            lacked_at = self.heard_at - AT_ONCE_SECONDS
+        if self.heard_at - asked_at > HELD_SECONDS:
+            lacked_at = self.heard_at - WAY_SECONDS
         self.told_from = max(lacked_at, self.heard_at - LONGEST_UNHEARD)
         self._take(changes)
         if not changes.rows:
--- a/packages/wasabideck_policy/wasabideck_policy/beliefs.py
+++ b/packages/wasabideck_policy/wasabideck_policy/beliefs.py
@@ -25,11 +25,18 @@
     certain : bool
         Whether that is when it was named, and not a guess of a process that began
         later.
+    heard_at : float
+        When this process heard of it: it was named before.
     """
 
     number: int
     since: float
     certain: bool = True
+    heard_at: float = float("-inf")
+
+    def age(self, now: float) -> float:
+        """Seconds since it was named, at the least."""
+        return now - (self.since if self.certain else self.heard_at)
 
 
 @define
@@ -66,12 +73,18 @@
         return now - self.heard_at > STALE_SECONDS
 
     def name_version(
-        self, model: str, number: int, since: float, certain: bool = True
+        self,
+        model: str,
+        number: int,
+        since: float,
+        certain: bool = True,
+        heard_at: float | None = None,
     ) -> bool:
         """Take in a named version; whether it is newer than the known one."""
         if number <= self.newest_version(model):
             return False
-        named = NamedVersion(number, since, certain)
+        heard_at = since if heard_at is None else heard_at
+        named = NamedVersion(number, since, certain, heard_at)
         self._versions.setdefault(model, []).append(named)
         return True
 
@@ -101,18 +114,25 @@
         return named is not None and not named.certain
 
     def version_ages(self, model: str, within: float, now: float) -> dict[int, float]:
-        """Seconds since versions were named: the newest, and all within some seconds.
+        """Seconds since versions were named, from the newest one that is over.
+
+        Parameters
+        ----------
+        within : float
+            Seconds after which a version's time is over.
 
-        Nothing while one of them is a guess: whoever is told has to know of all.
+        Returns
+        -------
+        ages : dict of int to float
+            Nothing while the time of one that is not over is a guess: whoever is told
+            has to know of all.
         """
         versions = self._versions.get(model, [])
-        if not all(named.certain for named in versions):
+        over = [v.number for v in versions if v.age(now) >= within]
+        told = [v for v in versions if v.number >= max(over, default=0)]
+        if not all(v.certain or v.age(now) >= within for v in told):
             return {}
-        return {
-            named.number: now - named.since
-            for named in versions
-            if named is versions[-1] or now - named.since < within
-        }
+        return {v.number: v.age(now) for v in told}
 
     def newest_version(self, model: str) -> int:
         """The newest version that was named; 0 when none was."""
