Keep nothing of what peers tell of servers before the first own read

An entry that starts while the store turns it away asks peers, and was told of servers. Rows are now taken from peers only beside a first read of the store's; the peer tells them again with the next answer. The test fails without it.

--- a/packages/wasabideck_base/wasabideck_base/table_watch.py
+++ b/packages/wasabideck_base/wasabideck_base/table_watch.py
@@ -119,10 +119,13 @@
         While the store turns this process away, or a connection to it is silent, a
         server that leaves is known here a second later, and not when the call ends.
         """
+        if self.version < 0:
+            # Kept now and acted on later, they would be nothing new to the first read.
+            return
         newer = [row for row in rows if row.version > self._known(row.key)]
         for row in newer:
             self._rows[row.key] = row
-        if newer and self.version >= 0:
+        if newer:
             self.events.emit("rows.heard", table=self.table, rows=len(newer))
             self.took(newer)
 
--- a/tests/beliefs/test_table_watch.py
+++ b/tests/beliefs/test_table_watch.py
@@ -186,3 +186,15 @@
 
     asyncio.run(run())
     assert store.calls == ["read", ("follow", 1), ("follow", 2), "read", ("follow", 6)]
+
+
+def test_what_a_peer_told_before_the_first_read_is_taken_from_the_store(seen, clock):
+    # An entry starts while the store turns it away, and a peer tells of servers. They
+    # were kept as known and not acted on; when the store answered they were nothing
+    # new, and the entry had no server until their rows changed.
+    store = ScriptedStore(Changes((row("a", 3),), 5))
+    watch = watch_of(store, seen, clock)
+    watch.hear([row("a", 3)])
+    assert seen.took == []
+    asyncio.run(steps(watch, 1))
+    assert seen.took == [("a", False)]
