Tell entries neither a swap as ended before it began nor a version of 0

Since entries take back what waits for weights that are over, a wrong word of an agent costs requests that wait at a sound server.

The swap counts from the order's acceptance, the word after it says that the engine is busy, and nothing is told while the model is not known: a silent agent's server is judged by the list and by its own answers.

--- a/packages/wasabideck_agent/wasabideck_agent/news_loop.py
+++ b/packages/wasabideck_agent/wasabideck_agent/news_loop.py
@@ -34,13 +34,13 @@
     Attributes
     ----------
     describe : callable
-        The version held, whether new requests are taken, seconds until the newest
-        version is served, and its number, for an engine's state.
+        The version begun on, whether new requests are taken, seconds until the newest
+        version is served, and its number, for an engine's state; None to tell nothing.
     """
 
     process: NodeProcess
     engine: Engine
-    describe: Callable[[EngineState], tuple[int, bool, float, int]]
+    describe: Callable[[EngineState], tuple[int, bool, float, int] | None]
     sender: EngineNewsSender = field(factory=EngineNewsSender)
     _last: EngineNews | None = None
     _looks: int = 0
@@ -61,7 +61,10 @@
 
     def tell(self, state: EngineState) -> None:
         """Tell of a state: those near by always, the others now and then."""
-        version, serving, ready_in, named = self.describe(state)
+        described = self.describe(state)
+        if described is None:
+            return
+        version, serving, ready_in, named = described
         news = EngineNews(
             self.process.cfg.server_address,
             version,
--- a/packages/wasabideck_agent/wasabideck_agent/node_agent.py
+++ b/packages/wasabideck_agent/wasabideck_agent/node_agent.py
@@ -7,7 +7,7 @@
 import time
 from collections.abc import Callable
 
-from attrs import define, field
+from attrs import define, evolve, field
 from wasabideck_base.deployment import Deployment
 from wasabideck_base.events import Events
 from wasabideck_base.node import NodeSettings
@@ -201,15 +201,17 @@
             wall = time.time()
             self.deliveries.in_force(model.model, held, manifest, state.born, wall)
 
-    def describe(self, state: EngineState) -> tuple[int, bool, float, int]:
+    def describe(self, state: EngineState) -> tuple[int, bool, float, int] | None:
         """What entries are told: version begun on, serving, ready in, newest named.
 
-        While an order is in progress what waits begins on the version that it loads:
-        entries would otherwise take it back from there.
+        Nothing while the model is not known: the word that no version is held would
+        have entries take back what waits at a sound server. While an order is in
+        progress what waits begins on the version that it loads: entries would
+        otherwise take it back from there.
         """
         model = self._model()
         if model is None:
-            return 0, False, 0.0, 0
+            return None
         named = self._named(model)
         self._notice(model, state)
         held = _held(state, model)
@@ -373,8 +375,10 @@
             self._swapping_since = None
             await asyncio.sleep(RETRY_SECONDS)
             return
+        # From now on: an order may take longer to be accepted than a swap seems to.
+        self._swapping_since = self.process.clock()
         self._ordered = (version, state.born)
-        self.tell(state)
+        self.tell(evolve(state, busy=True))
 
     def _transfer(self, manifest: Manifest) -> Transfer:
         cfg = self.process.cfg
--- a/tests/adapter/test_agent.py
+++ b/tests/adapter/test_agent.py
@@ -14,6 +14,7 @@
 from wasabideck_agent.delivery_book import DeliveryBook
 from wasabideck_agent.links import Link, Links
 from wasabideck_agent.listed_peers import ListedPeers
+from wasabideck_agent.news_loop import NewsLoop
 from wasabideck_agent.node_agent import NodeAgent
 from wasabideck_agent.staging import Staging
 from wasabideck_base.channels import Channels
@@ -317,6 +318,37 @@
     assert agent.describe(again)[:2] == (0, False)
 
 
+def test_an_order_that_is_slow_to_be_accepted_ends_no_swap(agent, engine):
+    # An engine takes 0.2 s to accept an order. The state from before it looked as if
+    # the swap were over: entries were told that version 1 was served, in the middle of
+    # the swap, sent there, and took all of it back when version 1 was over.
+    steps(agent, holds(engine, 1))
+    told = []
+    agent.tell = lambda state: told.append(agent.describe(state)[:2])
+    accept = engine.load
+
+    async def slowly(model, version, queue):
+        agent.process.time[0] += 0.2
+        return await accept(model, version, queue)
+
+    engine.load = slowly
+    agent.process.believer.beliefs.name_version("m", 2, 0.0)
+    steps(agent, lambda: engine.loading is not None)
+    assert told == [(1, False), (2, False)]
+
+
+def test_nothing_is_told_of_an_engine_whose_model_is_not_known_yet(agent):
+    # An agent starts again, and its first word came before the configuration did: no
+    # version held. Entries took back everything that waited at a sound server.
+    agent.process.believer.beliefs.configuration = None
+    sent = []
+    news = NewsLoop(agent.process, agent.engine, agent.describe)
+    news.sender = SimpleNamespace(send=lambda news, addresses: sent.append(news))
+    loaded = EngineState((Loaded("m", 2, 0, 4),), busy=False, born=1)
+    news.tell(loaded)
+    assert sent == []
+
+
 def test_the_link_is_used_for_the_newest_while_an_older_one_is_loaded(
     agent, engine, origin
 ):
