Look at a server's leaving once more when the connection to it is there

A server was chosen, a connection to it was made in up to 0.3 s, and the request went out without another look, also when word had come meanwhile that the server leaves or is gone. A removal that is held for 1.2 s, after up to 0.8 s of hearing, so reached 2.3 s, where 2.0 are allowed.

Now the server is looked up once more before anything is sent; one that left counts as not reached, which is true, and another server gets the request, also one that may run once. The test's two cases fail without it.

--- a/packages/wasabideck_forward/wasabideck_forward/forwarder.py
+++ b/packages/wasabideck_forward/wasabideck_forward/forwarder.py
@@ -273,6 +273,10 @@
         sent = exchange.engine and Sent(answer, backend, exchange.engine)
         try:
             conn = await self.pool.take(backend, exchange.route.idempotent)
+            # A connection takes up to 0.3 s to make, and word of a server that leaves
+            # may come meanwhile: what reached it then came too late.
+            if not self.beliefs.backends.may_get(backend.server, self.clock()):
+                raise Unreachable(backend.server, "it left meanwhile")
             was_uncertain, exchange.uncertain = exchange.uncertain, True
             self._note_weights(exchange, backend)
             conn.send(self._message(exchange, backend), answer)
--- a/packages/wasabideck_policy/wasabideck_policy/backends.py
+++ b/packages/wasabideck_policy/wasabideck_policy/backends.py
@@ -158,6 +158,12 @@
             if b.listed.service == service and not b.listed.leaving
         ]
 
+    def may_get(self, server: str, now: float) -> bool:
+        """Whether a server may still get new requests now."""
+        self._drop_removed(now)
+        known = self._known.get(server)
+        return known is not None and not known.listed.leaving
+
     def at(self, address: str) -> Backend | None:
         """The server at an address, or None."""
         found = (b for b in self._known.values() if b.listed.address == address)
--- a/tests/forward/test_forwarding.py
+++ b/tests/forward/test_forwarding.py
@@ -2,8 +2,10 @@
 
 import asyncio
 import time
+from types import SimpleNamespace
 
 import pytest
+from attrs import evolve
 from wasabideck_policy.backends import Listed
 from wasabideck_policy.configuration import CallerLimits, Kind
 
@@ -189,6 +191,36 @@
     play(scenario)
 
 
+@pytest.mark.parametrize("leaves", ["is leaving", "is gone"])
+def test_nothing_is_sent_to_a_server_that_left_while_it_was_connected_to(play, leaves):
+    # Word that a server leaves comes while a connection to it is made, which takes up
+    # to 0.3 s. The choice had been made before, and was not looked at again: requests
+    # reached it after the time in which a leaving server may still get any.
+    async def scenario():
+        entry = Entry(configuration(route(kind=Kind.UNSAFE)))
+        first = await entry.add_server(answers(b"too late"))
+        await entry.add_server(answers(b"other"))
+        backends = entry.beliefs.backends
+        backends.get("i-1").in_progress = 5
+
+        async def slowly(backend, idempotent):
+            conn = await entry.pool.take(backend, idempotent)
+            if backend.server == "i-0" and leaves == "is gone":
+                backends.remove(["i-0"], asyncio.get_running_loop().time())
+            elif backend.server == "i-0":
+                backends.take(evolve(backend.listed, leaving=True))
+            return conn
+
+        pool = SimpleNamespace(take=slowly, give_back=entry.pool.give_back)
+        entry.forwarder.pool = pool
+        caller = await entry.caller()
+        await caller.ask(method=b"POST", body=b"order")
+        assert (await caller.answer())[::2] == (200, b"other")
+        assert first.requests == []
+
+    play(scenario)
+
+
 def test_a_second_answer_belongs_to_nobody(play):
     # A faulty server answers a request twice. The second answer lies on the kept
     # connection: taken for the next request's, it would give a shop another one's
