Judge what waits at a server by its present entry; ask it for what it holds

A server whose entry lapsed and came back is another object here: its agent's word of the order that it had accepted went to the new one, and what waited there was judged by the old one, taken back, and failed. And a request named the least version that is due, while servers compare it with what they hold exactly: one that holds a newer version already would refuse.

What waits is now judged by the present entry, or by the last one of a server that has left the list and works off what it has (a version is due for ever once it was); and a request names the version that its server is taken to hold.

--- a/packages/wasabideck_forward/wasabideck_forward/forwarder.py
+++ b/packages/wasabideck_forward/wasabideck_forward/forwarder.py
@@ -307,13 +307,16 @@
         left = None
         if exchange.deadline is not None:
             left = max(0.001, exchange.deadline - now - TRAVEL_SECONDS)
-        demand = self._demand(exchange, now)
+        # Servers compare it with what they hold, and one may hold a newer version than
+        # the least one already.
+        least = self._demand(exchange, now).least_version
+        version = max(least, exchange.weights) if least else 0
         sending = Sending(
             server=backend.server,
             left=left,
             organisation=exchange.organisation,
             last_event=exchange.delivered.last_event or exchange.req.head.last_event,
-            version=demand.least_version,
+            version=version,
             priority=exchange.urgency,
         )
         return self.wire.write_request(exchange.req, sending) + exchange.req.body
--- a/packages/wasabideck_forward/wasabideck_forward/recall.py
+++ b/packages/wasabideck_forward/wasabideck_forward/recall.py
@@ -67,10 +67,17 @@
             if sent.answer.begun:
                 self._sent.discard(sent)
                 continue
-            model, layers = sent.engine.model, sent.engine.layers
-            least = self.beliefs.least_version(model, within, now)
-            held = sent.backend.holds(model, layers, now)
+            least = self.beliefs.least_version(sent.engine.model, within, now)
+            held = self._held(sent, now)
             if held < least:
                 self._sent.discard(sent)
                 why = f"{sent.backend.server}: version {held}, {least} is due"
                 sent.answer.fail(Recalled(why))
+
+    def _held(self, sent: Sent, now: float) -> int:
+        """Version that its server begins requests on; 0 for none that is known."""
+        # Listed anew, it is another object, which its agent's word goes to; one that is
+        # not listed any more still works off what it has.
+        listed = self.beliefs.backends.get(sent.backend.server)
+        backend = listed or sent.backend
+        return backend.holds(sent.engine.model, sent.engine.layers, now)
--- a/tests/forward/test_weights.py
+++ b/tests/forward/test_weights.py
@@ -89,6 +89,58 @@
     play(scenario)
 
 
+def test_word_of_a_server_that_was_listed_anew_counts_for_what_waits_there(play):
+    # The server's entry lapsed for a moment and came back. Its agent's word went to the
+    # new entry, and what waited there was judged by the old one and taken back.
+    async def scenario():
+        entry = Entry(configuration(route(**STREAM), engine=ENGINE))
+        await entry.add_server(queues(1.0, [], event(1)), loaded=loaded(1))
+        named_ago(entry, 2, WITHIN - 0.5)
+        caller = await entry.caller()
+        await caller.ask(method=b"POST", body=b"prompt")
+        await asyncio.sleep(0.1)
+        backends = entry.beliefs.backends
+        listed = backends.get("i-0").listed
+        backends.remove(["i-0"], asyncio.get_running_loop().time())
+        backends.take(listed)
+        tells(entry, "i-0", 2, serving=False, ready_in=0.8)
+        assert (await caller.answer())[::2] == (200, event(1))
+
+    play(scenario)
+
+
+def test_what_a_server_that_has_left_the_list_still_works_off_stays_there(play):
+    # A version is due for ever once it was. A server of that version leaves the list
+    # and works its queue off: nothing there is on weights that are over.
+    async def scenario():
+        entry = Entry(configuration(route(**STREAM), engine=ENGINE))
+        await entry.add_server(queues(0.4, [], event(1)), loaded=loaded(2))
+        named_ago(entry, 2, WITHIN + 5.0)
+        caller = await entry.caller()
+        await caller.ask(method=b"POST", body=b"prompt")
+        await asyncio.sleep(0.1)
+        entry.beliefs.backends.remove(["i-0"], asyncio.get_running_loop().time())
+        assert (await caller.answer())[::2] == (200, event(1))
+
+    play(scenario)
+
+
+def test_a_server_is_asked_for_the_version_that_it_holds(play):
+    # Versions 2 and 3 were named two seconds apart, version 2 is due, and a server has
+    # version 3 already. Asked for version 2 exactly, it would refuse.
+    async def scenario():
+        entry = Entry(configuration(route(**STREAM), engine=ENGINE))
+        server = await entry.add_server(streams(event(1)), loaded=loaded(3))
+        named_ago(entry, 2, WITHIN + 0.5)
+        named_ago(entry, 3, WITHIN - 1.5)
+        caller = await entry.caller()
+        await caller.ask(method=b"POST", body=b"prompt")
+        assert (await caller.answer())[0] == 200
+        assert b"X-Expect-Version: 3\r\n" in server.requests[0]
+
+    play(scenario)
+
+
 def test_an_answers_head_is_no_sign_that_a_request_has_begun(play):
     async def head_alone(head, writer):
         await streams(then="hang")(head, writer)
