--- a/packages/wasabideck_base/wasabideck_base/node_process.py
+++ b/packages/wasabideck_base/wasabideck_base/node_process.py
@@ -9,7 +9,7 @@
 import socket
 import sys
 import time
-from collections.abc import AsyncIterator, Callable
+from collections.abc import AsyncIterator, Callable, Coroutine
 from contextlib import asynccontextmanager
 
 import aiohttp
@@ -60,6 +60,21 @@
     stop: asyncio.Event
     on_reload: list[Callable[[NodeSettings], None]] = field(factory=list)
 
+    def keep(self, step: Coroutine) -> asyncio.Task:
+        """Run what has to run for as long as the process does.
+
+        A loop that fails ends the process, which starts anew, whole: what it kept
+        true, such as which requests wait where, would silently be so no more.
+        """
+        task = asyncio.create_task(step)
+        task.add_done_callback(self._ended)
+        return task
+
+    def _ended(self, task: asyncio.Task) -> None:
+        if not task.cancelled() and task.exception() is not None:
+            self.events.emit("loop.failed", why=repr(task.exception()))
+            self.stop.set()
+
 
 def keep_alive_session() -> aiohttp.ClientSession:
     """A client session whose connections do not stay silent unnoticed."""
@@ -107,9 +122,7 @@
         events.listeners.append(metrics.count)
         scrapes = await listen_for_scrapes(metrics, cfg.ip, METRICS_PORTS[kind], events)
         steps = [*believer.loops(), _keep_reloading(process, deployment, reload)]
-        tasks = [asyncio.create_task(step) for step in steps]
-        for task in tasks:
-            task.add_done_callback(lambda done: _ended(done, stop, events))
+        tasks = [process.keep(step) for step in steps]
         events.emit("process.ready", kind=kind, address=cfg.inner_address)
         try:
             yield process
@@ -141,13 +154,6 @@
             listener(process.cfg)
 
 
-def _ended(task: asyncio.Task, stop: asyncio.Event, events: Events) -> None:
-    """End the process when one of its loops failed: it starts anew, whole."""
-    if not task.cancelled() and task.exception() is not None:
-        events.emit("loop.failed", why=repr(task.exception()))
-        stop.set()
-
-
 def _open_log(vm: str) -> Events:
     descriptor = sys.stdout.fileno()
     os.set_blocking(descriptor, False)
--- a/packages/wasabideck_forward/wasabideck_forward/entry_process.py
+++ b/packages/wasabideck_forward/wasabideck_forward/entry_process.py
@@ -69,10 +69,8 @@
         news, _ = await loop.create_datagram_endpoint(
             lambda: EngineNewsListener(self._hear), local_addr=(cfg.ip, cfg.inner_port)
         )
-        sweeping = [
-            loop.create_task(step)
-            for step in (self._keep_sweeping(), self.forwarder.keep_taking_back())
-        ]
+        steps = (self._keep_sweeping(), self.forwarder.keep_taking_back())
+        sweeping = [self.process.keep(step) for step in steps]
         await self.process.stop.wait()
         await self._finish(listeners[0])
         for task in sweeping:
