Don't take a server whose weights are soon over for one that is back at once

Which server is waited for now goes by the version that will be the least one, as the choice does. The test fails without it.

--- a/packages/wasabideck_policy/wasabideck_policy/placement.py
+++ b/packages/wasabideck_policy/wasabideck_policy/placement.py
@@ -131,7 +131,9 @@
 def _back_in(backends: Sequence[Backend], demand: Demand, now: float) -> float | None:
     told = ((b.fresh_news(now), now - b.news_at) for b in backends)
     known = [(news, age) for news, age in told if news is not None]
-    return back_in(known, demand.least_version) if demand.model else None
+    # Nothing may wait for a server whose weights are soon over, also if it serves.
+    newer = max(demand.least_version, demand.soon_version)
+    return back_in(known, newer) if demand.model else None
 
 
 def _full(backend: Backend, demand: Demand, now: float) -> bool:
--- a/tests/beliefs/test_placement.py
+++ b/tests/beliefs/test_placement.py
@@ -49,6 +49,16 @@
     assert place([engine("a", 5)], demand).backend.server == "a"
 
 
+def test_a_server_whose_weights_are_soon_over_is_not_waited_for_as_if_it_were_back():
+    # The only server that serves has a queue, and weights that are soon over: nothing
+    # more may wait there. It counted as back in no time, and each entry looked again
+    # without a pause for up to 1.2 s, until all sent to the first one that seemed idle.
+    demand = Demand("dc", "m", 16, soon_version=2)
+    found = place([engine("a", 15, ready_in=0.8)], demand)
+    assert found.backend is None
+    assert found.back_in == pytest.approx(0.8)
+
+
 def test_one_that_is_not_sent_ahead_waits_behind_the_others():
     behind = Demand("dc", "m", 16, ahead=False)
     assert place([engine("a", 17)], behind).urgency == Urgency.LATE
