Tell ages of a model's versions all together, or none

The new process dated version 3 by a peer's question, which told what runs and not that version 2 was over, took that for all there is to know, and asked nobody any more.

Ages now go out as one set, from the newest version that is over on, for as long as the time of one is not over. The test fails without it.

--- a/packages/wasabideck_base/wasabideck_base/believer.py
+++ b/packages/wasabideck_base/wasabideck_base/believer.py
@@ -233,8 +233,10 @@
         return self.beliefs.version_ages(weights_model(key), within, now)
 
     def _running_ages(self, key: str) -> dict[int, float]:
-        within, ages = self.cfg.bounds.version, self._ages_of(key)
-        return {number: age for number, age in ages.items() if age < within}
+        # All or none: who is told the newest alone takes that for all there is to know.
+        ages = self._ages_of(key)
+        youngest = min(ages.values(), default=float("inf"))
+        return ages if youngest < self.cfg.bounds.version else {}
 
     def _unsure(self, key: str) -> bool:
         # Later the guess is over, whoever was asked.
--- a/packages/wasabideck_base/wasabideck_base/hearsay.py
+++ b/packages/wasabideck_base/wasabideck_base/hearsay.py
@@ -56,7 +56,7 @@
     of : callable
         Seconds since declarations of a key, by number; empty when not known.
     running : callable
-        The same of those alone whose time is not over.
+        The same, empty when the time of all of them is over.
     unsure : callable
         Whether a key's newest declaration is known, and its time is only guessed.
     heard : callable
@@ -241,7 +241,7 @@
         return entries
 
     def _running_ages(self, keys: Iterable[str]) -> list[pb.Entry]:
-        """Ages of what is not over yet, also for who lacks no declaration.
+        """Ages, while a version's time is not over, also for who lacks no declaration.
 
         Whoever heard late, or stood still meanwhile, takes a version for younger than
         it is, and has no other way to know.
--- a/tests/beliefs/test_believer.py
+++ b/tests/beliefs/test_believer.py
@@ -298,6 +298,19 @@
     assert again.least_version("m", 8.0, clock[0]) == 2
 
 
+def test_no_question_tells_of_the_newest_version_alone(believer, clock):
+    # Version 2 is over, version 3 runs, and an entry starts again. A peer's question
+    # reached it before any answer to its own, and told the age of version 3 alone: that
+    # was taken for all there is to know, and drafts went to version 1.
+    clock[0] += 60.0
+    believer._whole_operators([])
+    for number, pause in ((2, 9.0), (3, 2.6)):
+        name_version(believer, number)
+        clock[0] += pause
+    asked = believer.hearsay._question().entries
+    assert {e.ticket for e in asked if e.slot == "named"} == {2, 3}
+
+
 def test_a_version_known_by_its_age_alone_is_acted_on(believer, clock):
     # Ages come with every question, and may tell of a version before its declaration
     # does: an agent that was not woken by it began to fetch half a second later.
