Tests of agents that the origin turns away, and of idle connections to it, which fail

Seen: four of six fail. The agent that the origin turns away raises PlatformUnavailable though its peer has the manifest and all chunks, likewise the two tests of a spoilt manifest told by a peer; a session's idle time cannot be set. Two pass, and guard the mend: the origin's failure stays what is told when no peer knows more, and what an agent has read itself outweighs one other word.

--- /dev/null
+++ b/tests/adapter/test_manifests.py
@@ -0,0 +1,198 @@
+"""An agent that the origin turns away gets a version's manifest from its peers."""
+
+import asyncio
+from contextlib import asynccontextmanager
+
+import pytest
+from attrs import evolve
+from test_agent import CHUNKS, FakeEngine, FakeOrigin, FakeStore, digest, new_agent
+from wasabideck_base.http import PlatformUnavailable
+from wasabideck_base.inner_limits import InnerServer
+from wasabideck_base.node_process import keep_alive_session
+from wasabideck_policy.engine_state import EngineState
+from wasabideck_policy.membership import AGENT, Member
+
+
+class SpoiltOrigin(FakeOrigin):
+    """Names a wrong digest in its manifests, for as long as it is spoilt."""
+
+    spoilt = True
+
+    async def manifest(self, model, version):
+        good = await super().manifest(model, version)
+        if not self.spoilt:
+            return good
+        return evolve(good, chunks=(digest(b"wrong"), *good.chunks[1:]))
+
+
+class RefusingEngine(FakeEngine):
+    """Stays empty: its agent holds a manifest, and chunks, but orders nothing."""
+
+    async def state(self):
+        return EngineState((), True, born=self.born)
+
+
+def agent_of(origin, engine=None):
+    rows = FakeStore()
+    rows.listed = ["127.0.0.1"]
+    return new_agent(engine or FakeEngine(), origin, rows)
+
+
+def origin_of(agent):
+    return agent.deployment.open_origin(None, "")
+
+
+@asynccontextmanager
+async def reached(**agents):
+    """Give each agent's chunks to the others, and each the others as its members."""
+    members, servers = {}, []
+    for name, agent in agents.items():
+        server = InnerServer([agent.chunks])
+        await server.start("127.0.0.1", 0)
+        port = server._server.sockets[0].getsockname()[1]
+        members[name] = Member(name, AGENT, f"127.0.0.1:{port}", "r", "dc", "s")
+        servers.append(server)
+    for name, agent in agents.items():
+        agent.process.cfg = evolve(agent.process.cfg, vm=name)
+        agent.process.believer.hearsay.members.update(members)
+    try:
+        yield members
+    finally:
+        for agent in agents.values():
+            agent.process.channels.close()
+        for server in servers:
+            server.close()
+            await server.wait_closed()
+
+
+def listen(agent):
+    told = []
+    agent.events.listeners.append(lambda kind, fields: told.append(kind))
+    return told
+
+
+async def know(agent, version=1):
+    return await agent._manifest(agent._model(), version)
+
+
+async def loaded(agent):
+    async with asyncio.timeout(10):
+        while not agent.engine.orders:
+            agent.process.time[0] += 1.0
+            await agent.step()
+
+
+def test_an_agent_that_the_origin_turns_away_gets_the_manifest_from_a_peer():
+    # All power is lost, and the origin's connections from before stay taken. The
+    # agents that come in first keep the rest; 13 of 42 asked three times a second for
+    # the manifest until the end, beside peers that had it and all chunks.
+    has, late = agent_of(FakeOrigin()), agent_of(FakeOrigin())
+
+    async def run():
+        async with reached(has=has, late=late):
+            del has.process.believer.hearsay.members["late"]
+            await loaded(has)
+            origin_of(late).down = True
+            told = listen(late)
+            await loaded(late)
+            return told
+
+    told = asyncio.run(run())
+    assert late.engine.orders == [1]
+    assert "manifest.unread" in told
+
+
+def test_peers_that_know_no_more_leave_the_origins_failure():
+    # While nobody has the manifest, the line about it has to say what the origin did.
+    one, other = agent_of(FakeOrigin()), agent_of(FakeOrigin())
+    origin_of(one).down = True
+
+    async def run():
+        async with reached(one=one, other=other):
+            with pytest.raises(PlatformUnavailable, match="origin"):
+                await know(one)
+
+    asyncio.run(run())
+
+
+def test_a_spoilt_manifest_is_not_passed_on_by_those_who_were_told_it():
+    # One agent reads a spoilt manifest and tells it to two whom the origin turns away.
+    # Did these pass it on, it would come back to the first after it had read a good
+    # one, and go round for as long as the origin stays out of reach.
+    first = agent_of(SpoiltOrigin())
+    told, last = agent_of(FakeOrigin()), agent_of(FakeOrigin())
+    for agent in (told, last):
+        origin_of(agent).down = True
+
+    async def run():
+        async with reached(first=first, told=told, last=last):
+            spoilt = await know(first)
+            assert (await know(told)).digest == spoilt.digest
+            del last.process.believer.hearsay.members["first"]
+            with pytest.raises(PlatformUnavailable):
+                await know(last)
+
+    asyncio.run(run())
+
+
+def test_a_manifest_told_spoilt_is_put_right_by_a_peer_that_read_it_again():
+    # The peer that told a spoilt manifest has read it again; whoever took it stands
+    # with a chunk that nobody has, and the origin still turns it away.
+    first, late = agent_of(SpoiltOrigin(), RefusingEngine()), agent_of(FakeOrigin())
+    origin_of(late).down = True
+
+    async def run():
+        async with reached(first=first, late=late):
+            spoilt = await know(first)
+            assert (await know(late)).digest == spoilt.digest
+            origin_of(first).spoilt = False
+            assert await first._reread(first._model(), spoilt)
+            assert await late._reread(late._model(), spoilt)
+            return spoilt, await know(first), await know(late)
+
+    spoilt, good, now = asyncio.run(run())
+    assert now.digest == good.digest != spoilt.digest
+    assert len(now.chunks) == CHUNKS
+
+
+def test_what_an_agent_read_itself_outweighs_one_peers_other_word():
+    # A peer holds a spoilt manifest. An agent with the good one, whose transfer only
+    # takes long and whom the origin now turns away, would change to the spoilt one.
+    good, bad = agent_of(FakeOrigin()), agent_of(SpoiltOrigin())
+
+    async def run():
+        async with reached(good=good, bad=bad):
+            before = await know(good)
+            await know(bad)
+            origin_of(good).down = True
+            assert not await good._reread(good._model(), before)
+            return before, await know(good)
+
+    before, now = asyncio.run(run())
+    assert before.digest == now.digest
+
+
+def test_an_idle_connection_is_let_go_where_connections_are_scarce():
+    # Every agent keeps a connection that it uses once in three seconds, and the origin
+    # takes few: half of the agents are turned away by connections that do nothing.
+    closed = asyncio.Event()
+
+    async def run():
+        async def answer(reader, writer):
+            while await reader.readline() not in (b"\r\n", b""):
+                pass
+            writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+            await reader.read()
+            closed.set()
+            writer.close()
+
+        server = await asyncio.start_server(answer, "127.0.0.1")
+        port = server.sockets[0].getsockname()[1]
+        async with keep_alive_session(idle_seconds=0.2) as session:
+            async with session.get(f"http://127.0.0.1:{port}/") as got:
+                await got.read()
+            assert not closed.is_set()
+            await asyncio.wait_for(closed.wait(), 3)
+        server.close()
+
+    asyncio.run(run())
