Hear a manifest from peers when the origin gives none, and hold its connections briefly

After a loss of power of all VMs 13 of 42 agents never got the newest version's manifest: they asked the origin, and only it, every 0.3 s until the end, and were reset.

Cause: each agent keeps a connection to the origin by its reads of manifest and chunks, 15 s beyond the last one and for as long as it reads the manifest again. Those of before the loss of power stay taken, and with those of the first agents to come back the origin's few are used up. Peers had the manifest, and were not asked.

No digest is named beforehand, so that peers' word may be spoilt: agents tell only what they read from the origin themselves or hold whole, what somebody holds whole counts before what more say, and the reread after 3 s goes the same way. A spoilt manifest thus goes one step from whoever read it, and is out once that one has read again. Connections to the origin have a session of their own, and are let go after a second without use.

A manifest told on at any remove would find more askers, but could go round spoilt while the origin stays out of reach.

Not done: agents without a manifest still rank among the owners of chunks.

--- a/packages/wasabideck_agent/wasabideck_agent/chunks_service.py
+++ b/packages/wasabideck_agent/wasabideck_agent/chunks_service.py
@@ -36,6 +36,8 @@
         Chunks sent of each manifest.
     listeners : dict of str to callable
         Whoever wants to hear of each manifest what askers hold.
+    numbered : callable
+        The manifest that is given to who asks for a numbered version by its name.
     """
 
     store: ChunkStore
@@ -44,6 +46,7 @@
     reading: Counter = field(factory=Counter)
     sent: Counter = field(factory=Counter)
     listeners: dict[str, Listener] = field(factory=dict)
+    numbered: Callable[[str], Manifest | None] = lambda name: None
     uploads: int = 0
 
     async def Holdings(
@@ -52,13 +55,14 @@
         """Which chunks of a manifest are here, and which are being read."""
         req = await stream.recv_message()
         self._hear(req)
+        known = self.store.manifest(req.manifest) or self.numbered(req.manifest)
+        digest = known.digest if known else req.manifest
         reply = pb.HoldingsReply(
-            bitmap=self._bitmap(req.manifest),
-            reading=to_bitmap(self.reading[req.manifest]),
+            bitmap=self._bitmap(digest),
+            reading=to_bitmap(self.reading[digest]),
             uploads=self.uploads,
-            sent=self.sent[req.manifest],
+            sent=self.sent[digest],
         )
-        known = self.store.manifest(req.manifest)
         if req.want_manifest and known:
             reply.manifest_json = manifest_to_json(known)
         await stream.send_message(reply)
--- a/packages/wasabideck_agent/wasabideck_agent/node_agent.py
+++ b/packages/wasabideck_agent/wasabideck_agent/node_agent.py
@@ -7,16 +7,18 @@
 import time
 from collections.abc import Callable
 
+import aiohttp
 from attrs import define, field
 from wasabideck_base.deployment import Deployment
 from wasabideck_base.events import Events
+from wasabideck_base.http import PlatformRefused, PlatformUnavailable
 from wasabideck_base.node import NodeSettings
-from wasabideck_base.node_process import NodeProcess, node_process
+from wasabideck_base.node_process import NodeProcess, keep_alive_session, node_process
 from wasabideck_base.settings import WeightsSettings
 from wasabideck_policy.backends import Loaded
 from wasabideck_policy.configuration import EngineModel
 from wasabideck_policy.engine_state import EngineState, OrderAnswer
-from wasabideck_policy.manifests import Manifest
+from wasabideck_policy.manifests import Manifest, Word, likeliest, numbered_name
 from wasabideck_policy.membership import AGENT, Member
 from wasabideck_policy.outcomes import WasabideckError
 from wasabideck_policy.superseding import OVERHEAD, finishes_older
@@ -29,6 +31,7 @@
 from .listed_peers import ListedPeers
 from .news_loop import NewsLoop
 from .origin_chunks import NumberedOrigin, OriginChunks
+from .peers_word import ask_peers
 from .staging import Engine, Staging
 from .transfer import Transfer
 
@@ -47,6 +50,10 @@
 # A transfer that lasts longer than the links need may have a spoilt manifest, whose
 # chunks nobody has: it is read again then (seconds).
 MANIFEST_SECONDS = 3.0
+# The origin takes few connections for a whole fleet, and each agent would keep one by
+# its reads of the manifest: those that come late are turned away, and those that are
+# open when power is lost stay taken. A read of the next piece follows sooner (seconds).
+ORIGIN_IDLE_SECONDS = 1.0
 # Weights of the first version lie with the servers of a new deployment, and nobody
 # names it.
 FIRST_VERSION = 1
@@ -81,7 +88,10 @@
     # The inner protocol's windows keep the link's queue short; no pace is set here.
     links = Links(Link(), Link(), Link())
     chunks = ChunksService(store, links, UPLOADS)
-    async with node_process(cfg, AGENT, deployment, lambda p: (chunks,)) as process:
+    async with (
+        node_process(cfg, AGENT, deployment, lambda p: (chunks,)) as process,
+        keep_alive_session(ORIGIN_IDLE_SECONDS) as to_origin,
+    ):
         engine = deployment.open_engine(process.session, cfg.server_address)
         agent = NodeAgent(
             process,
@@ -93,6 +103,7 @@
             Staging(engine, store, process.events),
             _book(process),
             ListedPeers(process, deployment),
+            to_origin,
         )
         process.believer.on_version = lambda model, number: agent.news.set()
         news = NewsLoop(process, engine, agent.describe)
@@ -118,10 +129,14 @@
 
     Attributes
     ----------
+    to_origin : ClientSession
+        Connections to the origin, which are let go when they idle.
     news : Event
         Set when a version was named.
     tell : callable
         Tells entries at once of an engine's state.
+    _first_hand : set of int
+        Versions whose manifest this agent has read from the origin itself.
     """
 
     process: NodeProcess
@@ -133,16 +148,21 @@
     staging: Staging
     deliveries: DeliveryBook
     peers: ListedPeers
+    to_origin: aiohttp.ClientSession
     news: asyncio.Event = field(factory=asyncio.Event)
     tell: Callable[[EngineState], None] = lambda state: None
     _gathering: Transfer | None = None
     _swapping_since: float | None = None
     _manifests: dict[int, Manifest] = field(factory=dict)
+    _first_hand: set[int] = field(factory=set)
     _named_at: dict[int, float] = field(factory=dict)
     _finishing: set[int] = field(factory=set)
     _born: int = 0
     _ordered: tuple[int, int] = (0, 0)
 
+    def __attrs_post_init__(self):
+        self.chunks.numbered = self._word
+
     @property
     def events(self) -> Events:
         """Where this agent's decisions are written."""
@@ -257,19 +277,75 @@
 
     async def _manifest(self, model: EngineModel, version: int) -> Manifest:
         if version not in self._manifests:
-            manifest = await self._origin().manifest(model.model, version)
-            self._know(version, manifest)
+            await self._find(model, version)
         return self._manifests[version]
 
-    def _know(self, version: int, manifest: Manifest) -> None:
+    async def _find(self, model: EngineModel, version: int) -> None:
+        """Read a manifest from the origin, or hear of it from peers if that fails.
+
+        After a loss of power the origin is full of connections that nobody uses any
+        more, and it turns away whoever comes late: agents that had no manifest were
+        of no use to anybody, beside peers that had it. Peers are asked second, so that
+        a version's spread costs the same calls as before while the origin answers.
+        """
+        try:
+            manifest = await self._origin().manifest(model.model, version)
+        except (PlatformUnavailable, PlatformRefused) as exc:
+            self.events.emit("manifest.unread", version=version, why=str(exc))
+            manifest = likeliest(await self._words(model, version))
+            if manifest is None:
+                raise
+            # What was read is kept unless peers outweighed it.
+            if self._told_anew(version, manifest):
+                self._first_hand.discard(version)
+                self._know(version, manifest, "peers")
+        else:
+            self._first_hand.add(version)
+            if self._told_anew(version, manifest):
+                self._know(version, manifest, "origin")
+
+    async def _words(self, model: EngineModel, version: int) -> list[Word]:
+        """What is said of a version: first by this agent, if it has read it itself."""
+        if not self.peers.members():
+            await asyncio.gather(
+                self.process.believer.read_members(), self.peers.read()
+            )
+        process, peers = self.process, self.peers.members()
+        words = await ask_peers(
+            model.model, version, process.cfg.vm, peers, process.channels, process.rng
+        )
+        if own := self._word(numbered_name(model.model, version)):
+            words.insert(0, Word(own, self.store.whole(own)))
+        return words
+
+    def _word(self, name: str) -> Manifest | None:
+        """The manifest of that name, if this agent may tell it to others.
+
+        One that peers told is kept to itself until all its chunks are here: a spoilt
+        one would go round among those whom the origin turns away, and come back to
+        whoever has read a good one since.
+        """
+        for version, manifest in self._manifests.items():
+            if numbered_name(manifest.model, version) == name:
+                if version in self._first_hand or self.store.whole(manifest):
+                    return manifest
+        return None
+
+    def _told_anew(self, version: int, manifest: Manifest) -> bool:
+        known = self._manifests.get(version)
+        return known is None or known.digest != manifest.digest
+
+    def _know(self, version: int, manifest: Manifest, source: str) -> None:
         self._manifests[version] = manifest
         self.store.know(manifest)
-        self.events.emit("manifest.read", version=version, manifest=manifest.digest)
+        self.events.emit(
+            "manifest.read", version=version, manifest=manifest.digest, source=source
+        )
 
     def _origin(self) -> NumberedOrigin:
         place = self.process.believer.beliefs.configuration.origin()
         address = place.address if place else ""
-        return self.deployment.open_origin(self.process.session, address)
+        return self.deployment.open_origin(self.to_origin, address)
 
     async def _gather(self, model: EngineModel, manifest: Manifest) -> bool:
         """Fetch a version's chunks and stage them; whether it is whole and wanted."""
@@ -344,11 +420,8 @@
         """Read a manifest again; whether it is another one than before."""
         version = int(manifest.version)
         with contextlib.suppress(WasabideckError):
-            again = await self._origin().manifest(model.model, version)
-            if again.digest != manifest.digest:
-                self._know(version, again)
-                return True
-        return False
+            await self._find(model, version)
+        return self._told_anew(version, manifest)
 
     async def _swap(self, model: EngineModel, manifest: Manifest) -> None:
         """Order the engine to load what lies staged."""
@@ -407,6 +480,7 @@
         for known in old:
             del self._manifests[known]
         if old:
+            self._first_hand &= set(self._manifests)
             self.store.keep_only({m.digest for m in self._manifests.values()})
 
     async def _wait(self, seconds: float) -> None:
--- a/packages/wasabideck_base/wasabideck_base/node_process.py
+++ b/packages/wasabideck_base/wasabideck_base/node_process.py
@@ -36,6 +36,9 @@
 PROBE_EVERY_SECONDS = 1
 PROBES = 2
 USER_TIMEOUT_MS = 4000
+# Idle connections are kept so long unless a session says otherwise: the library's own
+# figure (seconds).
+IDLE_SECONDS = 15.0
 # Bytes of one answer of the inner protocol that may be under way. Chunks leave a VM
 # over the link that carries its server's streams, and what is under way waits in that
 # link's queue, with the streams' events behind it. With whole chunks of 24 KB under way
@@ -61,9 +64,17 @@
     on_reload: list[Callable[[NodeSettings], None]] = field(factory=list)
 
 
-def keep_alive_session() -> aiohttp.ClientSession:
-    """A client session whose connections do not stay silent unnoticed."""
-    connector = aiohttp.TCPConnector(limit=0, socket_factory=_probing_socket)
+def keep_alive_session(idle_seconds: float = IDLE_SECONDS) -> aiohttp.ClientSession:
+    """A client session whose connections do not stay silent unnoticed.
+
+    Parameters
+    ----------
+    idle_seconds : float
+        Seconds after which a connection that nobody uses is closed.
+    """
+    connector = aiohttp.TCPConnector(
+        limit=0, keepalive_timeout=idle_seconds, socket_factory=_probing_socket
+    )
     return aiohttp.ClientSession(connector=connector, auto_decompress=False)
 
 
--- a/packages/wasabideck_base/wasabideck_base/vocabulary.py
+++ b/packages/wasabideck_base/wasabideck_base/vocabulary.py
@@ -115,7 +115,13 @@
         "mend the field that it names and write it again",
     ),
     "declaration.seen": Kind("a process heard of a newer configuration or version"),
-    "manifest.read": Kind("an agent read a version's digests from the origin"),
+    "manifest.read": Kind(
+        "an agent has a version's digests, from the origin or from peers"
+    ),
+    "manifest.unread": Kind(
+        "the origin gave no digests of a version; peers were asked",
+        "nothing for a few; many: see the origin and how many connections it takes",
+    ),
     "metrics.unavailable": Kind(
         "the metrics' port is taken; there are no metrics",
         "find who else listens there",
--- a/packages/wasabideck_policy/wasabideck_policy/manifests.py
+++ b/packages/wasabideck_policy/wasabideck_policy/manifests.py
@@ -4,7 +4,8 @@
 
 import hashlib
 import json
-from collections.abc import Mapping
+from collections import Counter
+from collections.abc import Mapping, Sequence
 from functools import cached_property
 
 from attrs import frozen
@@ -15,13 +16,19 @@
     "CorruptChunk",
     "CorruptManifest",
     "Manifest",
+    "Word",
     "chunk_digest",
+    "likeliest",
     "manifest_from_json",
     "manifest_to_json",
+    "numbered_from_json",
+    "numbered_name",
     "verify_chunk",
 ]
 
 MAX_CHUNKS = 100_000
+# Characters of a SHA-256 digest in hexadecimal.
+DIGEST_LENGTH = 64
 
 
 class CorruptChunk(WasabideckError):
@@ -91,13 +98,65 @@
         table: Mapping = json.loads(data)
         chunks = tuple(table.pop("chunks"))
         manifest = Manifest(chunks=chunks, **table)
-    except (ValueError, KeyError, TypeError) as exc:
+    except (ValueError, KeyError, TypeError, AttributeError) as exc:
         raise CorruptManifest(digest, str(exc)) from exc
     if not 0 < len(chunks) <= MAX_CHUNKS:
         raise CorruptManifest(digest, f"{len(chunks)} chunks")
     return manifest
 
 
+def numbered_name(model: str, version: str | int) -> str:
+    """What a numbered version's manifest is asked for by; never a digest's form."""
+    return f"{model}/{version}"
+
+
+def numbered_from_json(data: bytes, model: str, version: int) -> Manifest:
+    """Manifest of a numbered version, whose digest nobody has named beforehand.
+
+    Raises
+    ------
+    CorruptManifest
+        The bytes are no manifest, or one of another version.
+    """
+    digest = hashlib.sha256(data).hexdigest()
+    manifest = manifest_from_json(data, digest)
+    named = numbered_name(manifest.model, manifest.version)
+    if named != numbered_name(model, version):
+        raise CorruptManifest(digest, f"is of {named}")
+    if not all(isinstance(c, str) and len(c) == DIGEST_LENGTH for c in manifest.chunks):
+        raise CorruptManifest(digest, "chunks must be digests")
+    return manifest
+
+
+@frozen
+class Word:
+    """What one agent says a numbered version's manifest is.
+
+    Attributes
+    ----------
+    whole : bool
+        Whether it holds all chunks of it, which shows that the manifest is good.
+    """
+
+    manifest: Manifest
+    whole: bool = False
+
+
+def likeliest(words: Sequence[Word]) -> Manifest | None:
+    """The manifest that most say; none when nobody says anything.
+
+    Any of them may have been read spoilt, and nothing names the right digest. One
+    that somebody holds whole is right: a spoilt one names a chunk that nobody has.
+    The earlier word wins among as many.
+    """
+    shown = [word for word in words if word.whole]
+    counted = Counter(word.manifest.digest for word in shown or words)
+    if not counted:
+        return None
+    digest = max(counted, key=counted.__getitem__)
+    return next(w.manifest for w in words if w.manifest.digest == digest)
+
+
 def chunk_digest(data: bytes) -> str:
     """SHA-256 of a chunk's bytes, hexadecimal."""
     return hashlib.sha256(data).hexdigest()
--- a/tests/adapter/test_agent.py
+++ b/tests/adapter/test_agent.py
@@ -193,6 +193,7 @@
         Staging(engine, store, events),
         DeliveryBook("vm", "s", DeliveriesLog(rows), events),
         ListedPeers(process, deployment),
+        None,
     )
     process.time = clock
     return made
--- a/tests/adapter/test_manifests.py
+++ b/tests/adapter/test_manifests.py
@@ -10,6 +10,13 @@
 from wasabideck_base.inner_limits import InnerServer
 from wasabideck_base.node_process import keep_alive_session
 from wasabideck_policy.engine_state import EngineState
+from wasabideck_policy.manifests import (
+    CorruptManifest,
+    Word,
+    likeliest,
+    manifest_to_json,
+    numbered_from_json,
+)
 from wasabideck_policy.membership import AGENT, Member
 
 
@@ -172,6 +179,37 @@
     assert before.digest == now.digest
 
 
+@pytest.mark.parametrize(
+    "spoil",
+    [
+        lambda m: b"",
+        lambda m: b"5",
+        lambda m: b'{"chunks": [1]}',
+        lambda m: manifest_to_json(m)[:-9],
+        lambda m: manifest_to_json(evolve(m, version="2")),
+        lambda m: manifest_to_json(evolve(m, chunks=("short",))),
+        lambda m: manifest_to_json(evolve(m, chunks=())),
+    ],
+)
+def test_a_peers_word_that_is_no_manifest_of_the_version_is_a_typed_failure(spoil):
+    # A peer of another release, or bytes that were spoilt on their way, would end the
+    # agent, or have it load what belongs to another version.
+    manifest = asyncio.run(FakeOrigin().manifest("m", 1))
+    assert numbered_from_json(manifest_to_json(manifest), "m", 1) == manifest
+    with pytest.raises(CorruptManifest):
+        numbered_from_json(spoil(manifest), "m", 1)
+
+
+def test_a_manifest_that_somebody_holds_whole_outweighs_more_that_is_not():
+    # A spoilt manifest names a chunk that nobody has: whoever holds all is right.
+    good = asyncio.run(FakeOrigin().manifest("m", 1))
+    bad = asyncio.run(SpoiltOrigin().manifest("m", 1))
+    words = [Word(bad), Word(bad), Word(good, whole=True)]
+    assert likeliest(words) == good
+    assert likeliest([Word(good), Word(bad), Word(bad)]) == bad
+    assert likeliest([]) is None
+
+
 def test_an_idle_connection_is_let_go_where_connections_are_scarce():
     # Every agent keeps a connection that it uses once in three seconds, and the origin
     # takes few: half of the agents are turned away by connections that do nothing.
