--- a/tests/adapter/test_agent.py
+++ b/tests/adapter/test_agent.py
@@ -195,6 +195,7 @@
         Staging(engine, store, events),
         DeliveryBook("vm", "s", DeliveriesLog(rows), events),
         ListedPeers(process, deployment),
+        None,
     )
     process.time = clock
     made.staging.boot_clock = lambda: clock[0]
