Give manifests of numbered versions a module of their own

Finding a manifest, weighing peers' words and telling it on had grown into the agent's main module, which brings an engine to a version. Nothing that decides has changed.

--- a/packages/wasabideck_agent/wasabideck_agent/node_agent.py
+++ b/packages/wasabideck_agent/wasabideck_agent/node_agent.py
@@ -11,14 +11,13 @@
 from attrs import define, evolve, field
 from wasabideck_base.deployment import Deployment
 from wasabideck_base.events import Events
-from wasabideck_base.http import PlatformRefused, PlatformUnavailable
 from wasabideck_base.node import NodeSettings
 from wasabideck_base.node_process import NodeProcess, keep_alive_session, node_process
 from wasabideck_base.settings import WeightsSettings
 from wasabideck_policy.backends import Loaded
 from wasabideck_policy.configuration import EngineModel
 from wasabideck_policy.engine_state import EngineState, OrderAnswer
-from wasabideck_policy.manifests import Manifest, Word, likeliest, numbered_name
+from wasabideck_policy.manifests import Manifest
 from wasabideck_policy.membership import AGENT, Member
 from wasabideck_policy.outcomes import WasabideckError
 from wasabideck_policy.superseding import OVERHEAD, finishes_older
@@ -30,8 +29,8 @@
 from .links import Link, Links
 from .listed_peers import ListedPeers
 from .news_loop import NewsLoop
+from .numbered_manifests import NumberedManifests
 from .origin_chunks import NumberedOrigin, OriginChunks
-from .peers_word import ask_peers
 from .staging import Engine, Staging
 from .transfer import Transfer
 
@@ -135,8 +134,8 @@
         Set when a version was named.
     tell : callable
         Tells entries at once of an engine's state.
-    _first_hand : set of int
-        Versions whose manifest this agent has read from the origin itself.
+    manifests : NumberedManifests
+        What is known of the versions' chunks.
     """
 
     process: NodeProcess
@@ -151,17 +150,20 @@
     to_origin: aiohttp.ClientSession
     news: asyncio.Event = field(factory=asyncio.Event)
     tell: Callable[[EngineState], None] = lambda state: None
+    manifests: NumberedManifests = field(init=False)
     _gathering: Transfer | None = None
     _swapping_since: float | None = None
-    _manifests: dict[int, Manifest] = field(factory=dict)
-    _first_hand: set[int] = field(factory=set)
     _named_at: dict[int, float] = field(factory=dict)
     _finishing: set[int] = field(factory=set)
     _born: int = 0
     _ordered: tuple[int, int] = (0, 0)
 
-    def __attrs_post_init__(self):
-        self.chunks.numbered = self._word
+    def __attrs_post_init__(self) -> None:
+        """Give peers the manifests that are known here."""
+        self.manifests = NumberedManifests(
+            self.process, self.store, self.peers, self._origin
+        )
+        self.chunks.numbered = self.manifests.word
 
     @property
     def events(self) -> Events:
@@ -200,7 +202,7 @@
             await asyncio.sleep(ORDER_LOOK_SECONDS)
             return False
         # While an older version is being loaded the link is free for the newest.
-        manifest = await self._manifest(model, version)
+        manifest = await self.manifests.get(model.model, version)
         if await self._gather(model, manifest):
             await self._swap(model, manifest)
         return False
@@ -217,7 +219,7 @@
             if self.process.clock() - since >= ACCEPTED_SECONDS:
                 self._swapping_since = None
         if held := _held(state, model):
-            manifest = self._manifests.get(held)
+            manifest = self.manifests.known(held)
             wall = time.time()
             self.deliveries.in_force(model.model, held, manifest, state.born, wall)
 
@@ -271,79 +273,12 @@
     async def _settle(self, model: EngineModel, version: int) -> None:
         """Hold the chunks of what is in force for servers that lack them."""
         await self.deliveries.write()
-        manifest = await self._manifest(model, version)
+        manifest = await self.manifests.get(model.model, version)
         if not self.store.whole(manifest):
             taken = await self.staging.take_up(manifest)
             self.events.emit("staging.taken-up", version=version, pieces=taken)
         self._forget_before(version)
 
-    async def _manifest(self, model: EngineModel, version: int) -> Manifest:
-        if version not in self._manifests:
-            await self._find(model, version)
-        return self._manifests[version]
-
-    async def _find(self, model: EngineModel, version: int) -> None:
-        """Read a manifest from the origin, or hear of it from peers if that fails.
-
-        After a loss of power the origin is full of connections that nobody uses any
-        more, and it turns away whoever comes late: agents that had no manifest were
-        of no use to anybody, beside peers that had it. Peers are asked second, so that
-        a version's spread costs the same calls as before while the origin answers.
-        """
-        try:
-            manifest = await self._origin().manifest(model.model, version)
-        except (PlatformUnavailable, PlatformRefused) as exc:
-            self.events.emit("manifest.unread", version=version, why=str(exc))
-            manifest = likeliest(await self._words(model, version))
-            if manifest is None:
-                raise
-            # What was read is kept unless peers outweighed it.
-            if self._told_anew(version, manifest):
-                self._first_hand.discard(version)
-                self._know(version, manifest, "peers")
-        else:
-            self._first_hand.add(version)
-            if self._told_anew(version, manifest):
-                self._know(version, manifest, "origin")
-
-    async def _words(self, model: EngineModel, version: int) -> list[Word]:
-        """What is said of a version: first by this agent, if it has read it itself."""
-        if not self.peers.members():
-            await asyncio.gather(
-                self.process.believer.read_members(), self.peers.read()
-            )
-        process, peers = self.process, self.peers.members()
-        words = await ask_peers(
-            model.model, version, process.cfg.vm, peers, process.channels, process.rng
-        )
-        if own := self._word(numbered_name(model.model, version)):
-            words.insert(0, Word(own, self.store.whole(own)))
-        return words
-
-    def _word(self, name: str) -> Manifest | None:
-        """The manifest of that name, if this agent may tell it to others.
-
-        One that peers told is kept to itself until all its chunks are here: a spoilt
-        one would go round among those whom the origin turns away, and come back to
-        whoever has read a good one since.
-        """
-        for version, manifest in self._manifests.items():
-            if numbered_name(manifest.model, version) == name:
-                if version in self._first_hand or self.store.whole(manifest):
-                    return manifest
-        return None
-
-    def _told_anew(self, version: int, manifest: Manifest) -> bool:
-        known = self._manifests.get(version)
-        return known is None or known.digest != manifest.digest
-
-    def _know(self, version: int, manifest: Manifest, source: str) -> None:
-        self._manifests[version] = manifest
-        self.store.know(manifest)
-        self.events.emit(
-            "manifest.read", version=version, manifest=manifest.digest, source=source
-        )
-
     def _origin(self) -> NumberedOrigin:
         place = self.process.believer.beliefs.configuration.origin()
         address = place.address if place else ""
@@ -422,8 +357,8 @@
         """Read a manifest again; whether it is another one than before."""
         version = int(manifest.version)
         with contextlib.suppress(WasabideckError):
-            await self._find(model, version)
-        return self._told_anew(version, manifest)
+            await self.manifests.find(model.model, version)
+        return self.manifests.differs(version, manifest)
 
     async def _swap(self, model: EngineModel, manifest: Manifest) -> None:
         """Order the engine to load what lies staged."""
@@ -479,12 +414,8 @@
         return SPARE_COPIES * (1 + len(peers)) / near
 
     def _forget_before(self, version: int) -> None:
-        old = [known for known in self._manifests if known < version]
-        for known in old:
-            del self._manifests[known]
-        if old:
-            self._first_hand &= set(self._manifests)
-            self.store.keep_only({m.digest for m in self._manifests.values()})
+        if self.manifests.forget_before(version):
+            self.store.keep_only(self.manifests.digests())
 
     async def _wait(self, seconds: float) -> None:
         """Wait for news, at most so long."""
--- a/tests/adapter/test_manifests.py
+++ b/tests/adapter/test_manifests.py
@@ -79,7 +79,7 @@
 
 
 async def know(agent, version=1):
-    return await agent._manifest(agent._model(), version)
+    return await agent.manifests.get("m", version)
 
 
 async def loaded(agent):
