--- a/tests/beliefs/test_placement.py
+++ b/tests/beliefs/test_placement.py
@@ -69,3 +69,60 @@
     backend.news_at = NOW - 5.0
     backend.told_at = NOW
     assert place([backend]).backend is backend
+
+
+def waited_on(name, pressed, since):
+    """An engine that was sent a request and has told its weights before."""
+    backend = engine(name, pressed)
+    backend.versions["m"] = 1
+    backend.begin(since)
+    return backend
+
+
+def test_a_server_that_tells_nothing_is_passed_over_while_others_tell():
+    # A VM stands still with its engine for four seconds. What was known of its load
+    # faded and it looked the least pressed: each entry went on sending it drafts, and
+    # each of them waited there in vain for half of its caller's patience.
+    still, others = waited_on("a", 8, NOW), [engine("b", 14), engine("c", 14)]
+    later = NOW + 2.0
+    for backend in others:
+        backend.hear(backend.news, later)
+    for seed in range(20):
+        found = choose([still, *others], DEMAND, later, random.Random(seed))
+        assert found.backend is not still
+
+
+def test_a_server_that_was_given_up_gets_one_request_at_a_time():
+    # Each time an entry had given up all that it had sent to a VM that stood still, it
+    # counted that VM's silence anew and sent it ten more drafts before it had passed.
+    still, other = waited_on("a", 8, NOW), engine("b", 14)
+    later = NOW + 2.0
+    other.hear(other.news, later)
+    still.in_progress = 0
+    assert choose([still, other], DEMAND, later, random.Random(1)).backend is still
+    still.begin(later)
+    assert choose([still, other], DEMAND, later, random.Random(1)).backend is other
+
+
+@pytest.mark.parametrize("sign", ["byte", "news", "none-due"])
+def test_a_server_that_tells_anything_is_not_passed_over(sign):
+    # An agent is killed, and its engine serves on; another engine's answers to one
+    # entry all wait in its queue, and only the agent tells; to a third server nothing
+    # was sent for a while, so that it had nothing to tell. None of them stands still.
+    later = NOW + 2.0
+    lively = waited_on("a", 3, later - 0.05 if sign == "none-due" else NOW)
+    other = engine("b", 14)
+    other.hear(other.news, later)
+    if sign == "byte":
+        lively.heard_at = later - 0.1
+    elif sign == "news":
+        lively.hear(lively.news, later - 0.1)
+    found = choose([lively, other], DEMAND, later, random.Random(1))
+    assert found.backend is lively
+
+
+def test_servers_that_are_all_silent_are_used_as_before():
+    # An entry's own link stalls for a second: no server is heard, and none is at fault.
+    servers = [waited_on(name, 8, NOW) for name in "abc"]
+    found = choose(servers, DEMAND, NOW + 2.0, random.Random(1))
+    assert found.backend in servers
--- a/tests/forward/test_forwarding.py
+++ b/tests/forward/test_forwarding.py
@@ -465,3 +465,24 @@
         assert len(other.requests) == 1
 
     play(scenario)
+
+
+def test_a_server_that_stands_still_gets_no_more_drafts(play):
+    # A VM freezes in the middle of a draft. Callers behind it were sent to the same
+    # engine, which still had the fewest requests, and got nothing for seconds.
+    async def scenario():
+        entry = Entry(configuration(route(kind=Kind.STREAM, timeout=5.0)))
+        still = await entry.add_server(streams(event(1), then="hang"), *[hangs] * 4)
+        await entry.add_server(*[streams(event(n)) for n in range(3)])
+        entry.beliefs.backends.get("i-1").others = 4
+        entry.beliefs.backends.get("i-1").told_at = entry.forwarder.clock() + 60
+        waiting = await entry.caller()
+        await waiting.ask(method=b"POST", body=b"prompt")
+        await asyncio.sleep(1.0)
+        for n in range(3):
+            caller = await entry.caller()
+            await caller.ask(method=b"POST", body=b"prompt", name=b"later-%d" % n)
+            assert (await caller.answer())[0] == 200
+        assert len(still.requests) == 1
+
+    play(scenario)
