Send a server that tells nothing one request at a time

Cause: an entry's picture of a server that stands still gets better by itself. What its agent told fades with 2 s, requests on it are given up one after the other, and leaving it out after three failures comes 1.5 to 3 s late in each of 20 entries.

A server of which neither a byte nor its agent's word came for 0.7 s, with requests of this entry on it, is now passed over while half of the able ones talk. One request is tried when none of the entry's is on it. Counting the silence anew with each such request was tried first: the server drew some ten more an entry in each 0.7 s.

--- a/packages/wasabideck_forward/wasabideck_forward/forwarder.py
+++ b/packages/wasabideck_forward/wasabideck_forward/forwarder.py
@@ -244,7 +244,7 @@
         exchange.replaceable = (
             exchange.route.idempotent and len(exchange.tried) < exchange.route.attempts
         )
-        backend.in_progress += 1
+        backend.begin(self.clock())
         conn: ServerConnection | None = None
         try:
             conn = await self.pool.take(backend, exchange.route.idempotent)
--- a/packages/wasabideck_policy/wasabideck_policy/backends.py
+++ b/packages/wasabideck_policy/wasabideck_policy/backends.py
@@ -20,6 +20,10 @@
 # Unless an outage is known they may as well have left together: they are held only as
 # long as a leaving server may get requests, less what word of it takes (seconds).
 MASS_SECONDS = 1.2
+# With requests of this process on it, a server of which neither a byte nor its agent's
+# news came for so long is passed over (seconds): an engine tells at least at each pass
+# of its batch, 50 to 150 ms, and an agent four times a second, or once from afar.
+QUIET_SECONDS = 0.7
 
 
 @frozen
@@ -65,6 +69,9 @@
     ----------
     in_progress : int
         Requests of this process on it now.
+    asked_at : float
+        When the first request was sent since which nothing was heard of it, or that
+        it has had since it had none, seconds.
     others : float
         Requests of other processes on it when it last told.
     told_at : float
@@ -83,6 +90,7 @@
 
     listed: Listed
     in_progress: int = 0
+    asked_at: float = float("-inf")
     others: float = 0.0
     told_at: float = 0.0
     heard_at: float = 0.0
@@ -97,6 +105,25 @@
         """Name of this start of the server."""
         return self.listed.server
 
+    def begin(self, now: float) -> None:
+        """Count one more request of this process on it."""
+        # Requests that were given up without a word do not make it talk: counted from
+        # the next one, it would draw requests for another while.
+        if self.in_progress == 0 and self._last_sign() > self.asked_at:
+            self.asked_at = now
+        self.in_progress += 1
+
+    def silent(self, now: float) -> bool:
+        """Whether nothing was heard of it for long while requests wait on it.
+
+        One that has none of them is not silent, so that one is always tried on it.
+        """
+        last = max(self.asked_at, self._last_sign())
+        return self.in_progress > 0 and now - last > QUIET_SECONDS
+
+    def _last_sign(self) -> float:
+        return max(self.heard_at, self.news_at)
+
     def hear(self, news: EngineNews, now: float) -> None:
         """Take in what its agent tells of it."""
         self.news = news
--- a/packages/wasabideck_policy/wasabideck_policy/placement.py
+++ b/packages/wasabideck_policy/wasabideck_policy/placement.py
@@ -30,6 +30,9 @@
 # Shortly before a version is over, a server that has it may only get what begins at
 # once: with this part of its slots taken there is no queue.
 IDLE_PART = 0.8
+# With more than this part of the able servers silent, the fault is rather this
+# process's own link or loop, and the rest would be crushed.
+MOST_SILENT_PART = 0.5
 
 
 class Urgency:
@@ -103,6 +106,7 @@
     able = [b for b in backends if _able(b, demand, now)]
     if not able:
         return Place(None, back_in=_back_in(backends, demand, now))
+    able = _talking(able, now)
     free = [b for b in able if b.full_until <= now and not _full(b, demand, now)]
     if not free:
         return Place(None, full=True)
@@ -128,6 +132,18 @@
     return held >= demand.soon_version or idle
 
 
+def _talking(able: list[Backend], now: float) -> list[Backend]:
+    """Those that are not silent; all of them when too many are.
+
+    A server whose VM stands still, or is cut off, ends nothing and tells nothing: what
+    it told of its load fades, requests are taken off it one by one as callers give up,
+    and it soon looks the least pressed of all. It would draw most of what comes, and
+    each request would wait there in vain for most of its caller's patience.
+    """
+    talking = [b for b in able if not b.silent(now)]
+    return talking if len(talking) >= len(able) * (1 - MOST_SILENT_PART) else able
+
+
 def _back_in(backends: Sequence[Backend], demand: Demand, now: float) -> float | None:
     told = ((b.fresh_news(now), now - b.news_at) for b in backends)
     known = [(news, age) for news, age in told if news is not None]
