--- a/tests/forward/test_forwarding.py
+++ b/tests/forward/test_forwarding.py
@@ -4,16 +4,20 @@
 import time
 
 import pytest
+from wasabideck_forward.delivery import SILENT_NEXT
 from wasabideck_policy.backends import Listed
 from wasabideck_policy.configuration import CallerLimits, Kind
+from wasabideck_policy.placement import Urgency
 
 from .conftest import (
+    ENGINE,
     KEYS,
     Entry,
     answers,
     configuration,
     event,
     hangs,
+    loaded,
     refuses,
     request_id,
     reset,
@@ -486,3 +490,46 @@
         assert len(still.requests) == 1
 
     play(scenario)
+
+
+def test_a_stream_leaves_a_silent_server_before_its_caller_leaves(play):
+    # A VM freezes in the middle of two drafts. The silence of one was counted anew
+    # because the other had still got an event, so that it went on elsewhere after up
+    # to 1.4 s in place of 0.7, and its caller had left before the next event came.
+    async def scenario():
+        entry = Entry(configuration(route(**STREAM, timeout=5.0)))
+        still = await entry.add_server(
+            streams(event(1), then="hang"),
+            streams(event(1), event(2), then="hang", pause=0.15),
+        )
+        others = [streams(event(n)) for n in (2, 3)]
+        other = await entry.add_server(*others)
+        entry.beliefs.backends.get("i-1").in_progress = 5
+        callers = [await entry.caller() for _ in range(2)]
+        for n, caller in enumerate(callers):
+            await caller.ask(method=b"POST", body=b"prompt", name=b"req-%d" % n)
+        while len(still.requests) < 2:
+            await asyncio.sleep(0.005)
+        await asyncio.sleep(0.15 + SILENT_NEXT + 0.2)
+        assert len(other.requests) == 2
+
+    play(scenario)
+
+
+def test_the_rest_of_a_stream_is_not_put_behind_what_is_late(play):
+    # The goal for a draft's first event was kept, and then its VM froze. The rest was
+    # sent to a loaded engine among what is late, and no event came before the caller
+    # left: half of a draft was read, and both engines had worked for nobody.
+    async def scenario():
+        entry = Entry(configuration(route(**STREAM, goal=0.13), engine=ENGINE))
+        await entry.add_server(
+            streams(event(1), then="reset", pause=0.2), loaded=loaded(1)
+        )
+        other = await entry.add_server(streams(event(2)), loaded=loaded(1))
+        entry.beliefs.backends.get("i-1").in_progress = 5
+        caller = await entry.caller()
+        await caller.ask(method=b"POST", body=b"prompt")
+        assert (await caller.answer())[2] == event(1) + event(2)
+        assert b"X-Request-Priority: %d\r\n" % Urgency.FRESH in other.requests[0]
+
+    play(scenario)
