Move begun streams off a silent server sooner, ahead of what is late

Cause: the silence of a begun stream was looked at every 0.7 s from when it was last looked at, so that it took 1.3 to 1.4 s after the last byte; the rest of the stream then counted as late, its goal being over, and waited behind all others.

It is now counted from the last byte, and the rest goes with those sent ahead.

--- a/packages/wasabideck_forward/wasabideck_forward/delivery.py
+++ b/packages/wasabideck_forward/wasabideck_forward/delivery.py
@@ -142,7 +142,9 @@
     while True:
         patience = SILENT_FIRST if first else SILENT_NEXT
         if exchange.replaceable:
-            data = await _patiently(answer.read, backend, patience, clock)
+            data = await _patiently(
+                answer.read, backend, patience, clock, from_byte=not first
+            )
         else:
             data = await answer.read()
         if not data:
@@ -190,14 +192,28 @@
 
 
 async def _patiently(
-    wait: Callable, backend: Backend, patience: float, clock: Callable[[], float]
+    wait: Callable,
+    backend: Backend,
+    patience: float,
+    clock: Callable[[], float],
+    from_byte: bool = False,
 ) -> object:
-    """What ``wait`` gives; raises ``AnswerBroken`` when the server fell silent."""
+    """What ``wait`` gives; raises ``AnswerBroken`` when the server fell silent.
+
+    Parameters
+    ----------
+    from_byte : bool
+        Count the silence from the last byte, not from when it was last looked for
+        one. For streams that have begun: they are heard with each pass, and a caller
+        that sees nothing leaves after 2 s, of which looking again cost up to 0.7. What
+        waits in a queue may hear nothing at a sound server until its turn comes.
+    """
+    begun = clock()
     while True:
-        begun = clock()
         try:
-            async with asyncio.timeout(patience):
+            async with asyncio.timeout(max(0.0, begun + patience - clock())):
                 return await wait()
         except TimeoutError:
-            if backend.heard_at < begun:
+            if backend.heard_at <= begun:
                 raise AnswerBroken("the server fell silent") from None
+        begun = backend.heard_at if from_byte else clock()
--- a/packages/wasabideck_forward/wasabideck_forward/forwarder.py
+++ b/packages/wasabideck_forward/wasabideck_forward/forwarder.py
@@ -226,14 +226,18 @@
         model = exchange.engine.model
         beliefs, bounds = self.beliefs, self.bounds
         goal = exchange.req.arrived + exchange.route.goal
+        # A caller that has half of a stream leaves when it pauses for 2 s or more, and
+        # all that was written for it is lost: behind what is late the rest of it would
+        # wait longer at a loaded engine.
+        begun = exchange.delivered.events > 0
         return Demand(
             self.data_centre,
             model,
             exchange.engine.layers,
             beliefs.least_version(model, bounds.version_seconds, now),
             beliefs.least_version(model, bounds.queue_seconds, now),
-            late=now > goal - FIRST_EVENT_SECONDS,
-            ahead=exchange.ahead,
+            late=now > goal - FIRST_EVENT_SECONDS and not begun,
+            ahead=exchange.ahead or begun,
         )
 
     async def _attempt(
