Tests of entries that all choose the server that just told of free places

All of twenty entries hear an agent's word at once.

The first two were seen to fail with the others' share set to 0, the third with what is counted never taken back.

--- a/tests/beliefs/test_placement.py
+++ b/tests/beliefs/test_placement.py
@@ -5,7 +5,7 @@
 import pytest
 from wasabideck_policy.backends import Backend, Listed
 from wasabideck_policy.engine_news import EngineNews
-from wasabideck_policy.placement import Demand, Urgency, choose
+from wasabideck_policy.placement import FULL_PART, Demand, Urgency, choose
 
 NOW = 100.0
 DEMAND = Demand("dc", "m", 16)
@@ -126,3 +126,49 @@
     servers = [waited_on(name, 8, NOW) for name in "abc"]
     found = choose(servers, DEMAND, NOW + 2.0, random.Random(1))
     assert found.backend in servers
+
+
+def test_entries_that_heard_the_same_word_do_not_all_send_to_one_server():
+    # All servers but one were full. Its agent's word reached twenty entries at once,
+    # and each sent it draft after draft until the next word: half of them were refused
+    # there, and the others waited behind one another for seconds.
+    entries, free_places = 20, 12
+    open_one = Listed("open", "s", "open:1", "dc", 16)
+    sent = 0
+    for seed in range(entries):
+        mine = [Backend(open_one), *(engine(f"full-{n}", 40) for n in range(4))]
+        mine[0].hear(EngineNews("open:1", 1, True, 16 - free_places, 0), NOW)
+        demand = Demand("dc", "m", 16, entries=entries)
+        rng = random.Random(seed)
+        while (place := choose(mine, demand, NOW + 0.1, rng)).backend is not None:
+            place.backend.begin(NOW + 0.1)
+            sent += 1
+    # What an engine of 16 slots may have waiting comes on top.
+    room = free_places + 16 * FULL_PART
+    assert sent <= 4 * room
+
+
+def test_an_agents_word_counts_what_others_sent():
+    # What an entry took others to have sent must not be added to what the agent says
+    # is there: a server with free places would look full for ever.
+    backend = engine("a", 3)
+    for _ in range(6):
+        backend.begin(NOW)
+    demand = Demand("dc", "m", 16, entries=20)
+    assert choose([backend], demand, NOW, random.Random(1)).backend is None
+    backend.hear(EngineNews("a:1", 1, True, 8, 0), NOW + 0.25)
+    assert choose([backend], demand, NOW + 0.25, random.Random(1)).backend is backend
+
+
+def test_a_servers_own_word_counts_what_others_sent_when_its_agent_is_gone():
+    # An agent is killed and its engine serves on. Each request that an entry sent there
+    # stood for those of the others for ever, and the engine got no more.
+    backend = engine("a", 3)
+    backend.versions["m"] = 1
+    later = NOW + 5.0
+    for n in range(12):
+        backend.begin(later + n)
+        backend.in_progress -= 1
+        backend.hear_load(4, later + n)
+    demand = Demand("dc", "m", 16, entries=20)
+    assert choose([backend], demand, later + 12, random.Random(1)).backend is backend
