Merge: entries that choose alike, silent servers, and what begun streams wait behind

That entries which heard the same word all send to the same server is also where the longest waits came from in the last seconds of a version.

--- a/packages/wasabideck_forward/wasabideck_forward/forwarder.py
+++ b/packages/wasabideck_forward/wasabideck_forward/forwarder.py
@@ -249,14 +249,19 @@
         model = exchange.engine.model
         beliefs, bounds = self.beliefs, self.bounds
         goal = exchange.req.arrived + exchange.route.goal
+        # A caller that has half of a stream leaves when it pauses for 2 s or more, and
+        # all that was written for it is lost: behind what is late the rest of it would
+        # wait longer at a loaded engine.
+        begun = exchange.delivered.events > 0
         return Demand(
             self.data_centre,
             model,
             exchange.engine.layers,
             beliefs.least_version(model, bounds.version_seconds, now),
             beliefs.least_version(model, bounds.queue_seconds, now),
-            late=now > goal - FIRST_EVENT_SECONDS,
-            ahead=exchange.ahead,
+            late=now > goal - FIRST_EVENT_SECONDS and not begun,
+            ahead=exchange.ahead or begun,
+            entries=max(1, beliefs.entries),
         )
 
     async def _attempt(
@@ -267,7 +272,7 @@
         exchange.replaceable = (
             exchange.route.idempotent and len(exchange.tried) < exchange.route.attempts
         )
-        backend.in_progress += 1
+        backend.begin(self.clock())
         conn: ServerConnection | None = None
         answer = Answer(exchange.req.head.request, exchange.req.method == b"HEAD")
         sent = exchange.engine and Sent(answer, backend, exchange.engine)
@@ -334,9 +339,7 @@
     def _learn(self, exchange: Exchange, backend: Backend, head: AnswerHead) -> None:
         now = self.clock()
         if head.load is not None:
-            total = head.load.running + head.load.waiting
-            backend.others = max(0, total - backend.in_progress)
-            backend.told_at = now
+            backend.hear_load(head.load.running + head.load.waiting, now)
         if head.version and exchange.engine is not None:
             backend.versions[exchange.engine.model] = head.version
         if head.other_server:
