Take a server for gone that one answer tells of and removes

Cause: one answer of the store told of a change of its entry and then of its removal, as both fell into the pause after another change. Removals were taken in first, and the older row put the server back, for good, as nothing more was told of it.

Rows are now taken in as they come, and what is gone by a key's last row is removed after them, all at once, so that a mass of removals is still seen as one. Two cases of the test fail without it.

--- a/packages/wasabideck_base/wasabideck_base/believer.py
+++ b/packages/wasabideck_base/wasabideck_base/believer.py
@@ -262,9 +262,7 @@
     # The servers' entries
 
     def _took_servers(self, rows: list[Row]) -> None:
-        now = self.clock()
         backends = self.beliefs.backends
-        backends.remove([row.key for row in rows if row.removed], now)
         for row in rows:
             if row.removed:
                 self.events.emit("server.gone", server=row.key, version=row.version)
@@ -281,6 +279,11 @@
             elif known is None:
                 self.events.emit("server.joined", **told, version=row.version)
             backends.take(listed)
+        # Last, all at once, and by each key's last row: one answer may tell of a change
+        # of an entry and then of its removal, and the older row would put it back.
+        last = {row.key: row for row in rows}
+        gone = [key for key, row in last.items() if row.removed]
+        backends.remove(gone, self.clock())
 
     def _whole_servers(self, rows: list[Row]) -> None:
         self.beliefs.listed = True
--- a/tests/beliefs/test_believer.py
+++ b/tests/beliefs/test_believer.py
@@ -4,6 +4,7 @@
 import random
 from types import SimpleNamespace
 
+import orjson
 import pytest
 from wasabideck_adapter.deployment import DEPLOYMENT
 from wasabideck_base.believer import Believer
@@ -330,6 +331,34 @@
     assert not believer._unsure(weights_key("m"))
 
 
+def server_row(key, version, state="ready", **more):
+    value = orjson.dumps({"service": "s", "addr": f"{key}:1", "state": state, **more})
+    return Row("servers", key, value, version)
+
+
+@pytest.mark.parametrize("before", ["ready", "draining"])
+def test_a_server_that_is_told_of_and_gone_in_one_answer_is_gone(
+    believer, clock, before
+):
+    # Seen: requests reached a server 2.0 to 2.4 s after it had left the list, and went
+    # on doing so. One answer told of a change of its entry and then of its removal:
+    # removals were taken in first, and the older row put it back for good.
+    backends = believer.beliefs.backends
+    believer._took_servers([server_row("i-1", 5), server_row("i-2", 6)])
+    gone = Row("servers", "i-1", b"", 9, removed=True)
+    believer._took_servers([server_row("i-1", 8, before), gone])
+    assert [b.server for b in backends.of_service("s", clock[0])] == ["i-2"]
+    assert backends.names() == {"i-2"}
+
+
+def test_a_server_that_is_gone_and_listed_again_in_one_answer_is_there(believer, clock):
+    believer._took_servers([server_row("i-1", 5)])
+    gone = Row("servers", "i-1", b"", 8, removed=True)
+    believer._took_servers([gone, server_row("i-1", 9)])
+    found = believer.beliefs.backends.of_service("s", clock[0])
+    assert [b.server for b in found] == ["i-1"]
+
+
 def test_rows_of_other_writers_change_nothing(believer):
     rows = [Row("servers", "i-1", b"\xff", 5), Row("servers", "i-2", b"{}", 6)]
     believer._took_servers(rows)
