Try the way to a server before sending what it may begin too late

Cause: the last guess that taking back leaned on, that a close is at the server within 0.2 s. The link to the server's VM was full of chunks; what was sent came 1 to 1.5 s later, and the close behind it. A kept connection shows nothing of that. Ruled out: the kernel's round trip of a connection, which tells the nominal one there.

The test fails without it.

--- a/packages/wasabideck_forward/wasabideck_forward/forwarder.py
+++ b/packages/wasabideck_forward/wasabideck_forward/forwarder.py
@@ -59,6 +59,9 @@
 # What waits at servers is looked at so often: twenty times a second cost nothing that
 # could be measured, and what is late by so much is still taken back in time (seconds).
 LOOK_SECONDS = 0.05
+# What may be begun too late is sent only where a new connection is there so soon: a
+# close that takes it back has the same way, and a fifth of a second for it (seconds).
+WAY_SECONDS = 0.15
 # What is left of a deadline is told a little short, as the message still travels.
 TRAVEL_SECONDS = 0.002
 
@@ -277,7 +280,8 @@
         answer = Answer(exchange.req.head.request, exchange.req.method == b"HEAD")
         sent = exchange.engine and Sent(answer, backend, exchange.engine)
         try:
-            conn = await self.pool.take(backend, exchange.route.idempotent)
+            way = self._way(exchange, backend)
+            conn = await self.pool.take(backend, exchange.route.idempotent, way)
             # A connection takes up to 0.3 s to make, and word of a server that leaves
             # may come meanwhile: what reached it then came too late.
             if not self.beliefs.backends.may_get(backend.server, self.clock()):
@@ -326,6 +330,15 @@
         )
         return self.wire.write_request(exchange.req, sending) + exchange.req.body
 
+    def _way(self, exchange: Exchange, backend: Backend) -> float | None:
+        """How long the way to a server may take; None where it doesn't matter."""
+        if exchange.engine is None:
+            return None
+        now = self.clock()
+        held = backend.holds(exchange.engine.model, exchange.engine.layers, now)
+        soon_over = held < self._demand(exchange, now).soon_version
+        return WAY_SECONDS if soon_over else None
+
     def _note_weights(self, exchange: Exchange, backend: Backend) -> None:
         """Keep for the log what was believed of the server's weights at sending."""
         if exchange.engine is None:
--- a/packages/wasabideck_forward/wasabideck_forward/server_pool.py
+++ b/packages/wasabideck_forward/wasabideck_forward/server_pool.py
@@ -46,8 +46,19 @@
     clock: Callable[[], float]
     _idle: dict[str, list[ServerConnection]] = field(factory=dict)
 
-    async def take(self, backend: Backend, idempotent: bool) -> ServerConnection:
-        """A connection to a server, kept or new; raises ``Unreachable``."""
+    async def take(
+        self, backend: Backend, idempotent: bool, way: float | None = None
+    ) -> ServerConnection:
+        """A connection to a server, kept or new; raises ``Unreachable``.
+
+        Parameters
+        ----------
+        way : float or None
+            Seconds within which a new connection has to be there, for what must not
+            come late: on a kept one nothing shows that the link is full.
+        """
+        if way is not None:
+            return await self._connect(backend, way)
         now = self.clock()
         kept = self._idle.get(backend.server, [])
         while kept:
@@ -55,7 +66,7 @@
             if conn.usable and _still_open(conn, idempotent, now):
                 return conn
             conn.close()
-        return await self._connect(backend)
+        return await self._connect(backend, CONNECT_SECONDS)
 
     def give_back(self, backend: Backend, conn: ServerConnection) -> None:
         """Keep a connection whose answer has ended, if it is good for another."""
@@ -82,7 +93,7 @@
             else:
                 del self._idle[server]
 
-    async def _connect(self, backend: Backend) -> ServerConnection:
+    async def _connect(self, backend: Backend, within: float) -> ServerConnection:
         host, _, port = backend.listed.address.rpartition(":")
 
         def heard(now: float) -> None:
@@ -93,7 +104,7 @@
 
         loop = asyncio.get_running_loop()
         try:
-            async with asyncio.timeout(CONNECT_SECONDS):
+            async with asyncio.timeout(within):
                 _, conn = await loop.create_connection(factory, host, int(port))
         except (OSError, ValueError) as exc:
             # A timeout is an OSError, too.
--- a/tests/forward/test_forwarding.py
+++ b/tests/forward/test_forwarding.py
@@ -207,8 +207,8 @@
         backends = entry.beliefs.backends
         backends.get("i-1").in_progress = 5
 
-        async def slowly(backend, idempotent):
-            conn = await entry.pool.take(backend, idempotent)
+        async def slowly(backend, idempotent, way):
+            conn = await entry.pool.take(backend, idempotent, way)
             if backend.server == "i-0" and leaves == "is gone":
                 backends.remove(["i-0"], asyncio.get_running_loop().time())
             elif backend.server == "i-0":
--- a/tests/forward/test_weights.py
+++ b/tests/forward/test_weights.py
@@ -3,6 +3,7 @@
 import asyncio
 
 import pytest
+from wasabideck_forward.server_pool import ServerPool, Unreachable
 from wasabideck_policy.configuration import Kind
 from wasabideck_policy.engine_news import EngineNews
 
@@ -89,6 +90,37 @@
     play(scenario)
 
 
+def test_the_way_to_a_server_is_tried_before_it_gets_what_it_may_begin_too_late(play):
+    # Seen: drafts were taken back 0.2 s before version 1 was over, and begun on it up
+    # to 0.3 s after. The link to the server's VM was full of chunks: what was sent came
+    # 1.5 s later, and the close behind it. A kept connection shows nothing of that.
+    async def scenario():
+        entry = Entry(configuration(route(**STREAM), engine=ENGINE))
+        far = await entry.add_server(streams(event(1)), loaded=loaded(1))
+        await entry.add_server(streams(event(1), event(2)), loaded=loaded(1))
+        entry.beliefs.backends.get("i-1").in_progress = 5
+        named_ago(entry, 2, WITHIN - 0.8)
+        connect = ServerPool._connect
+
+        async def full_link(pool, backend, within):
+            if backend.server == "i-0":
+                await asyncio.sleep(min(1.5, within))
+                raise Unreachable(backend.server, "no connection in time")
+            return await connect(pool, backend, within)
+
+        idle = await connect(entry.pool, entry.beliefs.backends.get("i-0"), 1.0)
+        entry.pool.give_back(entry.beliefs.backends.get("i-0"), idle)
+        with pytest.MonkeyPatch.context() as patch:
+            patch.setattr(ServerPool, "_connect", full_link)
+            caller = await entry.caller()
+            await caller.ask(method=b"POST", body=b"prompt")
+            async with asyncio.timeout(0.5):
+                assert (await caller.answer())[::2] == (200, event(1) + event(2))
+        assert far.requests == []
+
+    play(scenario)
+
+
 def test_word_of_a_server_that_was_listed_anew_counts_for_what_waits_there(play):
     # The server's entry lapsed for a moment and came back. Its agent's word went to the
     # new entry, and what waited there was judged by the old one and taken back.
