--- a/packages/wasabideck_base/wasabideck_base/believer.py
+++ b/packages/wasabideck_base/wasabideck_base/believer.py
@@ -34,6 +34,12 @@
 MEMBERS_LATER = 15.0
 # An agent that no entry answers for so long reads the store itself (seconds).
 UNHEARD_SECONDS = 2.0
+# While it reads, it looks so often whether an entry has told it (seconds).
+TOLD_SECONDS = 0.1
+# Reads that failed one after the other are further apart each time, up to so long
+# (seconds): what a full link brings of an answer that is given up fills it for the
+# others, who then give up as well.
+LONGEST_APART = 8.0
 # Engines' models and the origin change rarely: an agent takes a newer configuration in
 # no more often than this (seconds).
 CONFIGURED_SECONDS = 10.0
@@ -301,7 +307,7 @@
     async def _keep_asking(self) -> None:
         while True:
             heard_at = self.operators.heard_at
-            failing = self._is_entry and self.operators.failing
+            failing = self._cut_off()
             unsure = any(map(self._unsure, self.hearsay.declarations.numbers()))
             await asyncio.sleep(CUT_OFF_SECONDS if failing or unsure else CALM_SECONDS)
             await self.hearsay.ask_one()
@@ -309,17 +315,22 @@
                 heard_at, self.hearsay.heard_at, self.operators.heard_at
             )
 
+    def _cut_off(self) -> bool:
+        """Whether the store gave this process no answer when it was last asked."""
+        if self._is_entry:
+            return self.operators.failing
+        return self.beliefs.configuration is None
+
     async def _keep_reading(self) -> None:
         """Read what operators declare from the store while no entry tells it."""
-        configured_at = float("-inf")
+        configured_at = read_from = float("-inf")
+        failures = 0
         while True:
             now = self.clock()
-            if self.beliefs.configuration is None or self._unheard(now):
-                try:
-                    changes = await self.store.read(self.deployment.operators)
-                    self._took_operators(list(changes.rows))
-                except (PlatformUnavailable, PlatformRefused) as exc:
-                    self.events.emit("table.unavailable", why=str(exc))
+            if self._lacks_word(now) and now >= read_from:
+                failures = 0 if await self._read_unless_told() else failures + 1
+                apart = min(CALM_SECONDS * (2**failures - 1), LONGEST_APART)
+                read_from = self.clock() + apart * self.rng.uniform(0.5, 1.0)
             if now - configured_at > CONFIGURED_SECONDS:
                 configured_at = now
                 self.hearsay.lacks.discard(CONFIGURATION)
@@ -327,6 +338,35 @@
                 self.hearsay.lacks.add(CONFIGURATION)
             await asyncio.sleep(CALM_SECONDS * self.rng.uniform(0.8, 1.2))
 
+    async def _read_unless_told(self) -> bool:
+        """Read what operators declare, and stop when an entry tells it first.
+
+        After a loss of power all agents of a region read at once over its link, which
+        takes seconds. The first entry that has the answer spares them the rest of it,
+        and the link what nobody needs any more.
+
+        Returns
+        -------
+        known : bool
+            Whether it is known now, by the store or by an entry.
+        """
+        read = asyncio.create_task(self.store.read(self.deployment.operators))
+        try:
+            while not read.done() and self._lacks_word(self.clock()):
+                await asyncio.wait({read}, timeout=TOLD_SECONDS)
+            if read.done():
+                self._took_operators(list(read.result().rows))
+        except (PlatformUnavailable, PlatformRefused) as exc:
+            self.events.emit("table.unavailable", why=str(exc))
+            return False
+        finally:
+            read.cancel()
+        return True
+
+    def _lacks_word(self, now: float) -> bool:
+        """Whether an agent has to ask the store, as no entry tells it anything."""
+        return self.beliefs.configuration is None or self._unheard(now)
+
     def _unheard(self, now: float) -> bool:
         since = max(self.beliefs.began, self.hearsay.heard_at)
         return now - since > UNHEARD_SECONDS
--- a/packages/wasabideck_base/wasabideck_base/hearsay.py
+++ b/packages/wasabideck_base/wasabideck_base/hearsay.py
@@ -30,6 +30,9 @@
 ROW = "row"
 GONE = "gone"
 CALL_SECONDS = 0.7
+# A whole configuration may be 300 KB, and takes seconds over a link that all others
+# that start use as well: who has none gives an answer so long (seconds).
+FIRST_CALL_SECONDS = 3.0
 # A process asks one peer so often: with every second process cut off from the store
 # a change is with 99 in 100 of the others after seven asks (seconds).
 CALM_SECONDS = 1.0
@@ -128,10 +131,10 @@
         if address is None:
             return
         channel = self.channels.get(address)
+        first = len(self.declarations) == 0
+        limit = FIRST_CALL_SECONDS if first else CALL_SECONDS
         try:
-            reply = await PeersStub(channel).Sync(
-                self._question(), timeout=CALL_SECONDS
-            )
+            reply = await PeersStub(channel).Sync(self._question(), timeout=limit)
         except LINK_FAILURES as exc:
             self.channels.drop(address, channel)
             self._set_back[address] = self.clock() + SET_BACK_SECONDS
--- a/packages/wasabideck_base/wasabideck_base/http.py
+++ b/packages/wasabideck_base/wasabideck_base/http.py
@@ -99,9 +99,17 @@
         params: Mapping[str, str] | None = None,
         timeout: float | None = None,
         accept: tuple[int, ...] = (200,),
+        silence: float | None = None,
     ) -> tuple[int, bytes]:
         """Status and body of an answer.
 
+        Parameters
+        ----------
+        timeout : float or None
+            Seconds that the whole call may take; None for the client's own figure.
+        silence : float or None
+            Seconds for which no byte may come; None to bound the whole call only.
+
         Raises
         ------
         PlatformUnavailable
@@ -110,7 +118,9 @@
             The status is none of the accepted ones.
         """
         url = f"{self.base}{path}"
-        answer, data = await self._ask(method, path, timeout, data=body, params=params)
+        answer, data = await self._ask(
+            method, path, timeout, silence, data=body, params=params
+        )
         if answer.status not in accept:
             raise PlatformRefused(url, answer.status, data)
         return answer.status, data
@@ -124,7 +134,7 @@
             As ``call`` does.
         """
         headers = {"If-None-Match": tag} if tag else {}
-        answer, data = await self._ask("GET", path, None, headers=headers)
+        answer, data = await self._ask("GET", path, None, None, headers=headers)
         if answer.status == 304:
             return None
         if answer.status != 200:
@@ -133,10 +143,17 @@
         return Changed(data, answer.headers.get("ETag", ""), size)
 
     async def _ask(
-        self, method: str, path: str, timeout: float | None, **kw: object
+        self,
+        method: str,
+        path: str,
+        timeout: float | None,
+        silence: float | None,
+        **kw: object,
     ) -> tuple[aiohttp.ClientResponse, bytes]:
         url = f"{self.base}{path}"
-        limit = aiohttp.ClientTimeout(total=timeout or self.timeout)
+        limit = aiohttp.ClientTimeout(
+            total=timeout or self.timeout, sock_connect=silence, sock_read=silence
+        )
         try:
             async with self.session.request(method, url, timeout=limit, **kw) as answer:
                 data = await answer.read()
