Take callers from an entry's first moments on, and start sooner

Ruled out: the store (30 to 60 ms), the weights (in force 1.0 s after power returns).

Downside: a single entry that restarts no longer turns callers away at once, and they wait up to 0.6 s where another entry would have had them sooner.

--- a/packages/wasabideck_base/wasabideck_base/channels.py
+++ b/packages/wasabideck_base/wasabideck_base/channels.py
@@ -20,9 +20,9 @@
 from grpclib.server import Server
 from wasabideck_wire.convert import MalformedMessage
 
+from .addresses import split_address
 from .events import Clock
 from .inner_limits import InnerChannel
-from .settings import split_address
 
 __all__ = ["LINK_FAILURES", "Channels", "observe_clock"]
 
--- a/packages/wasabideck_base/wasabideck_base/engine_datagrams.py
+++ b/packages/wasabideck_base/wasabideck_base/engine_datagrams.py
@@ -9,7 +9,7 @@
 from wasabideck_policy.engine_news import EngineNews
 from wasabideck_wire import inner_pb2 as pb
 
-from .settings import split_address
+from .addresses import split_address
 
 __all__ = ["EngineNewsListener", "EngineNewsSender"]
 
--- a/packages/wasabideck_base/wasabideck_base/settings.py
+++ b/packages/wasabideck_base/wasabideck_base/settings.py
@@ -35,7 +35,6 @@
     "ServiceSettings",
     "TlsSettings",
     "WeightsSettings",
-    "split_address",
 ]
 
 MODEL = "model"
@@ -281,9 +280,3 @@
     token: str = field(validator=is_secret, repr=False)
     authority: str = ""
     plain_text: bool = False
-
-
-def split_address(address: str) -> tuple[str, int]:
-    """Host and port of ``host:port``."""
-    host, _, port = address.rpartition(":")
-    return host, int(port)
--- a/packages/wasabideck_base/wasabideck_base/settings_checks.py
+++ b/packages/wasabideck_base/wasabideck_base/settings_checks.py
@@ -7,6 +7,7 @@
 
 from attrs import frozen
 
+from .addresses import split_address
 from .settings import (
     PLAIN,
     AccessSettings,
@@ -14,7 +15,6 @@
     EntrySettings,
     ProcessSettings,
     ServiceSettings,
-    split_address,
 )
 
 __all__ = ["CHECKS", "Wrong"]
--- a/packages/wasabideck_entry/wasabideck_entry/entry.py
+++ b/packages/wasabideck_entry/wasabideck_entry/entry.py
@@ -11,6 +11,7 @@
 from attrs import define
 from sanic import Request, Sanic
 from sanic.server import AsyncioServer
+from wasabideck_base.addresses import split_address
 from wasabideck_base.channels import LINK_FAILURES, Channels, observe_clock
 from wasabideck_base.clients import Platform, connect_platform
 from wasabideck_base.events import Events, open_events
@@ -25,7 +26,7 @@
     repeating,
     reread_keys,
 )
-from wasabideck_base.settings import EntrySettings, split_address
+from wasabideck_base.settings import EntrySettings
 from wasabideck_base.spread import PeersService, Spread
 from wasabideck_base.tls import Keys
 from wasabideck_policy.membership import ENTRY, Member, polls
--- a/packages/wasabideck_entry/wasabideck_entry/listener.py
+++ b/packages/wasabideck_entry/wasabideck_entry/listener.py
@@ -13,9 +13,10 @@
 from sanic.exceptions import PayloadTooLarge, SanicException
 from sanic.models.server_types import ConnInfo
 from sanic.server import AsyncioServer
+from wasabideck_base.addresses import split_address
 from wasabideck_base.metrics import Metrics, render_metrics
 from wasabideck_base.process import binding
-from wasabideck_base.settings import EntrySettings, split_address
+from wasabideck_base.settings import EntrySettings
 from wasabideck_base.tls import Keys
 from wasabideck_policy.outcomes import WasabideckError
 from wasabideck_policy.tickets import MAX_TICKET_BYTES
--- a/packages/wasabideck_forward/wasabideck_forward/caller_connection.py
+++ b/packages/wasabideck_forward/wasabideck_forward/caller_connection.py
@@ -12,6 +12,7 @@
 from attrs import define
 from wasabideck_policy.configuration import CallerLimits
 
+from .early_callers import EarlyCallers
 from .messages import CallerRequest, Wire, header_of
 
 __all__ = ["CallerConnection", "Front"]
@@ -37,6 +38,8 @@
         Coroutine function that answers one request on its connection.
     closing : bool
         Whether connections are closed after their present request.
+    early : EarlyCallers or None
+        Those who waited for this process to start, until they are all taken.
     """
 
     wire: Wire
@@ -45,6 +48,7 @@
     serve: Callable[[CallerRequest, CallerConnection], object]
     connections: set[CallerConnection]
     closing: bool = False
+    early: EarlyCallers | None = None
 
     def sweep(self) -> None:
         """Close connections that are idle, or slow to send a head, for too long."""
@@ -70,6 +74,7 @@
         self._ahead: deque[CallerRequest] = deque()
         self._task: asyncio.Task | None = None
         self._idle_since = front.clock()
+        self._place: int | None = None
         self._reading_since: float | None = None
         self._in_headers = False
         self._head_bytes = 0
@@ -87,6 +92,9 @@
     def connection_made(self, transport: asyncio.Transport) -> None:  # noqa: D102
         self._transport = transport
         self._front.connections.add(self)
+        early = self._front.early
+        if early is not None:
+            self._place = early.take(self._front.clock())
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Give up what the caller no longer waits for."""
@@ -179,7 +187,7 @@
             target=self._target,
             headers=self._headers,
             head=self._front.wire.read_request(self._headers),
-            arrived=self._reading_since,
+            arrived=self._arrived(),
             keep_alive=self._parser.should_keep_alive(),
             http10=self._parser.get_http_version() == "1.0",
             body=b"".join(self._parts),
@@ -192,6 +200,13 @@
         elif len(self._ahead) >= MOST_AHEAD:
             self._transport.pause_reading()
 
+    def _arrived(self) -> float:
+        """When the present request came, also when nothing could read it then."""
+        if self._place is None:
+            return self._reading_since
+        place, self._place = self._place, None
+        return self._front.early.arrived(place)
+
     # What answers the present request
 
     def write_head(
--- a/packages/wasabideck_forward/wasabideck_forward/entry_process.py
+++ b/packages/wasabideck_forward/wasabideck_forward/entry_process.py
@@ -6,6 +6,7 @@
 
 from attrs import define
 from wasabideck_base.deployment import Deployment
+from wasabideck_base.early_listener import BACKLOG, EarlyListener
 from wasabideck_base.engine_datagrams import EngineNewsListener
 from wasabideck_base.node import NodeSettings
 from wasabideck_base.node_process import NodeProcess, node_process
@@ -15,6 +16,7 @@
 
 from .caller_connection import CallerConnection, Front
 from .crash_watch import CrashWatch
+from .early_callers import EarlyCallers
 from .forwarder import Bounds, Forwarder
 from .messages import CallerRequest
 from .server_pool import ServerPool
@@ -22,7 +24,6 @@
 __all__ = ["run_entry"]
 
 SWEEP_SECONDS = 0.5
-BACKLOG = 1024
 # A request begins 0.1 to 0.3 s after it was sent where nothing waits before it: the
 # batch's present pass, and reading its prompt. From so much before the time of older
 # weights is over, with what follows, requests go to newer ones only (seconds).
@@ -30,10 +31,13 @@
 # So much before that time what has not begun is taken back: the look for it comes every
 # 0.05 s, up to 0.1 s late on a busy VM, and the server has to see the close (seconds).
 BEGIN_MARGIN = 0.2
-# Before that, a request that is sent to older weights may have to wait in the server's
-# queue, and begin too late: from so much earlier on those with a free place alone get
-# any. Callers leave after 2.4 s, and what waits for them goes with them (seconds).
+# What is sent to older weights may wait in the server's queue until that moment: from
+# so much before it on it is made sure that it can be taken back. Callers leave after
+# 2.4 s, and what waits for them goes with them (seconds).
 QUEUE_MARGIN = 3.1
+# What would be taken back has waited in vain, with one try less: from so much before it
+# on only servers with a free place get any (seconds).
+FULL_MARGIN = 1.6
 # After the signal to stop the balancer needs two checks, a second apart, to notice;
 # until then new connections are still taken (seconds).
 NOTICED_SECONDS = 3.0
@@ -42,11 +46,19 @@
 CLOSING_SECONDS = 1.3
 
 
-async def run_entry(cfg: NodeSettings, deployment: Deployment) -> None:
-    """Run an entry until it is told to stop, and has answered what it had read."""
+async def run_entry(
+    cfg: NodeSettings, deployment: Deployment, listener: EarlyListener | None = None
+) -> None:
+    """Run an entry until it is told to stop, and has answered what it had read.
+
+    Parameters
+    ----------
+    listener : EarlyListener or None
+        Listens for callers already; None to listen at the address of the settings.
+    """
     async with node_process(cfg, ENTRY, deployment, lambda process: ()) as process:
         entry = _assemble(process, deployment)
-        await entry.serve()
+        await entry.serve(listener or EarlyListener(cfg.front))
 
 
 @define
@@ -58,13 +70,14 @@
     ready: Front
     forwarder: Forwarder
 
-    async def serve(self) -> None:
-        """Listen until the signal to stop, then finish."""
+    async def serve(self, listener: EarlyListener) -> None:
+        """Take callers from a listener until the signal to stop, then finish."""
         loop = asyncio.get_running_loop()
         cfg = self.process.cfg
+        self.front.early = EarlyCallers(listener.since, self.process.clock())
         listeners = [
-            await _listen(self.front, cfg.front),
-            await _listen(self.ready, cfg.ready),
+            await _listen(self.front, listener),
+            await _listen(self.ready, EarlyListener(cfg.ready)),
         ]
         news, _ = await loop.create_datagram_endpoint(
             lambda: EngineNewsListener(self._hear), local_addr=(cfg.ip, cfg.inner_port)
@@ -149,12 +162,12 @@
         cfg.bounds.version - VERSION_MARGIN,
         cfg.bounds.version - BEGIN_MARGIN,
         cfg.bounds.version - QUEUE_MARGIN,
+        cfg.bounds.version - FULL_MARGIN,
     )
 
 
-async def _listen(front: Front, address: str) -> asyncio.Server:
-    host, _, port = address.rpartition(":")
+async def _listen(front: Front, listener: EarlyListener) -> asyncio.Server:
     loop = asyncio.get_running_loop()
     return await loop.create_server(
-        lambda: CallerConnection(front), host, int(port), backlog=BACKLOG
+        lambda: CallerConnection(front), sock=listener.sock, backlog=BACKLOG
     )
--- a/tests/forward/test_entry_process.py
+++ b/tests/forward/test_entry_process.py
@@ -7,6 +7,7 @@
 from wasabideck_adapter.deployment import DEPLOYMENT
 from wasabideck_base.believer import Believer
 from wasabideck_base.channels import Channels
+from wasabideck_base.early_listener import EarlyListener
 from wasabideck_base.events import Clock, Events
 from wasabideck_base.node import NodeSettings, StoreSettings
 from wasabideck_base.node_process import NodeProcess
@@ -52,7 +53,8 @@
     monkeypatch.setattr(Forwarder, "keep_taking_back", keep_taking_back)
 
     async def run():
-        serving = asyncio.create_task(_assemble(process, DEPLOYMENT).serve())
+        entry = _assemble(process, DEPLOYMENT)
+        serving = asyncio.create_task(entry.serve(EarlyListener("127.0.0.1:0")))
         async with asyncio.timeout(5):
             await looking.wait()
         serving.cancel()
