Entries: late requests in turn, streams off servers that stop, prompts that are unread

- Streams leave a server that stops for newer weights after 0.8 s and go on elsewhere.
Its longest one kept 15 places idle for 2 s.
- Servers whose address a younger one has get nothing: after a loss of power 100 to 250 requests came back with 421.
- Late requests go one after the other from each entry, where a place is free; others wait here for 0.6 of their caller's patience.
- A prompt that is unread counts as 1.5 requests more, and nothing that would wait for two slots is sent ahead.

A test's server has room for its four requests now: what has no place at once waits.

--- a/packages/wasabideck_forward/wasabideck_forward/delivery.py
+++ b/packages/wasabideck_forward/wasabideck_forward/delivery.py
@@ -5,6 +5,7 @@
 import asyncio
 from collections.abc import Callable
 
+from attrs import frozen
 from wasabideck_policy.backends import Backend
 from wasabideck_policy.configuration import Kind
 from wasabideck_policy.outcomes import WasabideckError
@@ -15,7 +16,7 @@
 from .messages import AnswerHead, header_of, passed_on
 from .server_connection import Answer, AnswerBroken
 
-__all__ = ["ServerFailed", "deliver", "head_of", "write_whole"]
+__all__ = ["Listening", "ServerFailed", "deliver", "head_of", "write_whole"]
 
 # A plain answer up to this size is held until it is whole, so that one that breaks
 # off can still become another server's answer or an honest failure.
@@ -46,26 +47,43 @@
         self.refused = refused
 
 
+@frozen
+class Listening:
+    """What tells how long to wait for a server's next bytes.
+
+    Attributes
+    ----------
+    way_silent : callable
+        Whether most servers of its data centre are silent now.
+    way_patience : float
+        How long a begun stream waits for its next byte then, seconds.
+    """
+
+    backend: Backend
+    clock: Callable[[], float]
+    way_silent: Callable[[], bool]
+    way_patience: float
+
+
 async def head_of(
-    exchange: Exchange, answer: Answer, backend: Backend, clock: Callable[[], float]
+    exchange: Exchange, answer: Answer, listening: Listening
 ) -> AnswerHead:
     """An answer's head; raises ``AnswerBroken``, also for a silent server."""
     patience = SILENT_PLAIN if exchange.route.kind is Kind.SAFE else SILENT_FIRST
     if not exchange.replaceable:
         return await answer.headers()
-    return await _patiently(answer.headers, backend, patience, clock)
+    return await _patiently(answer.headers, listening, patience)
 
 
 async def deliver(
     exchange: Exchange,
     head: AnswerHead,
     answer: Answer,
-    backend: Backend,
+    listening: Listening,
     caller: CallerConnection,
-    clock: Callable[[], float],
     first_event: Callable[[float], None],
 ) -> None:
-    """Pass an answer on to the caller; tells when its first event came.
+    """Pass an answer on to the caller; tells when this server's first event came.
 
     Raises
     ------
@@ -78,9 +96,7 @@
         raise ServerFailed(head.status, refused=True)
     streamed = header_of(head.headers, b"content-type").startswith(b"text/event-stream")
     if streamed and head.status < 300:
-        await _deliver_events(
-            exchange, head, answer, backend, caller, clock, first_event
-        )
+        await _deliver_events(exchange, head, answer, listening, caller, first_event)
         return
     if exchange.delivered.events:
         # Half of a stream is with the caller: nothing else can go on behind it.
@@ -130,9 +146,8 @@
     exchange: Exchange,
     head: AnswerHead,
     answer: Answer,
-    backend: Backend,
+    listening: Listening,
     caller: CallerConnection,
-    clock: Callable[[], float],
     first_event: Callable[[float], None],
 ) -> None:
     delivered = exchange.delivered
@@ -143,7 +158,7 @@
         patience = SILENT_FIRST if first else SILENT_NEXT
         if exchange.replaceable:
             data = await _patiently(
-                answer.read, backend, patience, clock, from_byte=not first
+                answer.read, listening, patience, from_byte=not first
             )
         else:
             data = await answer.read()
@@ -153,8 +168,7 @@
         if events and first:
             _check_follows(events[0], after)
             first = False
-            if not delivered.events:
-                first_event(clock())
+            first_event(listening.clock())
         if events:
             await _write_events(delivered, head, events, caller)
     if delivered.splitter.partial:
@@ -193,9 +207,8 @@
 
 async def _patiently(
     wait: Callable,
-    backend: Backend,
+    listening: Listening,
     patience: float,
-    clock: Callable[[], float],
     from_byte: bool = False,
 ) -> object:
     """What ``wait`` gives; raises ``AnswerBroken`` when the server fell silent.
@@ -208,6 +221,7 @@
         that sees nothing leaves after 2 s, of which looking again cost up to 0.7. What
         waits in a queue may hear nothing at a sound server until its turn comes.
     """
+    backend, clock = listening.backend, listening.clock
     begun = clock()
     while True:
         try:
@@ -215,5 +229,9 @@
                 return await wait()
         except TimeoutError:
             if backend.heard_at <= begun:
+                longer = from_byte and patience < listening.way_patience
+                if longer and listening.way_silent():
+                    patience = listening.way_patience
+                    continue
                 raise AnswerBroken("the server fell silent") from None
         begun = backend.heard_at if from_byte else clock()
--- a/packages/wasabideck_forward/wasabideck_forward/exchange.py
+++ b/packages/wasabideck_forward/wasabideck_forward/exchange.py
@@ -39,14 +39,18 @@
         When it has to have an answer, seconds.
     deadline : float or None
         When the caller stops waiting, seconds.
+    unreachable : int
+        Servers among those tried that no connection could be made to.
     uncertain : bool
         Whether a server may have run it without having said how it ended.
     replaceable : bool
         Whether another server may be tried after the present one.
     ahead : bool
         Whether it is among those that engines run ahead of the others.
+    tried_before : bool
+        Whether its caller has asked before, by the time that is left to it.
     waited : bool
-        Whether it waited for a server that was soon to be back.
+        Whether it waited here for a server.
     urgency : int or None
         Its class of urgency at the engine.
     first_seconds : float or None
@@ -68,13 +72,20 @@
     priority: int | None = None
     engine: EngineModel | None = None
     tried: list[str] = field(factory=list)
+    unreachable: int = 0
     uncertain: bool = False
     refused_by: int = 0
     replaceable: bool = False
     ahead: bool = True
+    tried_before: bool = False
     waited: bool = False
     urgency: int | None = None
     first_seconds: float | None = None
     weights: int = 0
     over_in: float | None = None
     delivered: Delivered = field(factory=Delivered)
+
+    @property
+    def sent_to(self) -> int:
+        """Servers that it was sent to, the present one included."""
+        return len(self.tried) - self.unreachable
--- a/packages/wasabideck_forward/wasabideck_forward/forwarder.py
+++ b/packages/wasabideck_forward/wasabideck_forward/forwarder.py
@@ -12,17 +12,19 @@
 from wasabideck_base.events import Events
 from wasabideck_policy.backends import Backend
 from wasabideck_policy.beliefs import Beliefs
+from wasabideck_policy.configuration import Route
 from wasabideck_policy.fresh_share import FreshShare
+from wasabideck_policy.late_lane import LateLane
 from wasabideck_policy.outliers import Outliers
-from wasabideck_policy.placement import Demand, Place, choose
+from wasabideck_policy.placement import Demand, Place, Urgency, choose
 from wasabideck_policy.retry_share import RetryShare
 
 from .caller_connection import CallerConnection
 from .crash_watch import CrashWatch
-from .delivery import ServerFailed, deliver, head_of, write_whole
+from .delivery import Listening, ServerFailed, deliver, head_of, write_whole
 from .exchange import Exchange
 from .messages import AnswerHead, CallerRequest, Sending, Wire
-from .recall import Recalled, Sent, Unbegun
+from .recall import Recalled, Sent, Underway
 from .refusals import (
     AllFull,
     CallerLeft,
@@ -51,6 +53,31 @@
 # would come back after the same time, and might be refused once more. Callers leave a
 # stream that shows nothing for 2 to 2.5 s; longer waits are for nobody (seconds).
 LONGEST_WAIT = 1.2
+# A process that starts waits so long for its first configuration before it refuses, and
+# looks for it so often (seconds).
+STARTING_SECONDS = 0.5
+STARTING_LOOK_SECONDS = 0.02
+# Servers that cannot be reached at all, and were sent nothing, do not count among those
+# that a request may be sent to: behind a full link the next one is often as far away,
+# and a stream that has begun would end there. So many are passed over at the most.
+MOST_UNREACHABLE = 3
+# A late request looks so often whether it has a turn (seconds).
+TURN_SECONDS = 0.05
+# It waits for one for this part of the time after which its caller leaves a stream that
+# shows nothing; the rest is for the server.
+TURN_PART = 0.6
+# A begun stream from a data centre that is silent altogether waits for this part of its
+# caller's patience: a link that is full is free again within a second or two, and at
+# another server behind it the stream would wait as long.
+WAY_PART = 0.75
+# Callers wait for a stream's next event for so many of its longest pauses and of its
+# goal, and so long at the least (seconds).
+PATIENT_PAUSES = 8
+PATIENT_GOALS = 4
+PATIENT_SECONDS = 2.0
+# Whoever has less than this part of the time that callers of a route have at most has
+# asked before. Their patience differs by up to a seventh.
+FIRST_TRY_PART = 0.8
 # What is kept of the deadline for the server's own work on a request that waited.
 WORK_SECONDS = 1.0
 # A little before its goal a request that has not been sent cannot be in time any more:
@@ -81,6 +108,8 @@
         How long after it a server may begin them there.
     queue_seconds : float
         How long after it they may have to wait in a server's queue.
+    full_seconds : float
+        How long after it they are sent to servers where they wait.
     """
 
     retry_ratio: float
@@ -89,6 +118,7 @@
     version_seconds: float
     begin_seconds: float
     queue_seconds: float
+    full_seconds: float
 
 
 @define
@@ -109,11 +139,13 @@
     _shares: dict[str, RetryShare] = field(factory=dict)
     _fresh: dict[str, FreshShare] = field(factory=dict)
     _news: asyncio.Event = field(factory=asyncio.Event)
-    _unbegun: Unbegun = field(init=False)
+    _late: LateLane = field(factory=LateLane)
+    _patience: dict[str, float] = field(factory=dict)
+    _underway: Underway = field(init=False)
 
     def __attrs_post_init__(self) -> None:
         """Begin with nothing sent."""
-        self._unbegun = Unbegun(self.beliefs)
+        self._underway = Underway(self.beliefs)
 
     def wake(self) -> None:
         """Wake requests that wait for a server: something is known anew."""
@@ -126,16 +158,19 @@
         self._shares.clear()
 
     async def keep_taking_back(self) -> None:
-        """Take back what waits at servers for weights that are over, for ever."""
+        """Take requests off servers that they should not be on any more, for ever."""
         while True:
             await asyncio.sleep(LOOK_SECONDS)
-            self._unbegun.take_back(self.bounds.begin_seconds, self.clock())
+            now = self.clock()
+            self._underway.take_back(self.bounds.begin_seconds, now)
+            self._underway.move_off(now)
 
     async def serve(self, req: CallerRequest, caller: CallerConnection) -> None:
         """Answer one request on its connection."""
         self.in_progress += 1
         exchange = None
         try:
+            await self._be_ready()
             exchange = self._admit(req, self.clock())
             await self._within_time(exchange, caller)
         except Refusal as exc:
@@ -145,6 +180,17 @@
             raise
         finally:
             self.in_progress -= 1
+            self._late.begun(exchange)
+
+    async def _be_ready(self) -> None:
+        """Wait for the first configuration and list of servers, but not for long.
+
+        They come within a tenth of a second of the start. Callers that are there by
+        then have mostly been turned away once and come no third time.
+        """
+        began = self.clock()
+        while not self.beliefs.ready and self.clock() - began < STARTING_SECONDS:
+            await asyncio.sleep(STARTING_LOOK_SECONDS)
 
     def _admit(self, req: CallerRequest, now: float) -> Exchange:
         """What is known of a request before it is sent; raises ``Refusal``."""
@@ -177,8 +223,18 @@
             fresh = self._ahead(service)
             fresh.arrive(now)
             exchange.ahead = fresh.draw(self.rng)
+            exchange.tried_before = self._has_tried_before(exchange)
         return exchange
 
+    def _has_tried_before(self, exchange: Exchange) -> bool:
+        """Whether a caller comes back, and its goal is over although it came now."""
+        left = exchange.req.head.deadline
+        if not left:
+            return False
+        route = exchange.route.name
+        most = self._patience[route] = max(left, self._patience.get(route, 0.0))
+        return left < FIRST_TRY_PART * most
+
     async def _within_time(self, exchange: Exchange, caller: CallerConnection) -> None:
         try:
             async with asyncio.timeout_at(exchange.until):
@@ -217,9 +273,15 @@
         while True:
             now = self.clock()
             place = self._choose(exchange, now)
-            if place.backend is not None:
+            if place.backend is not None and self._has_turn(exchange, place):
                 exchange.urgency = place.urgency if exchange.engine else None
                 return place.backend
+            if place.backend is not None:
+                if now - began >= TURN_PART * _patience_of(exchange.route):
+                    raise self._no_place(exchange, Place(None, full=True))
+                exchange.waited = True
+                await asyncio.sleep(TURN_SECONDS)
+                continue
             back_in = place.back_in
             limit = min(began + LONGEST_WAIT, exchange.until - WORK_SECONDS)
             soon = back_in is not None and now + back_in <= limit
@@ -230,6 +292,17 @@
                 async with asyncio.timeout(back_in):
                     await self._news.wait()
 
+    def _has_turn(self, exchange: Exchange, place: Place) -> bool:
+        """Whether a request may be sent now; late ones wait for each other."""
+        if exchange.engine is None or place.urgency != Urgency.LATE:
+            return True
+        servers = self.beliefs.backends.of_service(exchange.service, self.clock())
+        entries = self.beliefs.entries
+        if not place.free or not self._late.has_room(len(servers), entries):
+            return False
+        self._late.sent(exchange)
+        return True
+
     def _no_place(self, exchange: Exchange, place: Place) -> Refusal:
         if exchange.uncertain:
             return OutcomeUnknown("no other server")
@@ -251,7 +324,8 @@
             return Demand(self.data_centre)
         model = exchange.engine.model
         beliefs, bounds = self.beliefs, self.bounds
-        goal = exchange.req.arrived + exchange.route.goal
+        goal = exchange.route.goal
+        in_time_until = exchange.req.arrived + goal - min(FIRST_EVENT_SECONDS, goal / 2)
         # A caller that has half of a stream leaves when it pauses for 2 s or more, and
         # all that was written for it is lost: behind what is late the rest of it would
         # wait longer at a loaded engine.
@@ -261,9 +335,10 @@
             model,
             exchange.engine.layers,
             beliefs.least_version(model, bounds.version_seconds, now),
-            beliefs.least_version(model, bounds.queue_seconds, now),
-            late=now > goal - FIRST_EVENT_SECONDS and not begun,
-            ahead=exchange.ahead or begun,
+            beliefs.least_version(model, bounds.full_seconds, now),
+            late=exchange.tried_before or now > in_time_until,
+            begun=begun,
+            ahead=exchange.ahead,
             entries=max(1, beliefs.entries),
         )
 
@@ -273,12 +348,14 @@
         """Send it to one server and pass the answer on."""
         exchange.tried.append(backend.server)
         exchange.replaceable = (
-            exchange.route.idempotent and len(exchange.tried) < exchange.route.attempts
+            exchange.route.idempotent and exchange.sent_to < exchange.route.attempts
         )
         backend.begin(self.clock())
+        backend.unread.add(exchange)
         conn: ServerConnection | None = None
         answer = Answer(exchange.req.head.request, exchange.req.method == b"HEAD")
-        sent = exchange.engine and Sent(answer, backend, exchange.engine)
+        may_move = partial(self._may_move, exchange)
+        sent = exchange.engine and Sent(answer, backend, exchange.engine, may_move)
         try:
             way = self._way(exchange, backend)
             conn = await self.pool.take(backend, exchange.route.idempotent, way)
@@ -290,14 +367,17 @@
             self._note_weights(exchange, backend)
             conn.send(self._message(exchange, backend), answer)
             if sent:
-                self._unbegun.add(sent)
-            head = await head_of(exchange, answer, backend, self.clock)
+                self._underway.add(sent)
+            way_silent = partial(self._way_silent, backend)
+            way_patience = WAY_PART * _patience_of(exchange.route)
+            listening = Listening(backend, self.clock, way_silent, way_patience)
+            head = await head_of(exchange, answer, listening)
             self._learn(exchange, backend, head)
             if head.refused or head.other_server:
                 exchange.uncertain = was_uncertain
                 exchange.refused_by += 1
-            first = partial(self.first_event, exchange)
-            await deliver(exchange, head, answer, backend, caller, self.clock, first)
+            first = partial(self.first_event, exchange, backend)
+            await deliver(exchange, head, answer, listening, caller, first)
             self._note(exchange.req, exchange, "answered")
             if exchange.engine is not None:
                 self._ahead(exchange.service).end(self.clock())
@@ -306,7 +386,8 @@
             conn = None
         finally:
             backend.in_progress -= 1
-            self._unbegun.discard(sent)
+            backend.unread.discard(exchange)
+            self._underway.discard(sent)
             # A server stops its work on a request when its connection closes.
             if conn is not None:
                 conn.close()
@@ -334,10 +415,14 @@
         """How long the way to a server may take; None where it doesn't matter."""
         if exchange.engine is None:
             return None
-        now = self.clock()
-        held = backend.holds(exchange.engine.model, exchange.engine.layers, now)
-        soon_over = held < self._demand(exchange, now).soon_version
-        return WAY_SECONDS if soon_over else None
+        model, now = exchange.engine.model, self.clock()
+        held = backend.holds(model, exchange.engine.layers, now)
+        due = self.beliefs.least_version(model, self.bounds.queue_seconds, now)
+        return WAY_SECONDS if held < due else None
+
+    def _way_silent(self, backend: Backend) -> bool:
+        data_centre = backend.listed.data_centre
+        return self.beliefs.backends.way_silent(data_centre, self.clock())
 
     def _note_weights(self, exchange: Exchange, backend: Backend) -> None:
         """Keep for the log what was believed of the server's weights at sending."""
@@ -365,6 +450,7 @@
     ) -> None:
         refused = isinstance(exc, ServerFailed) and exc.refused
         if isinstance(exc, Unreachable):
+            exchange.unreachable += 1
             self.outliers.lost(backend.server, self.clock())
         elif not refused and not isinstance(exc, Recalled):
             self.outliers.failed(backend.server, self.clock())
@@ -382,19 +468,33 @@
     def _may_try_again(self, exchange: Exchange, now: float) -> bool:
         if exchange.uncertain and not exchange.route.idempotent:
             return False
-        if len(exchange.tried) >= exchange.route.attempts:
+        if exchange.sent_to >= exchange.route.attempts:
+            return False
+        if exchange.unreachable > MOST_UNREACHABLE:
             return False
         if self.crashes.refuses(exchange):
             return False
         share = self._share(exchange.service)
         return share.may_repeat(now, self.beliefs.entries)
 
+    def _may_move(self, exchange: Exchange, now: float) -> bool:
+        """Whether another server can go on with a begun stream right away."""
+        if not exchange.replaceable or exchange.delivered.events == 0:
+            return False
+        share = self._share(exchange.service)
+        if not share.has_room(now, self.beliefs.entries):
+            return False
+        return self._choose(exchange, now).backend is not None
+
     def _ahead(self, service: str) -> FreshShare:
         return self._fresh.setdefault(service, FreshShare())
 
-    def first_event(self, exchange: Exchange, now: float) -> None:
-        """Take in when a stream's first event came."""
-        exchange.first_seconds = now - exchange.req.arrived
+    def first_event(self, exchange: Exchange, backend: Backend, now: float) -> None:
+        """Take in when the first event of a stream came from a server."""
+        if exchange.first_seconds is None:
+            exchange.first_seconds = now - exchange.req.arrived
+        backend.unread.discard(exchange)
+        self._late.begun(exchange)
 
     def _share(self, service: str) -> RetryShare:
         if service not in self._shares:
@@ -458,5 +558,11 @@
         )
 
 
+def _patience_of(route: Route) -> float:
+    """Seconds after which callers leave a stream that shows nothing."""
+    patience = max(PATIENT_PAUSES * route.pause, PATIENT_GOALS * route.goal)
+    return max(patience, PATIENT_SECONDS)
+
+
 def _rounded(seconds: float | None) -> float | None:
     return None if seconds is None else round(seconds, 4)
--- a/packages/wasabideck_forward/wasabideck_forward/recall.py
+++ b/packages/wasabideck_forward/wasabideck_forward/recall.py
@@ -1,28 +1,35 @@
-"""Takes back requests that wait at a server for weights that are over.
+"""Takes requests off servers that would begin them too late, or hold up a swap.
 
 An entry decides when it sends a request, and a server when it begins it. How long that
 takes is not the entry's to know: other entries send there too, prompts differ, servers
 slow down. So a version's time is looked at for as long as a request may be begun, and
 not only when it is sent.
+
+A server that has been ordered to load newer weights ends what it has begun first. Its
+longest streams would keep most of its places idle for seconds; they go on elsewhere.
 """
 
 from __future__ import annotations
 
+from collections.abc import Callable
+
 from attrs import define, field, frozen
 from wasabideck_policy.backends import Backend
 from wasabideck_policy.beliefs import Beliefs
 from wasabideck_policy.configuration import EngineModel
 from wasabideck_policy.outcomes import WasabideckError
+from wasabideck_policy.waves import DRAIN_SECONDS
 
 from .server_connection import Answer
 
-__all__ = ["Recalled", "Sent", "Unbegun"]
+__all__ = ["Recalled", "Sent", "Underway"]
 
 
 class Recalled(WasabideckError):
-    """A request was taken back before its server showed that it had begun.
+    """A request was taken off its server, which may be at work on it.
 
-    It may have begun at that very moment: nothing is known of it.
+    One that had not shown that it had begun may have begun at that very moment:
+    nothing is known of it.
     """
 
     status = 502
@@ -30,16 +37,23 @@
 
 @frozen(eq=False)
 class Sent:
-    """A request that was sent to an engine's server."""
+    """A request that was sent to an engine's server.
+
+    Attributes
+    ----------
+    may_move : callable
+        Given the time, whether another server can go on with it now.
+    """
 
     answer: Answer
     backend: Backend
     engine: EngineModel
+    may_move: Callable[[float], bool] = lambda now: False
 
 
 @define
-class Unbegun:
-    """Requests that servers of this process have not begun, as far as it sees."""
+class Underway:
+    """Requests of this process that engines' servers have."""
 
     beliefs: Beliefs
     _sent: set[Sent] = field(factory=set)
@@ -63,21 +77,30 @@
         within : float
             Seconds after a version's name from which on nothing older is begun.
         """
-        for sent in list(self._sent):
-            if sent.answer.begun:
-                self._sent.discard(sent)
-                continue
+        for sent in [sent for sent in self._sent if not sent.answer.begun]:
             least = self.beliefs.least_version(sent.engine.model, within, now)
             held = self._held(sent, now)
             if held < least:
-                self._sent.discard(sent)
-                why = f"{sent.backend.server}: version {held}, {least} is due"
-                sent.answer.fail(Recalled(why))
+                self._fail(sent, f"version {held}, {least} is due")
 
-    def _held(self, sent: Sent, now: float) -> int:
-        """Version that its server begins requests on; 0 for none that is known."""
+    def move_off(self, now: float) -> None:
+        """Take begun streams off servers that have worked long enough on them."""
+        for sent in [sent for sent in self._sent if sent.answer.begun]:
+            since = self._backend(sent).stopping_since
+            if since is None or now - since < DRAIN_SECONDS:
+                continue
+            if sent.may_move(now):
+                self._fail(sent, f"it has been stopping for {now - since:.2f} s")
+
+    def _fail(self, sent: Sent, why: str) -> None:
+        self._sent.discard(sent)
+        sent.answer.fail(Recalled(f"{sent.backend.server}: {why}"))
+
+    def _backend(self, sent: Sent) -> Backend:
         # Listed anew, it is another object, which its agent's word goes to; one that is
         # not listed any more still works off what it has.
-        listed = self.beliefs.backends.get(sent.backend.server)
-        backend = listed or sent.backend
-        return backend.holds(sent.engine.model, sent.engine.layers, now)
+        return self.beliefs.backends.get(sent.backend.server) or sent.backend
+
+    def _held(self, sent: Sent, now: float) -> int:
+        """Version that its server begins requests on; 0 for none that is known."""
+        return self._backend(sent).holds(sent.engine.model, sent.engine.layers, now)
--- a/packages/wasabideck_policy/wasabideck_policy/backends.py
+++ b/packages/wasabideck_policy/wasabideck_policy/backends.py
@@ -2,13 +2,13 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Hashable, Iterable, Mapping
 
 from attrs import define, field, frozen
 
 from .engine_news import FRESH_SECONDS, EngineNews
 
-__all__ = ["Backend", "Backends", "Listed", "Loaded"]
+__all__ = ["MOST_SILENT_PART", "Backend", "Backends", "Listed", "Loaded"]
 
 # After an outage of the list, a server that lived through it is listed again within
 # about two seconds; its entry's removal is not believed for so long (seconds).
@@ -24,6 +24,13 @@
 # news came for so long is passed over (seconds): an engine tells at least at each pass
 # of its batch, 50 to 150 ms, and an agent four times a second, or once from afar.
 QUIET_SECONDS = 0.7
+# With more than this part of several servers silent the fault is rather on the way to
+# them, or this process's own.
+MOST_SILENT_PART = 0.5
+WAY_LEAST = 3
+# Half of that time is enough when all around it are as quiet: the first stream to be
+# given up would else be the one that the others have not yet joined (seconds).
+WAY_QUIET_SECONDS = QUIET_SECONDS / 2
 
 
 @frozen
@@ -74,6 +81,8 @@
         it has had since it had none, seconds.
     sent_since : int
         Requests that this process sent to it since its agent last told.
+    unread : set
+        Requests of this process whose first event has not come.
     others : float
         Requests of other processes on it when it last told.
     told_at : float
@@ -84,6 +93,8 @@
         Versions of weights that its answers or its agent told of, by model.
     news : EngineNews or None
         What its agent last told, at ``news_at``; its own answers tell of load only.
+    stopping_since : float or None
+        Since when its agent has said that it takes no new requests, seconds.
     full_until : float
         Until when it is taken to be full, having refused a request.
     held_until : float
@@ -94,11 +105,13 @@
     in_progress: int = 0
     asked_at: float = float("-inf")
     sent_since: int = 0
+    unread: set[Hashable] = field(factory=set)
     others: float = 0.0
     told_at: float = 0.0
     heard_at: float = 0.0
     news: EngineNews | None = None
     news_at: float = 0.0
+    stopping_since: float | None = None
     full_until: float = 0.0
     held_until: float = 0.0
     versions: dict[str, int] = field(factory=dict)
@@ -117,13 +130,13 @@
         self.in_progress += 1
         self.sent_since += 1
 
-    def silent(self, now: float) -> bool:
+    def silent(self, now: float, quiet: float = QUIET_SECONDS) -> bool:
         """Whether nothing was heard of it for long while requests wait on it.
 
         One that has none of them is not silent, so that one is always tried on it.
         """
         last = max(self.asked_at, self._last_sign())
-        return self.in_progress > 0 and now - last > QUIET_SECONDS
+        return self.in_progress > 0 and now - last > quiet
 
     def _last_sign(self) -> float:
         return max(self.heard_at, self.news_at)
@@ -140,6 +153,10 @@
     def hear(self, news: EngineNews, now: float) -> None:
         """Take in what its agent tells of it."""
         self.news = news
+        if news.serving:
+            self.stopping_since = None
+        elif self.stopping_since is None:
+            self.stopping_since = now
         self.others = max(0, news.pressed - self.in_progress)
         self.told_at = self.news_at = now
         self.sent_since = 0
@@ -193,10 +210,12 @@
     def of_service(self, service: str, now: float) -> list[Backend]:
         """Servers of a service that may get new requests now."""
         self._drop_removed(now)
+        youngest = self._youngest()
         return [
             b
             for b in self._known.values()
             if b.listed.service == service and not b.listed.leaving
+            if not _outlived(b, youngest)
         ]
 
     def may_get(self, server: str, now: float) -> bool:
@@ -205,10 +224,25 @@
         known = self._known.get(server)
         return known is not None and not known.listed.leaving
 
+    def way_silent(self, data_centre: str, now: float) -> bool:
+        """Whether the way to a data centre is silent, and not one server there.
+
+        A link between regions that is full for a second keeps the answers of all
+        servers behind it. Each stream from there would be given up, and begun again
+        over the same link at another server that is as silent.
+        """
+        busy = [
+            b
+            for b in self._known.values()
+            if b.listed.data_centre == data_centre and b.in_progress > 0
+        ]
+        silent = sum(b.silent(now, WAY_QUIET_SECONDS) for b in busy)
+        return len(busy) >= WAY_LEAST and silent > len(busy) * MOST_SILENT_PART
+
     def at(self, address: str) -> Backend | None:
-        """The server at an address, or None."""
-        found = (b for b in self._known.values() if b.listed.address == address)
-        return next(found, None)
+        """The server at an address, the youngest one if several are listed there."""
+        found = [b for b in self._known.values() if b.listed.address == address]
+        return max(found, key=lambda b: b.listed.born, default=None)
 
     def take(self, listed: Listed) -> Backend:
         """Take in one entry of the list."""
@@ -252,12 +286,31 @@
             n >= MASS_LEAST and n > MASS_SHARE * sizes[name] for name, n in lost.items()
         )
 
+    def _youngest(self) -> dict[str, int]:
+        """When the youngest server at each address was born."""
+        born: dict[str, int] = {}
+        for b in self._known.values():
+            address = b.listed.address
+            born[address] = max(born.get(address, 0), b.listed.born)
+        return born
+
     def _drop_removed(self, now: float) -> None:
         for backend in list(self._known.values()):
             if backend.held_until and now >= backend.held_until:
                 del self._known[backend.server]
 
 
+def _outlived(backend: Backend, youngest: Mapping[str, int]) -> bool:
+    """Whether a younger server is listed at the address.
+
+    After a loss of power the entries of servers that are gone stay listed for seconds,
+    with the weights that they held. A process that starts then has no other word of
+    them, and what it sends there comes back refused, one try spent.
+    """
+    born = backend.listed.born
+    return 0 < born < youngest[backend.listed.address]
+
+
 def _count(backends: Iterable[Backend]) -> Mapping[str, int]:
     counts: dict[str, int] = {}
     for backend in backends:
--- a/packages/wasabideck_policy/wasabideck_policy/placement.py
+++ b/packages/wasabideck_policy/wasabideck_policy/placement.py
@@ -8,7 +8,7 @@
 
 from attrs import frozen
 
-from .backends import Backend
+from .backends import MOST_SILENT_PART, Backend
 from .engine_news import back_in
 
 __all__ = ["Demand", "Place", "Urgency", "choose", "pressure"]
@@ -22,6 +22,13 @@
 FAR_PART = 0.08
 # With this part of its slots taken, an engine has a place for a request at once.
 OPEN_PART = 0.9
+# With so much of its slots taken it is as good as full for what has to be in time: a
+# slot is free every 0.1 s, and a request that waits for two of them is late.
+EAGER_PART = 1.15
+# A prompt that is not read yet counts as so many requests more. An engine reads prompts
+# one after the other, 50 ms each, and writes nothing meanwhile: the first one to be
+# back after an outage is empty, got 17 requests in 0.3 s, and all of them were late.
+UNREAD_WEIGHT = 1.5
 # With so many waiting, as a part of its slots, one more would wait past the 2 to 2.5 s
 # after which callers leave: what is not sent ahead gets 1 to 2 places a second.
 FULL_PART = 0.5
@@ -30,9 +37,6 @@
 # Shortly before a version is over, a server that has it may only get what begins at
 # once: with this part of its slots taken there is no queue.
 IDLE_PART = 0.8
-# With more than this part of the able servers silent, the fault is rather this
-# process's own link or loop, and the rest would be crushed.
-MOST_SILENT_PART = 0.5
 # What one entry sent to a server since its agent last told counts as so many more for
 # each other entry: they heard the same word. With 20 entries and 30 engines at twice
 # their rate 0.7 did no better, and the lower one spares servers under little load.
@@ -62,6 +66,8 @@
         Version that will be the least one before a queue is worked off.
     late : bool
         Whether the goal cannot be kept any more.
+    begun : bool
+        Whether its caller has a part of the answer already.
     ahead : bool
         Whether it is among those that are sent ahead of the others.
     entries : int
@@ -74,6 +80,7 @@
     least_version: int = 0
     soon_version: int = 0
     late: bool = False
+    begun: bool = False
     ahead: bool = True
     entries: int = 1
 
@@ -88,6 +95,8 @@
         The server, or None when there is none.
     urgency : int
         The request's class of urgency there.
+    free : bool
+        Whether it has a place for the request at once.
     full : bool
         Whether there are servers, all of them too full.
     back_in : float or None
@@ -96,6 +105,7 @@
 
     backend: Backend | None
     urgency: int = Urgency.FRESH
+    free: bool = True
     full: bool = False
     back_in: float | None = None
 
@@ -109,10 +119,15 @@
     the others to do as it does itself until the agent tells again.
     """
     age = max(0.0, now - backend.told_at)
-    herd = backend.sent_since * (entries - 1) * HERD_PART
+    herd = _herd(backend.sent_since, entries) - backend.sent_since
     return backend.in_progress + (backend.others + herd) * exp(-age / FADING_SECONDS)
 
 
+def _herd(own: int, entries: int) -> float:
+    """What all entries have sent, by what this one has."""
+    return own * (1 + (entries - 1) * HERD_PART)
+
+
 def choose(
     backends: Sequence[Backend], demand: Demand, now: float, rng: random.Random
 ) -> Place:
@@ -126,11 +141,14 @@
         return Place(None, full=True)
     drawn = rng.sample(free, min(DRAWN, len(free)))
     best = min(drawn, key=lambda b: _price(b, demand, now))
-    if demand.model and not _open(best, demand, now):
+    if demand.model and _taken(best, demand, now) >= OPEN_PART:
         # Another of the free ones may have a place at once.
         best = min(free, key=lambda b: _price(b, demand, now))
-    late = demand.late or not (demand.ahead or _open(best, demand, now))
-    return Place(best, Urgency.LATE if late else Urgency.FRESH)
+    taken = _taken(best, demand, now)
+    opened = taken < OPEN_PART
+    in_time = taken < EAGER_PART and (demand.ahead or opened) and not demand.late
+    urgent = demand.begun or in_time
+    return Place(best, Urgency.FRESH if urgent else Urgency.LATE, free=opened)
 
 
 def _able(backend: Backend, demand: Demand, now: float) -> bool:
@@ -147,7 +165,7 @@
 
 
 def _talking(able: list[Backend], now: float) -> list[Backend]:
-    """Those that are not silent; all of them when too many are.
+    """Those that are not silent; all of them when most are, or the rest is crushed.
 
     A server whose VM stands still, or is cut off, ends nothing and tells nothing: what
     it told of its load fades, requests are taken off it one by one as callers give up,
@@ -172,13 +190,15 @@
     return slots > 0 and pressure(backend, now, demand.entries) >= slots * (1 + part)
 
 
-def _open(backend: Backend, demand: Demand, now: float) -> bool:
-    return pressure(backend, now, demand.entries) < backend.listed.slots * OPEN_PART
+def _taken(backend: Backend, demand: Demand, now: float) -> float:
+    """Part of its slots that is taken, prompts that it has to read first included."""
+    unread = _herd(len(backend.unread), demand.entries) if demand.model else 0.0
+    taken = pressure(backend, now, demand.entries) + UNREAD_WEIGHT * unread
+    return taken / max(backend.listed.slots, 1)
 
 
 def _price(backend: Backend, demand: Demand, now: float) -> float:
-    slots = max(backend.listed.slots, 1)
-    price = pressure(backend, now, demand.entries) / slots
+    price = _taken(backend, demand, now)
     news = backend.fresh_news(now)
     if news is not None:
         price *= max(1.0, news.pace)
--- a/packages/wasabideck_policy/wasabideck_policy/retry_share.py
+++ b/packages/wasabideck_policy/wasabideck_policy/retry_share.py
@@ -47,13 +47,18 @@
     def may_repeat(self, now: float, entries: int) -> bool:
         """Whether one more repeat fits; counts it if so."""
         bucket = self._bucket(now)
-        allowed = self.ratio * self._requests + self.slack / max(entries, 1)
-        if self._repeats + 1 > USED_PART * allowed:
+        if not self.has_room(now, entries):
             return False
         bucket[2] += 1
         self._repeats += 1
         return True
 
+    def has_room(self, now: float, entries: int) -> bool:
+        """Whether one more repeat would fit."""
+        self._bucket(now)
+        allowed = self.ratio * self._requests + self.slack / max(entries, 1)
+        return self._repeats + 1 <= USED_PART * allowed
+
     def _bucket(self, now: float) -> list[float]:
         while self._buckets and self._buckets[0][0] < now - self.window:
             _, requests, repeats = self._buckets.popleft()
--- a/tests/beliefs/test_backends.py
+++ b/tests/beliefs/test_backends.py
@@ -82,3 +82,48 @@
     assert part.holds("m", 16, 100.0) == 0
     whole = backends.take(listed("a", loaded=(Loaded("m", 2, 0, 16),)))
     assert whole.holds("m", 16, 100.0) == 2
+
+
+def at(address, server, born, **kw):
+    return Listed(server, "s", address, "dc", 8, born=born, **kw)
+
+
+def test_a_server_whose_address_a_younger_one_has_gets_nothing():
+    # All servers lose power and are back under other names. An entry that starts reads
+    # the old entries, which lapse later, beside the new ones, and sent to them: each
+    # request came back refused with one try spent, and agents' words went to the old.
+    backends = Backends()
+    backends.take(at("10.0.0.1:1", "old", 1, loaded=(Loaded("m", 2, 0, 16),)))
+    backends.take(at("10.0.0.1:1", "new", 2))
+    backends.take(at("10.0.0.2:1", "other", 1))
+    assert names(backends, 100.0) == {"new", "other"}
+    assert backends.at("10.0.0.1:1").server == "new"
+
+
+def test_servers_that_do_not_tell_when_they_started_are_all_used():
+    backends = Backends()
+    for name in ("a", "b"):
+        backends.take(at("10.0.0.1:1", name, 0))
+    assert names(backends, 100.0) == {"a", "b"}
+
+
+def busy(*heard, now=100.0):
+    """Servers of one data centre with requests on them, heard so long ago."""
+    backends = Backends()
+    for n, ago in enumerate(heard):
+        backend = backends.take(at(f"10.0.0.{n}:1", f"i-{n}", 1))
+        backend.begin(now - ago)
+        backend.heard_at = now - ago
+    return backends
+
+
+def test_a_data_centre_is_silent_when_most_of_its_servers_are():
+    # A configuration of 300 KB fills a link between regions for a second and a half.
+    # The first stream from behind it was given up as its server's fault, and ended.
+    assert busy(0.71, 0.6, 0.5).way_silent("dc", 100.0)
+    assert not busy(0.71, 0.05, 0.1).way_silent("dc", 100.0)
+    assert not busy(0.71, 0.6, 0.5).way_silent("elsewhere", 100.0)
+
+
+def test_one_or_two_servers_tell_nothing_of_the_way():
+    assert not busy(0.71, 0.8).way_silent("dc", 100.0)
--- a/tests/beliefs/test_placement.py
+++ b/tests/beliefs/test_placement.py
@@ -182,3 +182,26 @@
         backend.hear_load(4, later + n)
     demand = Demand("dc", "m", 16, entries=20)
     assert choose([backend], demand, later + 12, random.Random(1)).backend is backend
+
+
+def test_a_server_with_prompts_to_read_is_as_if_fuller():
+    # The first engine to be back after an outage was empty, and all sent to it: it read
+    # 17 prompts one after the other, 50 ms each, before any of them was answered.
+    reading, writing = engine("reading", 4), engine("writing", 7)
+    reading.unread = {"a", "b", "c"}
+    place = choose([reading, writing], Demand("dc", "m", 16), NOW, random.Random(1))
+    assert place.backend is writing
+
+
+def test_what_would_wait_for_two_slots_is_not_sent_ahead():
+    # Sent ahead to a server with seven waiting, each of them was late.
+    server = engine("full", 20)
+    place = choose([server], Demand("dc", "m", 16, ahead=True), NOW, random.Random(1))
+    assert place.urgency == Urgency.LATE
+    assert not place.free
+
+
+def test_the_rest_of_a_begun_stream_goes_ahead_in_any_case():
+    server = engine("full", 20)
+    demand = Demand("dc", "m", 16, late=True, begun=True)
+    assert choose([server], demand, NOW, random.Random(1)).urgency == Urgency.FRESH
--- a/tests/beliefs/test_retry_share.py
+++ b/tests/beliefs/test_retry_share.py
@@ -42,3 +42,14 @@
     while share.may_repeat(0.0, 1):
         pass
     assert share.may_repeat(WINDOW + 1.0, 1)
+
+
+def test_to_look_for_room_spends_nothing():
+    share = RetryShare(0.2, 10.0, 10.0)
+    for _ in range(50):
+        assert share.has_room(0.0, 1)
+    spent = 0
+    while share.may_repeat(0.0, 1):
+        spent += 1
+    assert spent > 0
+    assert not share.has_room(0.0, 1)
--- a/tests/forward/conftest.py
+++ b/tests/forward/conftest.py
@@ -209,7 +209,7 @@
             self.beliefs,
             self.pool,
             WIRE,
-            Bounds(0.2, 100.0, 10.0, 8.0, 8.0, 7.0),
+            Bounds(0.2, 100.0, 10.0, 8.0, 8.0, 7.0, 7.0),
             "dc",
             loop.time,
             random.Random(3),
@@ -226,12 +226,12 @@
         self.servers = []
         self.looking = loop.create_task(self.forwarder.keep_taking_back())
 
-    async def add_server(self, *scripts, name=None, **kw):
+    async def add_server(self, *scripts, name=None, slots=8, **kw):
         server = ScriptedServer(*scripts)
         port = await server.start()
         name = name or f"i-{len(self.servers)}"
         self.servers.append(server)
-        listed = Listed(name, "s", f"127.0.0.1:{port}", "dc", 8, **kw)
+        listed = Listed(name, "s", f"127.0.0.1:{port}", "dc", slots, **kw)
         self.beliefs.backends.take(listed)
         return server
 
--- /dev/null
+++ b/tests/forward/test_late_requests.py
@@ -0,0 +1,187 @@
+"""What is late, what moves to another server, and what waits out a silent way."""
+
+import asyncio
+
+from wasabideck_forward.delivery import SILENT_NEXT
+from wasabideck_policy.configuration import Kind
+from wasabideck_policy.engine_news import EngineNews
+from wasabideck_policy.placement import Urgency
+from wasabideck_policy.waves import DRAIN_SECONDS
+
+from .conftest import (
+    ENGINE,
+    Entry,
+    answers,
+    configuration,
+    event,
+    hangs,
+    loaded,
+    route,
+    streams,
+)
+
+STREAM = {"kind": Kind.STREAM, "resumable": True, "goal": 1.0, "timeout": 6.0}
+
+
+def tells(entry, name, serving):
+    """Have a server's agent tell whether it takes requests."""
+    backend = entry.beliefs.backends.get(name)
+    news = EngineNews(backend.listed.address, 1, serving, 1, 0, 0.0, 1)
+    backend.hear(news, asyncio.get_running_loop().time())
+
+
+def test_a_long_stream_leaves_a_server_that_stops_and_goes_on_elsewhere(play):
+    # A server stops for newer weights. It ended what it had first, and its longest
+    # stream kept all its other places idle for two seconds.
+    async def scenario():
+        entry = Entry(configuration(route(**STREAM), engine=ENGINE))
+        stopping = await entry.add_server(
+            streams(event(1), *[b": \n\n"] * 60, event(2), pause=0.05),
+            loaded=loaded(1),
+        )
+        other = await entry.add_server(streams(event(2)), loaded=loaded(1))
+        entry.beliefs.backends.get("i-1").in_progress = 5
+        caller = await entry.caller()
+        await caller.ask(method=b"POST", body=b"prompt")
+        await asyncio.sleep(0.1)
+        tells(entry, "i-0", serving=False)
+        for _ in range(int(DRAIN_SECONDS / 0.1) - 2):
+            await asyncio.sleep(0.1)
+            tells(entry, "i-0", serving=False)
+        assert not other.requests
+        status, _, body = await caller.answer()
+        assert status == 200
+        assert body.startswith(event(1)) and body.endswith(event(2))
+        assert b"Last-Event-Id: 1" in other.requests[0]
+        assert len(stopping.requests) == 1
+
+    play(scenario)
+
+
+def test_a_stream_stays_where_no_other_server_can_go_on(play):
+    # All servers stop at the same time: a stream that is taken off one of them would
+    # end in the middle.
+    async def scenario():
+        entry = Entry(configuration(route(**STREAM), engine=ENGINE))
+        pieces = (event(1), *[b": \n\n"] * 30, event(2))
+        await entry.add_server(streams(*pieces, pause=0.05), loaded=loaded(1))
+        caller = await entry.caller()
+        await caller.ask(method=b"POST", body=b"prompt")
+        await asyncio.sleep(0.1)
+        for _ in range(12):
+            tells(entry, "i-0", serving=False)
+            await asyncio.sleep(0.1)
+        status, _, body = await caller.answer()
+        assert (status, body) == (200, b"".join(pieces))
+
+    play(scenario)
+
+
+def test_late_requests_go_one_after_the_other(play):
+    # Three callers come back after an outage, by the time that is left to them. They
+    # were sent at once, filled the engine, and made those late who came after them.
+    async def scenario():
+        entry = Entry(configuration(route(**STREAM), engine=ENGINE))
+        server = await entry.add_server(
+            answers(), hangs, hangs, hangs, hangs, slots=32, loaded=loaded(1)
+        )
+        first = await entry.caller()
+        await first.ask(b"X-Deadline-Ms: 6000", method=b"POST", body=b"prompt")
+        await first.answer()
+        callers = [await entry.caller() for _ in range(3)]
+        for n, caller in enumerate(callers):
+            name = b"back-%d" % n
+            await caller.ask(
+                b"X-Deadline-Ms: 3000", method=b"POST", body=b"prompt", name=name
+            )
+        await asyncio.sleep(0.3)
+        print([x for x in entry.log])
+        print(server.requests)
+        assert len(server.requests) == 2
+        assert b"X-Request-Priority: %d\r\n" % Urgency.LATE in server.requests[1]
+        fresh = await entry.caller()
+        await fresh.ask(b"X-Deadline-Ms: 5500", method=b"POST", body=b"prompt")
+        await asyncio.sleep(0.1)
+        assert b"X-Request-Priority: %d\r\n" % Urgency.FRESH in server.requests[2]
+
+    play(scenario)
+
+
+def test_a_late_request_that_leaves_lets_the_next_one_go(play):
+    async def scenario():
+        entry = Entry(configuration(route(**STREAM), engine=ENGINE))
+        server = await entry.add_server(
+            answers(), hangs, hangs, slots=32, loaded=loaded(1)
+        )
+        first = await entry.caller()
+        await first.ask(b"X-Deadline-Ms: 6000", method=b"POST", body=b"prompt")
+        await first.answer()
+        callers = [await entry.caller() for _ in range(2)]
+        for n, caller in enumerate(callers):
+            name = b"back-%d" % n
+            await caller.ask(
+                b"X-Deadline-Ms: 3000", method=b"POST", body=b"prompt", name=name
+            )
+            await asyncio.sleep(0.05)
+        assert len(server.requests) == 2
+        callers[0].writer.close()
+        await asyncio.sleep(0.3)
+        assert len(server.requests) == 3
+
+    play(scenario)
+
+
+def test_a_stream_waits_while_its_whole_data_centre_is_silent(play):
+    # A configuration of 300 KB goes to all entries of a region and fills the link from
+    # the region of its store for 1.5 s. Streams from there were given up after 0.7 s;
+    # the next server, behind the same link, could not be reached, and they ended.
+    async def scenario():
+        entry = Entry(configuration(route(**STREAM), engine=ENGINE))
+        quiet = SILENT_NEXT + 0.4
+        slow = streams(event(1), event(2), pause=quiet)
+        served = [await entry.add_server(slow, loaded=loaded(1)) for _ in range(3)]
+        callers = [await entry.caller() for _ in range(3)]
+        for n, caller in enumerate(callers):
+            name = b"req-%d" % n
+            await caller.ask(method=b"POST", body=b"prompt", name=name)
+            await asyncio.sleep(0.01)
+        for caller in callers:
+            assert (await caller.answer())[2] == event(1) + event(2)
+        assert sum(len(server.requests) for server in served) == 3
+
+    play(scenario)
+
+
+def test_servers_that_cannot_be_reached_are_no_tries(play):
+    # Nothing was sent to them. A stream that had begun ended because the one server
+    # more that it may be sent to was behind the same full link.
+    async def scenario():
+        entry = Entry(configuration(route(**STREAM, attempts=2), engine=ENGINE))
+        await entry.add_server(streams(event(1), then="reset"), loaded=loaded(1))
+        gone = await entry.add_server(hangs, loaded=loaded(1))
+        far = await entry.add_server(streams(event(2)), loaded=loaded(1))
+        gone.listener.close()
+        entry.beliefs.backends.get("i-1").in_progress = 4
+        entry.beliefs.backends.get("i-2").in_progress = 6
+        caller = await entry.caller()
+        await caller.ask(method=b"POST", body=b"prompt")
+        assert (await caller.answer())[2] == event(1) + event(2)
+        assert len(far.requests) == 1
+
+    play(scenario)
+
+
+def test_a_request_waits_for_the_first_configuration(play):
+    # An entry takes callers from its first moments on. Whoever came before it knew
+    # anything was refused, had asked once before, and came no more.
+    async def scenario():
+        entry = Entry(configuration(route()))
+        entry.beliefs.listed = False
+        await entry.add_server(answers())
+        caller = await entry.caller()
+        await caller.ask()
+        await asyncio.sleep(0.1)
+        entry.beliefs.listed = True
+        assert (await caller.answer())[0] == 200
+
+    play(scenario)
--- a/tests/forward/test_weights.py
+++ b/tests/forward/test_weights.py
@@ -218,7 +218,9 @@
     # is not passed over for it.
     async def scenario():
         entry = Entry(configuration(route(**STREAM), engine=ENGINE))
-        await entry.add_server(hangs, hangs, hangs, hangs, loaded=loaded(1))
+        # With room for all of them: what has no place at once is not sent.
+        scripts = (hangs, hangs, hangs, hangs)
+        await entry.add_server(*scripts, slots=32, loaded=loaded(1))
         named_ago(entry, 2, WITHIN - 0.3)
         callers = [await entry.caller() for _ in range(4)]
         for caller in callers:
