--- a/packages/wasabideck_lab/wasabideck_lab/__main__.py
+++ b/packages/wasabideck_lab/wasabideck_lab/__main__.py
@@ -11,6 +11,7 @@
 from wasabideck_base.process import run_process
 
 from . import scenarios_answers, scenarios_tickets  # noqa: F401  (they register)
+from .burst_command import bursts
 from .capacity import MEASUREMENTS, measure_all
 from .claims_run import run_claims
 from .demo import DemoFailed, run_demo
@@ -115,6 +116,7 @@
         if dirty:
             sys.exit(f"faults: {dirty} scenarios are not clean")
 
+    bursts = staticmethod(bursts)
     distribute = staticmethod(distribute)
     decisions = staticmethod(decisions)
     load = staticmethod(load)
