Split the forwarder and the agent by job; late requests wait only in a line that moves

No decision changed by that.

One did: requests that are late wait for a turn only while turns come often enough to reach them.

--- a/packages/wasabideck_agent/wasabideck_agent/node_agent.py
+++ b/packages/wasabideck_agent/wasabideck_agent/node_agent.py
@@ -20,7 +20,7 @@
 from wasabideck_policy.manifests import Manifest
 from wasabideck_policy.membership import AGENT, Member
 from wasabideck_policy.outcomes import WasabideckError
-from wasabideck_policy.superseding import OVERHEAD, finishes_older
+from wasabideck_policy.superseding import OVERHEAD
 from wasabideck_policy.waves import DRAIN_SECONDS, wave_delay
 
 from .chunk_store import ChunkStore
@@ -34,6 +34,7 @@
 from .origin_chunks import NumberedOrigin, OriginChunks
 from .staging import Engine, Staging
 from .transfer import Transfer
+from .version_choice import VersionChoice
 
 __all__ = ["NodeAgent", "run_agent"]
 
@@ -57,11 +58,6 @@
 # Weights of the first version lie with the servers of a new deployment, and nobody
 # names it.
 FIRST_VERSION = 1
-# With nothing of the newest version for so long an older one that is on its way goes on
-# (seconds): chunks come every 0.1 s, and an origin that is back is read at once.
-STALL_SECONDS = 1.0
-# An older version is fetched on while it could serve at least so long (seconds).
-WORTH_SECONDS = 2.5
 # Entries begin nothing on older weights from half a second before their time is over:
 # a server that stops earlier than that loses requests that it could still begin.
 LAST_SECONDS = 0.6
@@ -142,6 +138,8 @@
         Tells entries at once of an engine's state.
     manifests : NumberedManifests
         What is known of the versions' chunks.
+    choice : VersionChoice
+        Which of several named versions is fetched.
     """
 
     process: NodeProcess
@@ -157,14 +155,11 @@
     news: asyncio.Event = field(factory=asyncio.Event)
     tell: Callable[[EngineState], None] = lambda state: None
     manifests: NumberedManifests = field(init=False)
+    choice: VersionChoice = field(init=False)
     _gathering: Transfer | None = None
     _swapping_since: float | None = None
     _serves: int = 0
-    _stalled_until: float = float("-inf")
-    _finding: asyncio.Task | None = None
-    _named_at: dict[int, float] = field(factory=dict)
     _whole_since: dict[int, float] = field(factory=dict)
-    _finishing: set[int] = field(factory=set)
     _born: int = 0
     _ordered: tuple[int, int] = (0, 0)
 
@@ -174,6 +169,7 @@
             self.process, self.store, self.peers, self._origin
         )
         self.chunks.numbered = self.manifests.word
+        self.choice = VersionChoice(self.process, self.manifests)
 
     @property
     def events(self) -> Events:
@@ -212,72 +208,11 @@
             await asyncio.sleep(ORDER_LOOK_SECONDS)
             return False
         # While an older version is being loaded the link is free for the newest.
-        manifest = await self._wanted(model, held, version)
+        manifest = await self.choice.wanted(model, held, version)
         if await self._gather(model, manifest):
             await self._swap(model, manifest)
         return False
 
-    async def _wanted(self, model: EngineModel, held: int, newest: int) -> Manifest:
-        """Manifest of the version to fetch now: the newest, if it can be had.
-
-        While the origin is away nothing of the newest may be had for seconds. An older
-        version that is on its way then ends the time without weights that may serve.
-        """
-        older = self._older(model, held, newest)
-        if older is not None and self.process.clock() < self._stalled_until:
-            return older
-        try:
-            return await self.manifests.get(model.model, newest)
-        except WasabideckError as exc:
-            if older is None:
-                raise
-            self.events.emit(
-                "version.not-to-be-had",
-                version=newest,
-                instead=older.version,
-                why=str(exc),
-            )
-            return older
-
-    def _older(self, model: EngineModel, held: int, newest: int) -> Manifest | None:
-        """A version between the held and the newest that is still worth fetching."""
-        beliefs, now = self.process.believer.beliefs, self.process.clock()
-        within = self.process.cfg.bounds.version
-        for version in reversed(beliefs.versions(model.model)):
-            manifest = self.manifests.known(version)
-            if not held < version < newest or manifest is None:
-                continue
-            over_at = beliefs.over_at(model.model, version, within)
-            if over_at is not None and over_at - now >= WORTH_SECONDS:
-                return manifest
-        return None
-
-    def _can_be_had(self, model: EngineModel, newest: int) -> bool:
-        """Whether a newer version's manifest is here; looks for it if it is not."""
-        if self.process.clock() < self._stalled_until:
-            return False
-        if self.manifests.known(newest) is not None:
-            return True
-        if self._finding is None or self._finding.done():
-            self._finding = asyncio.create_task(self._find(model, newest))
-        return False
-
-    async def _find(self, model: EngineModel, version: int) -> None:
-        with contextlib.suppress(WasabideckError):
-            await self.manifests.find(model.model, version)
-
-    def _stalls(self, model: EngineModel, transfer: Transfer, version: int) -> bool:
-        """Whether the newest version stands still while an older one could go on."""
-        fed_at = max(transfer.view.fed_at, transfer.begun)
-        if transfer.clock() - fed_at < STALL_SECONDS:
-            return False
-        if self._older(model, self._serves, version) is None:
-            return False
-        self._stalled_until = self.process.clock() + STALL_SECONDS
-        missing = transfer.view.missing
-        self.events.emit("transfer.stalled", version=version, missing=missing)
-        return True
-
     def _notice(self, model: EngineModel, state: EngineState) -> None:
         """Take in that a swap has ended and a version is in force.
 
@@ -363,7 +298,7 @@
             return True
         await self.staging.take_up(manifest)
         if self.deliveries.begin(version, time.time()):
-            self._named_at[version] = self.process.clock()
+            self.choice.begin(version)
             self.events.emit(
                 "transfer.begun", manifest=manifest.digest, version=version
             )
@@ -398,15 +333,10 @@
             missing = transfer.view.wanted.bit_count()
             newest = self._named(model)
             if newest == version:
-                if self._stalls(model, transfer, version):
-                    return False
-            elif version not in self._finishing and self._can_be_had(model, newest):
-                if not self._finishes(manifest, missing):
-                    self.events.emit(
-                        "transfer.superseded", version=version, missing=missing
-                    )
+                if self.choice.stalls(model, self._serves, version, transfer):
                     return False
-                self._finishing.add(version)
+            elif not self.choice.goes_on(model, manifest, missing, newest):
+                return False
             now = self.process.clock()
             if now - read_at > MANIFEST_SECONDS:
                 read_at = now
@@ -423,17 +353,6 @@
         self.deliveries.verify(int(manifest.version), time.time())
         self.events.emit("transfer.verified", manifest=manifest.digest, sources=sources)
 
-    def _finishes(self, manifest: Manifest, missing: int) -> bool:
-        """Whether an overtaken version is finished here all the same."""
-        cfg = self.process.cfg
-        chunks = len(manifest.chunks)
-        return finishes_older(
-            missing / chunks,
-            self.process.clock() - self._named_at[int(manifest.version)],
-            chunks * manifest.chunk_bytes / max(cfg.link_rate, 1.0),
-            cfg.bounds.version,
-        )
-
     async def _reread(self, model: EngineModel, manifest: Manifest) -> bool:
         """Read a manifest again; whether it is another one than before."""
         version = int(manifest.version)
--- a/packages/wasabideck_forward/wasabideck_forward/entry_process.py
+++ b/packages/wasabideck_forward/wasabideck_forward/entry_process.py
@@ -16,8 +16,9 @@
 
 from .caller_connection import CallerConnection, Front
 from .crash_watch import CrashWatch
+from .dispatch import Bounds, Dispatch
 from .early_callers import EarlyCallers
-from .forwarder import Bounds, Forwarder
+from .forwarder import Forwarder
 from .messages import CallerRequest
 from .server_pool import ServerPool
 
@@ -97,7 +98,7 @@
         backend = backends.at(news.address)
         if backend is not None:
             backend.hear(news, self.process.clock())
-            self.forwarder.wake()
+            self.forwarder.dispatch.wake()
 
     async def _keep_sweeping(self) -> None:
         pool, backends = self.forwarder.pool, self.process.believer.beliefs.backends
@@ -125,20 +126,18 @@
 
 def _assemble(process: NodeProcess, deployment: Deployment) -> _Entry:
     cfg, beliefs = process.cfg, process.believer.beliefs
-    forwarder = Forwarder(
+    quarantine = process.believer.hearsay.quarantine
+    dispatch = Dispatch(
         beliefs,
-        ServerPool(deployment.wire, process.clock),
-        deployment.wire,
         _bounds(cfg),
         cfg.data_centre,
         process.clock,
         process.rng,
-        process.events,
-        CrashWatch(
-            process.believer.hearsay.quarantine, process.events, process.events.wall
-        ),
+        CrashWatch(quarantine, process.events, process.events.wall),
     )
-    process.on_reload.append(lambda cfg: forwarder.set_bounds(_bounds(cfg)))
+    pool = ServerPool(deployment.wire, process.clock)
+    forwarder = Forwarder(pool, deployment.wire, process.events, dispatch)
+    process.on_reload.append(lambda cfg: dispatch.set_bounds(_bounds(cfg)))
 
     def limits() -> CallerLimits:
         known = beliefs.configuration
--- a/packages/wasabideck_lab/wasabideck_lab/burst_model.py
+++ b/packages/wasabideck_lab/wasabideck_lab/burst_model.py
@@ -221,7 +221,7 @@
     # Engines
 
     def enter(self, draft: Draft, engine: int, now: float) -> None:
-        if draft.left_at is not None:
+        if self.at.get(draft) is None or self.at[draft][1] != engine:
             return
         self.engines[engine].enter(draft, now)
         self.step(engine, now)
--- a/packages/wasabideck_lab/wasabideck_lab/burst_policies.py
+++ b/packages/wasabideck_lab/wasabideck_lab/burst_policies.py
@@ -54,10 +54,17 @@
             entries=self.model.entries,
         )
         place = choose(backends, demand, now, rng)
-        if place.backend is not None and self._has_turn(draft, place, len(backends)):
+        if place.backend is None and not backends:
+            # Servers are away; they are waited for as long as for a turn.
+            waits = now - since < TURN_PART * self.model.patience
+            return Place(None, back_in=TURN_SECONDS if waits else None)
+        turn = len(backends), now
+        if place.backend is not None and self._has_turn(draft, place, *turn):
             return place
-        if now - since < TURN_PART * self.model.patience:
+        left = since + TURN_PART * self.model.patience - now
+        if left > 0 and self.late.may_wait(attempt, left, now):
             return Place(None, back_in=TURN_SECONDS)
+        self.late.ended(attempt)
         return Place(None, full=True)
 
     def first_event(self, draft: Draft, now: float) -> None:
@@ -72,12 +79,13 @@
         """Count it."""
         self.fresh.end(now)
 
-    def _has_turn(self, draft: Draft, place: Place, engines: int) -> bool:
+    def _has_turn(self, draft: Draft, place: Place, engines: int, now: float) -> bool:
         if place.urgency != Urgency.LATE:
             return True
         if not place.free or not self.late.has_room(engines, self.model.entries):
             return False
-        self.late.sent(draft)
+        self.late.ended((draft, draft.tries))
+        self.late.sent(draft, now)
         return True
 
 
--- a/tests/adapter/test_agent.py
+++ b/tests/adapter/test_agent.py
@@ -490,7 +490,7 @@
     beliefs.name_version("m", 3, clock[0] - agent.process.cfg.bounds.version + 1.0)
     origin.lacks = {3}
     with pytest.raises(PlatformUnavailable):
-        asyncio.run(agent._wanted(MODEL, 1, 3))
+        asyncio.run(agent.choice.wanted(MODEL, 1, 3))
 
 
 def test_what_all_lay_staged_is_ordered_after_one_look_at_it(agent, engine, origin):
--- a/tests/forward/conftest.py
+++ b/tests/forward/conftest.py
@@ -11,7 +11,8 @@
 from wasabideck_base.events import Clock, Events
 from wasabideck_forward.caller_connection import CallerConnection, Front
 from wasabideck_forward.crash_watch import CrashWatch
-from wasabideck_forward.forwarder import Bounds, Forwarder
+from wasabideck_forward.dispatch import Bounds, Dispatch
+from wasabideck_forward.forwarder import Forwarder
 from wasabideck_forward.server_pool import ServerPool
 from wasabideck_policy.backends import Listed, Loaded
 from wasabideck_policy.beliefs import Beliefs
@@ -205,17 +206,15 @@
         events = Events("vm", Clock(), lambda: 0.0)
         events.listeners.append(lambda kind, fields: self.log.append((kind, fields)))
         self.pool = ServerPool(WIRE, loop.time)
-        self.forwarder = Forwarder(
+        self.dispatch = Dispatch(
             self.beliefs,
-            self.pool,
-            WIRE,
             Bounds(0.2, 100.0, 10.0, 8.0, 8.0, 7.0, 7.0),
             "dc",
             loop.time,
             random.Random(3),
-            events,
             CrashWatch(Quarantine(), events, lambda: 1000.0),
         )
+        self.forwarder = Forwarder(self.pool, WIRE, events, self.dispatch)
         self.front = Front(
             WIRE,
             loop.time,
--- a/tests/forward/test_crashing_requests.py
+++ b/tests/forward/test_crashing_requests.py
@@ -71,7 +71,7 @@
             caller = await entry.caller()
             await caller.ask(method=b"POST", body=b"order", name=b"r%d" % number)
             assert (await caller.answer())[0] == 502
-            while entry.forwarder.crashes._looking:
+            while entry.dispatch.crashes._looking:
                 await asyncio.sleep(0)
         await entry.add_server(answers(b"done"))
         _prefer(entry, f"i-{MOST_CRASHES + 1}")
--- a/tests/forward/test_weights.py
+++ b/tests/forward/test_weights.py
@@ -34,7 +34,7 @@
     backend = entry.beliefs.backends.get(name)
     news = EngineNews(backend.listed.address, version, serving, 0, 0, ready_in, 2)
     backend.hear(news, asyncio.get_running_loop().time())
-    entry.forwarder.wake()
+    entry.dispatch.wake()
 
 
 def queues(seconds, begun, *pieces):
@@ -230,7 +230,7 @@
         why = [told["why"] for kind, told in entry.log if kind == "attempt.failed"]
         assert why == ["Recalled: i-0: version 1, 2 is due"] * 4
         now = asyncio.get_running_loop().time()
-        assert not entry.forwarder.outliers.out("i-0", now)
+        assert not entry.dispatch.outliers.out("i-0", now)
 
     play(scenario)
 
