The lab: what each mechanism is worth, and where requests were lost

`ablation` switches one mechanism off at a time under the modelled loads; `losses` tells from entries' logs what became of requests, window by window.

--- a/packages/wasabideck_lab/wasabideck_lab/__main__.py
+++ b/packages/wasabideck_lab/wasabideck_lab/__main__.py
@@ -11,6 +11,7 @@
 from wasabideck_base.process import run_process
 
 from . import scenarios_answers, scenarios_tickets  # noqa: F401  (they register)
+from .burst_ablation import ablation
 from .burst_command import bursts
 from .capacity import MEASUREMENTS, measure_all
 from .claims_run import run_claims
@@ -20,6 +21,7 @@
 from .faults_run import SCENARIOS, run_scenario
 from .in_force import measure_in_force
 from .load_command import load
+from .losses import losses
 from .overhead import measure_overhead
 from .playground import run_playground
 from .samples import write_samples
@@ -116,10 +118,12 @@
         if dirty:
             sys.exit(f"faults: {dirty} scenarios are not clean")
 
+    ablation = staticmethod(ablation)
     bursts = staticmethod(bursts)
     distribute = staticmethod(distribute)
     decisions = staticmethod(decisions)
     load = staticmethod(load)
+    losses = staticmethod(losses)
 
     def capacity(self, only: str = "all", json: bool = False) -> None:
         """Measure the slopes that docs/CAPACITY.md is worked out from.
