--- a/packages/wasabideck_lab/wasabideck_lab/burst_policies.py
+++ b/packages/wasabideck_lab/wasabideck_lab/burst_policies.py
@@ -4,6 +4,7 @@
 
 import random
 
+from wasabideck_forward.dispatch import FIRST_EVENT_SECONDS, TURN_PART, TURN_SECONDS
 from wasabideck_policy.backends import Backend
 from wasabideck_policy.fresh_share import FreshShare
 from wasabideck_policy.late_lane import LateLane
@@ -14,13 +15,6 @@
 
 __all__ = ["POLICIES", "LeastInProgress", "Product", "Random", "RoundRobin"]
 
-# A first event takes a pass and a prompt (seconds), as in the entry.
-FIRST_EVENT_SECONDS = 0.12
-# What waits at an entry looks again after so long, and gives up after this part of its
-# caller's patience, as in the entry.
-TURN_SECONDS = 0.05
-TURN_PART = 0.6
-
 
 class Product(Chooser):
     """The entry's own decisions."""
