--- a/packages/wasabideck_policy/wasabideck_policy/waves.py
+++ b/packages/wasabideck_policy/wasabideck_policy/waves.py
@@ -14,7 +14,7 @@
 __all__ = ["DRAIN_SECONDS", "wave_delay"]
 
 # A server that stops works so long on what it has; streams that last longer then go on
-# at other servers (seconds). The longest would keep its other places idle until it ends.
+# at other servers, as the longest would keep all its other places idle (seconds).
 DRAIN_SECONDS = 0.8
 # Word of a server that is back takes so long to be everywhere (seconds).
 WORD_SECONDS = 0.2
