Take what an entry's first read of the store brings for due, however late it comes

An entry that starts doesn't know when the versions that it reads were named, and takes them for long due, so that nothing is sent to weights that may be over. That held only for the first seconds: what a read brought later than that was taken for just named, with its whole time before it. Over a link that all starting entries fill the first read takes five to ten seconds. The test fails without the change.

test_a_version_named_while_the_process_runs now says that the process has read the store before, as a running one has.

--- a/tests/beliefs/test_believer.py
+++ b/tests/beliefs/test_believer.py
@@ -55,6 +55,7 @@
 
 
 def test_a_version_named_while_the_process_runs_has_its_whole_time(believer, clock):
+    believer._whole_operators([])
     clock[0] += 60.0
     name_version(believer, 2)
     clock[0] += 7.0
@@ -75,6 +76,15 @@
     assert due(believer, clock) == 2
 
 
+def test_what_a_late_first_read_brings_is_due_at_once(believer, clock):
+    # All entries are killed, and each reads a large configuration over a link that all
+    # of them fill: five seconds. They took the versions in it for just named, and sent
+    # drafts to weights that had been over since before the kill.
+    clock[0] += 5.0
+    name_version(believer, 2)
+    assert due(believer, clock) == 2
+
+
 def test_a_version_named_after_a_restart_has_its_whole_time(believer, clock):
     # Entries are stopped and started in turn while a version is named. Each that had
     # started less than three seconds before refused all drafts for seven seconds, as it
