--- a/packages/wasabideck_base/wasabideck_base/believer.py
+++ b/packages/wasabideck_base/wasabideck_base/believer.py
@@ -224,15 +224,15 @@
             # way, a version is older than the answer: see ``_date``.
             return now, True
         bounds = self.cfg.bounds
-        first_read = self._is_entry and source == STORE
-        if now - self.beliefs.began >= bounds.stable and not first_read:
+        unread = self._is_entry and not self._read_operators
+        if now - self.beliefs.began >= bounds.stable and not unread:
             # Heard late, by a second or so, until a peer or the store tells when it
             # was named; not passed on.
             return now, False
         # Until a peer tells, it counts as so old that its time ends a good while before
         # the process counts as calm: what is sent by then may begin a little later. So
-        # does what the first read of the store brings, however late: over a full link
-        # it takes ten seconds.
+        # does all that is heard before the store was read once, however late that is:
+        # over a full link it takes ten seconds.
         return self.beliefs.began - bounds.version + bounds.stable / 2, False
 
     def _ages_of(self, key: str) -> dict[int, float]:
--- a/tests/beliefs/test_believer.py
+++ b/tests/beliefs/test_believer.py
@@ -85,6 +85,13 @@
     assert due(believer, clock) == 2
 
 
+def test_what_a_peer_tells_before_the_store_was_read_is_due_at_once(believer, clock):
+    # One of them heard it from another that had started with it, and knew no more.
+    clock[0] += 6.0
+    believer.hearsay.merge([Declaration(weights_key("m"), 2, b"{}")], "10.0.0.9:1")
+    assert due(believer, clock) == 2
+
+
 def test_a_version_named_after_a_restart_has_its_whole_time(believer, clock):
     # Entries are stopped and started in turn while a version is named. Each that had
     # started less than three seconds before refused all drafts for seven seconds, as it
