--- a/packages/wasabideck_agent/wasabideck_agent/node_agent.py
+++ b/packages/wasabideck_agent/wasabideck_agent/node_agent.py
@@ -162,6 +162,7 @@
     _whole_since: dict[int, float] = field(factory=dict)
     _born: int = 0
     _ordered: tuple[int, int] = (0, 0)
+    _noted_end: int = 0
 
     def __attrs_post_init__(self) -> None:
         """Give peers the manifests that are known here."""
@@ -242,6 +243,7 @@
             return None
         named = self._named(model)
         self._notice(model, state)
+        self._note_end(model, state)
         held = _held(state, model)
         swapping = self._swapping_since is not None
         serving = held > 0 and not state.busy and not swapping
@@ -251,6 +253,26 @@
             held = max(held, ordered)
         return held, serving, ready_in, named
 
+    def _note_end(self, model: EngineModel, state: EngineState) -> None:
+        """One line on what an engine has when its weights are over."""
+        held = _held(state, model)
+        beliefs, bounds = self.process.believer.beliefs, self.process.cfg.bounds
+        over_at = beliefs.over_at(model.model, held, bounds.version)
+        now = self.process.clock()
+        if not 0 < held or held == self._noted_end:
+            return
+        if over_at is None or now < over_at:
+            return
+        self._noted_end = held
+        self.events.emit(
+            "weights.over",
+            version=held,
+            since=round(now - over_at, 3),
+            busy=state.busy,
+            running=state.running,
+            waiting=state.waiting,
+        )
+
     def _ready_in(self, model: EngineModel, held: int, named: int) -> float:
         """Seconds until the newest named version is served, as far as is known."""
         if held >= named:
--- a/packages/wasabideck_base/wasabideck_base/vocabulary.py
+++ b/packages/wasabideck_base/wasabideck_base/vocabulary.py
@@ -77,6 +77,7 @@
         "a newer order reached it: compare its ticket with the ticket list",
     ),
     "order.sent": Kind("an agent ordered its engine to serve a version"),
+    "weights.over": Kind("what an engine has on weights whose time is over"),
     "process.leaving": Kind("a process stops gracefully and takes no new work"),
     "process.ready": Kind("a process listens"),
     "process.stopped": Kind("a process has finished everything and ends"),
--- a/tests/adapter/test_agent.py
+++ b/tests/adapter/test_agent.py
@@ -338,6 +338,24 @@
     assert agent.describe(again)[:2] == (0, False)
 
 
+def test_a_line_tells_what_waits_at_weights_whose_time_is_over(agent, engine):
+    # Guards against a day that keeps the rule by luck looking like one kept by design.
+    steps(agent, holds(engine, 1))
+    told = []
+    agent.events.listeners.append(lambda kind, fields: told.append((kind, fields)))
+    clock, within = agent.process.time, agent.process.cfg.bounds.version
+    agent.process.believer.beliefs.name_version("m", 2, clock[0])
+    queued = EngineState((Loaded("m", 1, 0, 4),), running=4, waiting=2, born=1)
+    agent.describe(queued)
+    clock[0] += within + 0.1
+    agent.describe(queued)
+    agent.describe(queued)
+    ends = [fields for kind, fields in told if kind == "weights.over"]
+    assert ends == [
+        {"version": 1, "since": 0.1, "busy": False, "running": 4, "waiting": 2}
+    ]
+
+
 def test_pieces_are_checked_again_when_the_check_is_old_at_the_order(agent, engine):
     # The VM stands still for five seconds between the check of what lies staged and the
     # order. A piece that turned bad in the first of them was loaded: the check was
