--- /dev/null
+++ b/tests/adapter/agent_fakes.py
@@ -0,0 +1,204 @@
+"""An agent beside an engine, an origin and a store that tests hold."""
+
+import asyncio
+import contextlib
+import hashlib
+import random
+from types import SimpleNamespace
+
+from wasabideck_agent.chunk_store import ChunkStore
+from wasabideck_agent.chunks_service import ChunksService
+from wasabideck_agent.deliveries_log import DeliveriesLog
+from wasabideck_agent.delivery_book import DeliveryBook
+from wasabideck_agent.links import Link, Links
+from wasabideck_agent.listed_peers import ListedPeers
+from wasabideck_agent.node_agent import NodeAgent
+from wasabideck_agent.staging import Staging
+from wasabideck_base.channels import Channels
+from wasabideck_base.events import Clock, Events
+from wasabideck_base.http import PlatformUnavailable
+from wasabideck_base.node import NodeSettings, StoreSettings
+from wasabideck_base.rows import Changes, Row, WriteConflict
+from wasabideck_policy.backends import Listed, Loaded
+from wasabideck_policy.beliefs import Beliefs
+from wasabideck_policy.configuration import (
+    Configuration,
+    EngineModel,
+    OriginPlace,
+    Service,
+)
+from wasabideck_policy.engine_state import EngineState, OrderAnswer
+from wasabideck_policy.manifests import Manifest
+
+CHUNKS = 8
+MODEL = EngineModel(
+    "m", 4, 0.007, 0.0, 30_000.0, layers=4, chunks=CHUNKS, chunk_bytes=8
+)
+
+
+def piece(version, index):
+    return b"v%d-%05d" % (version, index)
+
+
+def digest(data):
+    return hashlib.sha256(data).hexdigest()
+
+
+class FakeOrigin:
+    """Knows every version; may be down, or send a wrong piece now and then."""
+
+    def __init__(self):
+        self.reads, self.down, self.wrong = [], False, set()
+        self.lacks = set()
+
+    async def manifest(self, model, version):
+        if self.down or version in self.lacks:
+            raise PlatformUnavailable("origin", "down", False)
+        digests = tuple(digest(piece(version, i)) for i in range(CHUNKS))
+        return Manifest(model, str(version), 8, 8 * CHUNKS, digests)
+
+    async def piece(self, model, version, index):
+        self.reads.append((version, index))
+        if self.down or version in self.lacks:
+            raise PlatformUnavailable("origin", "down", False)
+        if (version, index) in self.wrong:
+            self.wrong.discard((version, index))
+            return b"spoilt!!"
+        return piece(version, index)
+
+
+class FakeEngine:
+    """Loads what lies staged, as it lies, some looks after it was ordered to."""
+
+    def __init__(self):
+        self.lying, self.loaded, self.orders = {}, (), []
+        self.loading, self.looks, self.born = None, 0, 1
+        self.asked = self.checked = 0
+
+    async def state(self):
+        self.asked += 1
+        if self.loading:
+            self.looks -= 1
+            if self.looks <= 0:
+                version, pieces = self.loading
+                good = all(pieces.get(i) == piece(version, i) for i in range(CHUNKS))
+                assert good, "loaded a piece that was missing, spoilt or of another one"
+                self.loaded, self.loading = (Loaded("m", version, 0, 4),), None
+        return EngineState(self.loaded, self.loading is not None, born=self.born)
+
+    async def stage(self, model, index, data):
+        self.lying[index] = data
+
+    async def staged(self, model):
+        return sorted(self.lying)
+
+    async def staged_piece(self, model, index):
+        self.checked += 1
+        return self.lying.get(index)
+
+    async def load(self, model, version, queue):
+        self.orders.append(version)
+        if self.loading:
+            return OrderAnswer.REFUSED
+        self.loading, self.looks = (version, dict(self.lying)), 3
+        return OrderAnswer.BEGUN
+
+
+class FakeStore:
+    def __init__(self):
+        self.rows, self.listed = {}, []
+
+    async def read(self, table):
+        return Changes(tuple(Row(table, ip, b"", 1) for ip in self.listed), 1)
+
+    async def write(self, writes, expected=()):
+        if any(row.version == 0 and row.key in self.rows for row in expected):
+            raise WriteConflict(expected[0].key)
+        self.rows.update({w.key: w.value for w in writes})
+
+
+def new_agent(engine, origin, rows):
+    cfg = NodeSettings("vm", "127.0.0.1", "dc", "r", 0, StoreSettings(""), service="s")
+    clock = [0.0]
+    events = Events("vm", Clock(), lambda: 0.0)
+    beliefs = Beliefs(0.0)
+    beliefs.configuration = Configuration(
+        1,
+        {},
+        {
+            "s": Service("s", engine=MODEL),
+            "o": Service("o", origin=OriginPlace("o:1", "dc", 1.0)),
+        },
+    )
+
+    async def read_members():
+        return None
+
+    believer = SimpleNamespace(
+        beliefs=beliefs,
+        hearsay=SimpleNamespace(members={}),
+        read_members=read_members,
+        store=rows,
+    )
+    process = SimpleNamespace(
+        cfg=cfg,
+        events=events,
+        session=None,
+        channels=Channels(Clock()),
+        believer=believer,
+        clock=lambda: clock[0],
+        rng=random.Random(1),
+    )
+    store = ChunkStore()
+    links = Links(Link(), Link(), Link())
+    deployment = SimpleNamespace(
+        open_origin=lambda session, address: origin,
+        servers="servers",
+        listed_of=lambda row: Listed(row.key, "s", f"{row.key}:1", "dc"),
+    )
+    made = NodeAgent(
+        process,
+        deployment,
+        engine,
+        store,
+        ChunksService(store, links, 3),
+        links,
+        Staging(engine, store, events),
+        DeliveryBook("vm", "s", DeliveriesLog(rows), events),
+        ListedPeers(process, deployment),
+        None,
+    )
+    process.time = clock
+    made.staging.boot_clock = lambda: clock[0]
+    return made
+
+
+def steps(agent, until):
+    """Take steps until a condition holds; time passes a second a step."""
+
+    async def run():
+        async with asyncio.timeout(20):
+            while not until():
+                agent.process.time[0] += 1.0
+                await agent.step()
+
+    asyncio.run(run())
+
+
+def steps_on(agent, until):
+    """Take steps, as the agent does, also when the origin does not answer."""
+
+    async def run():
+        async with asyncio.timeout(20):
+            while not until():
+                agent.process.time[0] += 0.2
+                # A step that fetches what nobody has would never end.
+                with contextlib.suppress(PlatformUnavailable, TimeoutError):
+                    async with asyncio.timeout(2.5):
+                        await agent.step()
+
+    asyncio.run(run())
+
+
+def holds(engine, version):
+    return lambda: engine.loaded == (Loaded("m", version, 0, 4),)
--- a/tests/adapter/test_manifests.py
+++ b/tests/adapter/test_manifests.py
@@ -4,8 +4,8 @@
 from contextlib import asynccontextmanager
 
 import pytest
+from agent_fakes import CHUNKS, FakeEngine, FakeOrigin, FakeStore, digest, new_agent
 from attrs import evolve
-from test_agent import CHUNKS, FakeEngine, FakeOrigin, FakeStore, digest, new_agent
 from wasabideck_base.http import PlatformUnavailable
 from wasabideck_base.inner_limits import InnerServer
 from wasabideck_base.node_process import keep_alive_session
