A failing test: an engine begins what waits on weights whose time is over

On with the stand-in's new call, which nothing makes: three requests are begun on version 1 although the agent beside the engine knows that its time is over.

--- a/tests/adapter/agent_fakes.py
+++ b/tests/adapter/agent_fakes.py
@@ -74,6 +74,7 @@
         self.lying, self.loaded, self.orders = {}, (), []
         self.loading, self.looks, self.born = None, 0, 1
         self.asked = self.checked = 0
+        self.waiting, self.begun, self.refused = 0, [], 0
 
     async def state(self):
         self.asked += 1
@@ -84,7 +85,13 @@
                 good = all(pieces.get(i) == piece(version, i) for i in range(CHUNKS))
                 assert good, "loaded a piece that was missing, spoilt or of another one"
                 self.loaded, self.loading = (Loaded("m", version, 0, 4),), None
-        return EngineState(self.loaded, self.loading is not None, born=self.born)
+        return EngineState(
+            self.loaded,
+            self.loading is not None,
+            orders=len(self.orders),
+            waiting=self.waiting,
+            born=self.born,
+        )
 
     async def stage(self, model, index, data):
         self.lying[index] = data
@@ -103,6 +110,20 @@
         self.loading, self.looks = (version, dict(self.lying)), 3
         return OrderAnswer.BEGUN
 
+    async def unload(self, model, version, accepted):
+        if self.loading or accepted != len(self.orders):
+            return OrderAnswer.REFUSED
+        self.orders.append(-version)
+        self.loaded = ()
+        self.refused, self.waiting = self.refused + self.waiting, 0
+        return OrderAnswer.BEGUN
+
+    def has_place(self):
+        """Begin what waits, on whatever weights are there."""
+        if self.loaded and not self.loading:
+            self.begun += [self.loaded[0].version] * self.waiting
+            self.waiting = 0
+
 
 class FakeStore:
     def __init__(self):
