Make an engine's orders conditional on the orders that it had accepted

Callers could get answers of weights that had been replaced: an order whose answer was lost may be accepted seconds later, after a newer one. Cause: an order said what to load and not on what state it was decided.

--- a/packages/wasabideck_agent/wasabideck_agent/node_agent.py
+++ b/packages/wasabideck_agent/wasabideck_agent/node_agent.py
@@ -395,7 +395,9 @@
         # Entries hear first, so that they send elsewhere what would wait out the swap.
         self._swapping_since = self.process.clock()
         self.tell(state)
-        answer = await self.engine.load(model.model, version, queue=True)
+        answer = await self.engine.load(
+            model.model, version, queue=True, accepted=state.orders
+        )
         self.events.emit(
             "order.sent",
             version=version,
--- a/packages/wasabideck_agent/wasabideck_agent/staging.py
+++ b/packages/wasabideck_agent/wasabideck_agent/staging.py
@@ -42,8 +42,10 @@
     async def staged_piece(self, model: str, index: int) -> bytes | None:
         """Bytes of a piece that lies there."""
 
-    async def load(self, model: str, version: int, queue: bool) -> OrderAnswer:
-        """Load what lies there."""
+    async def load(
+        self, model: str, version: int, queue: bool, accepted: int
+    ) -> OrderAnswer:
+        """Load what lies there, unless it has accepted another order since."""
 
 
 @define
--- a/tests/adapter/agent_fakes.py
+++ b/tests/adapter/agent_fakes.py
@@ -103,10 +103,10 @@
         self.checked += 1
         return self.lying.get(index)
 
-    async def load(self, model, version, queue):
-        self.orders.append(version)
-        if self.loading:
+    async def load(self, model, version, queue, accepted):
+        if self.loading or accepted != len(self.orders):
             return OrderAnswer.REFUSED
+        self.orders.append(version)
         self.loading, self.looks = (version, dict(self.lying)), 3
         return OrderAnswer.BEGUN
 
--- a/tests/adapter/test_agent.py
+++ b/tests/adapter/test_agent.py
@@ -19,7 +19,7 @@
 from wasabideck_agent.node_agent import LAST_SECONDS
 from wasabideck_base.http import PlatformUnavailable
 from wasabideck_policy.backends import Loaded
-from wasabideck_policy.engine_state import EngineState
+from wasabideck_policy.engine_state import EngineState, OrderAnswer
 from wasabideck_policy.membership import AGENT, Member
 
 
@@ -175,9 +175,9 @@
     agent.tell = lambda state: told.append(agent.describe(state)[:2])
     accept = engine.load
 
-    async def slowly(model, version, queue):
+    async def slowly(model, version, queue, accepted):
         agent.process.time[0] += 0.2
-        return await accept(model, version, queue)
+        return await accept(model, version, queue, accepted)
 
     engine.load = slowly
     agent.process.believer.beliefs.name_version("m", 2, 0.0)
@@ -185,6 +185,27 @@
     assert told == [(1, False), (2, False)]
 
 
+def test_an_order_that_the_engine_accepts_late_changes_nothing(agent, engine):
+    # Guards against an old order, its answer lost, that undoes a newer one.
+    steps(agent, holds(engine, 1))
+    accept, late = engine.load, []
+
+    async def lost(model, version, queue, accepted):
+        if not late:
+            late.append((model, version, queue, accepted))
+            raise PlatformUnavailable("engine", "no answer", True)
+        return await accept(model, version, queue, accepted)
+
+    engine.load = lost
+    beliefs = agent.process.believer.beliefs
+    beliefs.name_version("m", 2, 0.0)
+    steps_on(agent, lambda: late)
+    beliefs.name_version("m", 3, 0.0)
+    steps_on(agent, holds(engine, 3))
+    assert asyncio.run(accept(*late[0])) is OrderAnswer.REFUSED
+    assert holds(engine, 3)()
+
+
 def test_nothing_is_told_of_an_engine_whose_model_is_not_known_yet(agent):
     # An agent starts again, and its first word came before the configuration did: no
     # version held. Entries took back everything that waited at a sound server.
