Take weights out of an engine before their time is over

Callers got answers of weights that were over: a request that waits at a server is begun when a place is free, whatever its entry has decided meanwhile. Cause: nothing beside the server held the condition. Entries stopped sending and took back, over a link and out of a process that may be late; the agent ordered newer weights only once it had all of them.

Now the agent orders overdue weights out 0.3 s before their end, by an order for no layers, conditional on the orders accepted before. Once it is accepted the engine begins nothing on them, ends what runs, and refuses what waits as not run, which callers may repeat. It goes by ages that are known, not guessed: emptying an engine can't be undone. A version that is overdue when it is whole isn't ordered any more.

The wait for a swap compared two readings of the clock; the time is an argument now.

--- a/packages/wasabideck_agent/wasabideck_agent/node_agent.py
+++ b/packages/wasabideck_agent/wasabideck_agent/node_agent.py
@@ -14,7 +14,6 @@
 from wasabideck_base.node import NodeSettings
 from wasabideck_base.node_process import NodeProcess, keep_alive_session, node_process
 from wasabideck_base.settings import WeightsSettings
-from wasabideck_policy.backends import Loaded
 from wasabideck_policy.configuration import EngineModel
 from wasabideck_policy.engine_state import EngineState, OrderAnswer
 from wasabideck_policy.manifests import Manifest
@@ -32,7 +31,8 @@
 from .news_loop import NewsLoop
 from .numbered_manifests import NumberedManifests
 from .origin_chunks import NumberedOrigin, OriginChunks
-from .staging import Engine, Staging
+from .retirement import Retirement
+from .staging import Engine, Staging, held_version
 from .transfer import Transfer
 from .version_choice import VersionChoice
 
@@ -140,6 +140,8 @@
         What is known of the versions' chunks.
     choice : VersionChoice
         Which of several named versions is fetched.
+    retirement : Retirement
+        Takes weights whose time is over out of the engine.
     """
 
     process: NodeProcess
@@ -156,6 +158,7 @@
     tell: Callable[[EngineState], None] = lambda state: None
     manifests: NumberedManifests = field(init=False)
     choice: VersionChoice = field(init=False)
+    retirement: Retirement = field(init=False)
     _gathering: Transfer | None = None
     _swapping_since: float | None = None
     _serves: int = 0
@@ -171,6 +174,9 @@
         )
         self.chunks.numbered = self.manifests.word
         self.choice = VersionChoice(self.process, self.manifests)
+        self.retirement = Retirement(
+            self.process, self.engine, self._model, lambda state: self.tell(state)
+        )
 
     @property
     def events(self) -> Events:
@@ -178,7 +184,12 @@
         return self.process.events
 
     async def run(self) -> None:
-        """Bring the engine to what is named, for ever."""
+        """Bring the engine to what is named, and out of what is over, for ever."""
+        async with asyncio.TaskGroup() as tasks:
+            tasks.create_task(self.retirement.run())
+            tasks.create_task(self._keep_stepping())
+
+    async def _keep_stepping(self) -> None:
         while True:
             try:
                 settled = await self.step()
@@ -201,7 +212,7 @@
             self.staging.forget()
             self._born = state.born
         self._notice(model, state)
-        held = self._serves = _held(state, model)
+        held = self._serves = held_version(state, model)
         if held >= version:
             await self._settle(model, held)
             return True
@@ -225,7 +236,7 @@
         if since is not None and not state.busy:
             if self.process.clock() - since >= ACCEPTED_SECONDS:
                 self._swapping_since = None
-        if held := _held(state, model):
+        if held := held_version(state, model):
             manifest = self.manifests.known(held)
             wall = time.time()
             self.deliveries.in_force(model.model, held, manifest, state.born, wall)
@@ -244,7 +255,7 @@
         named = self._named(model)
         self._notice(model, state)
         self._note_end(model, state)
-        held = _held(state, model)
+        held = held_version(state, model)
         swapping = self._swapping_since is not None
         serving = held > 0 and not state.busy and not swapping
         ready_in = self._ready_in(model, held, named)
@@ -255,7 +266,7 @@
 
     def _note_end(self, model: EngineModel, state: EngineState) -> None:
         """One line on what an engine has when its weights are over."""
-        held = _held(state, model)
+        held = held_version(state, model)
         beliefs, bounds = self.process.believer.beliefs, self.process.cfg.bounds
         over_at = beliefs.over_at(model.model, held, bounds.version)
         now = self.process.clock()
@@ -388,7 +399,11 @@
             await asyncio.sleep(ORDER_LOOK_SECONDS)
             return
         version = int(manifest.version)
-        if self.process.clock() < self._stops_at(model, version):
+        now = self.process.clock()
+        if version < self.retirement.due(model, now):
+            # It was overtaken while it was fetched.
+            return
+        if now < self._stops_at(model, version, now):
             await asyncio.sleep(ORDER_LOOK_SECONDS)
             return
         state = await self.staging.check(manifest)
@@ -414,9 +429,8 @@
         self._ordered = (version, state.born)
         self.tell(evolve(state, busy=True))
 
-    def _stops_at(self, model: EngineModel, version: int) -> float:
+    def _stops_at(self, model: EngineModel, version: int, now: float) -> float:
         """When the engine may stop for a version that is whole here, seconds."""
-        now = self.process.clock()
         if self._serves == 0:
             return now
         since = self._whole_since.setdefault(version, now)
@@ -481,12 +495,3 @@
         call_seconds=CALL_SECONDS,
         link_rate=cfg.link_rate,
     )
-
-
-def _whole(part: Loaded, model: EngineModel) -> bool:
-    return part.first == 0 and part.last >= model.layers
-
-
-def _held(state: EngineState, model: EngineModel) -> int:
-    """Version of which an engine holds all layers; 0 for none."""
-    return max((p.version for p in state.loaded if _whole(p, model)), default=0)
--- /dev/null
+++ b/packages/wasabideck_agent/wasabideck_agent/retirement.py
@@ -0,0 +1,93 @@
+"""Takes weights out of an engine before their time is over.
+
+Entries stop sending in time and take back what waits, but both reach the engine over a
+link that may be full, from a process that may stand still. An order comes from the
+engine's own VM, and once it is accepted nothing begins on the weights that are there.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+
+from attrs import define, evolve
+from wasabideck_base.node_process import NodeProcess
+from wasabideck_policy.configuration import EngineModel
+from wasabideck_policy.engine_state import EngineState, OrderAnswer
+from wasabideck_policy.outcomes import WasabideckError
+
+from .staging import Engine, held_version
+
+__all__ = ["Retirement"]
+
+# How long before the end the order goes out, after the last moment at which newer
+# weights are ordered in their place: the next look, a look at the engine and the order
+# itself take a tenth of a second together (seconds).
+AHEAD_SECONDS = 0.3
+LOOK_SECONDS = 0.05
+
+
+@define
+class Retirement:
+    """Retires the weights of one engine when newer ones are due.
+
+    Attributes
+    ----------
+    model : callable
+        The model that the engine serves; None while it is not known.
+    tell : callable
+        Tells entries at once of an engine's state.
+    """
+
+    process: NodeProcess
+    engine: Engine
+    model: Callable[[], EngineModel | None]
+    tell: Callable[[EngineState], None]
+    _settled: int = 0
+
+    async def run(self) -> None:
+        """Look for ever whether weights have to go."""
+        while True:
+            await asyncio.sleep(LOOK_SECONDS)
+            try:
+                await self.look(self.process.clock())
+            except WasabideckError as exc:
+                why = f"{type(exc).__name__}: {exc}"
+                self.process.events.emit("retirement.failed", why=why)
+
+    async def look(self, now: float) -> None:
+        """Take out what is older than the version that is due soon."""
+        model = self.model()
+        if model is None:
+            return
+        due = self.due(model, now + AHEAD_SECONDS)
+        if due > self._settled and await self._take_out(model, due):
+            self._settled = due
+
+    def due(self, model: EngineModel, at: float) -> int:
+        """The version that the engine may begin requests on at least, at a time."""
+        within = self.process.cfg.bounds.version
+        return self.process.believer.beliefs.surely_due(model.model, within, at)
+
+    async def _take_out(self, model: EngineModel, due: int) -> bool:
+        """Whether the engine holds nothing older than ``due``; orders it out if so."""
+        state = await self.engine.state()
+        held = held_version(state, model)
+        if not 0 < held < due:
+            return True
+        if state.busy:
+            # It begins nothing until the order in progress has ended.
+            return False
+        answer = await self.engine.unload(model.model, due, state.orders)
+        self.process.events.emit(
+            "weights.retired",
+            version=held,
+            due=due,
+            answer=answer.value,
+            running=state.running,
+            waiting=state.waiting,
+        )
+        if answer is not OrderAnswer.REFUSED:
+            self.tell(evolve(state, busy=True))
+        # The next look tells whether it is out.
+        return False
--- a/packages/wasabideck_agent/wasabideck_agent/staging.py
+++ b/packages/wasabideck_agent/wasabideck_agent/staging.py
@@ -9,12 +9,13 @@
 
 from attrs import define, field
 from wasabideck_base.events import Events
+from wasabideck_policy.configuration import EngineModel
 from wasabideck_policy.engine_state import EngineState, OrderAnswer
 from wasabideck_policy.manifests import CorruptChunk, Manifest, verify_chunk
 
 from .chunk_store import ChunkStore
 
-__all__ = ["Engine", "Staging"]
+__all__ = ["Engine", "Staging", "held_version"]
 
 # A piece that turned bad where it lies may be loaded for three seconds after that. The
 # check takes 0.1 to 0.2 s, and grows old on a VM that is slow or stands still; the rest
@@ -47,6 +48,9 @@
     ) -> OrderAnswer:
         """Load what lies there, unless it has accepted another order since."""
 
+    async def unload(self, model: str, version: int, accepted: int) -> OrderAnswer:
+        """Begin nothing more on what it holds, refuse what waits, and hold nothing."""
+
 
 @define
 class Staging:
@@ -150,3 +154,13 @@
     except CorruptChunk:
         return False
     return True
+
+
+def held_version(state: EngineState, model: EngineModel) -> int:
+    """Version of which an engine holds all layers; 0 for none."""
+    whole = [
+        part.version
+        for part in state.loaded
+        if part.first == 0 and part.last >= model.layers
+    ]
+    return max(whole, default=0)
--- a/packages/wasabideck_base/wasabideck_base/vocabulary.py
+++ b/packages/wasabideck_base/wasabideck_base/vocabulary.py
@@ -77,6 +77,11 @@
         "a newer order reached it: compare its ticket with the ticket list",
     ),
     "order.sent": Kind("an agent ordered its engine to serve a version"),
+    "retirement.failed": Kind(
+        "an agent could not order weights whose time is over out of its engine",
+        "read why; it tries again at once, and entries send nothing there",
+    ),
+    "weights.retired": Kind("an agent ordered weights out whose time is over"),
     "weights.over": Kind("what an engine has on weights whose time is over"),
     "process.leaving": Kind("a process stops gracefully and takes no new work"),
     "process.ready": Kind("a process listens"),
--- a/packages/wasabideck_policy/wasabideck_policy/beliefs.py
+++ b/packages/wasabideck_policy/wasabideck_policy/beliefs.py
@@ -164,6 +164,19 @@
         )
         return max(due, default=0)
 
+    def surely_due(self, model: str, within: float, at: float) -> int:
+        """Like ``least_version``, with no age guessed: a version is as old as is known.
+
+        For what can't be undone: a process that began later may guess a version's age
+        seconds too high.
+        """
+        due = (
+            named.number
+            for named in self._versions.get(model, ())
+            if named.age(at) >= within
+        )
+        return max(due, default=0)
+
     def over_at(self, model: str, version: int, within: float) -> float | None:
         """When a version may not be begun any more, seconds; None while none is newer.
 
--- a/tests/adapter/test_agent.py
+++ b/tests/adapter/test_agent.py
@@ -343,8 +343,8 @@
     since, starts = clock[0], []
     for version in range(2, 40):
         agent._whole_since[version] = since
-        starts.append(agent._stops_at(MODEL, version))
+        starts.append(agent._stops_at(MODEL, version, clock[0]))
     assert min(starts) == since
     assert since < max(starts) <= over_at - LAST_SECONDS
     agent._serves = 0
-    assert agent._stops_at(MODEL, 2) == clock[0]
+    assert agent._stops_at(MODEL, 2, clock[0]) == clock[0]
--- a/tests/adapter/test_engine.py
+++ b/tests/adapter/test_engine.py
@@ -29,3 +29,11 @@
     answers = [asyncio.run(engine.load("m", 2, True, accepted=7)) for _ in range(2)]
     assert answers == [OrderAnswer.BEGUN, OrderAnswer.REFUSED]
     assert [order["expected-rev"] for order in orders] == [7, 7]
+
+
+def test_an_engine_is_emptied_by_an_order_for_no_layers(engine, orders):
+    # Guards against half of a version being loaded when old weights are taken out.
+    assert asyncio.run(engine.unload("m", 3, accepted=1)) is OrderAnswer.BEGUN
+    [order] = orders
+    assert (order["from"], order["to"], order["switch-mode"]) == (0, 0, "shed")
+    assert (order["version"], order["expected-rev"]) == (3, 1)
--- a/tests/adapter/test_retirement.py
+++ b/tests/adapter/test_retirement.py
@@ -4,7 +4,9 @@
 from contextlib import asynccontextmanager
 
 import pytest
+from agent_fakes import MODEL, holds
 from attrs import evolve
+from wasabideck_base.http import PlatformUnavailable
 from wasabideck_policy.backends import Loaded
 
 # How long a named version may take, here (seconds).
@@ -51,3 +53,113 @@
         assert engine.refused == 3
 
     asyncio.run(scenario())
+
+
+def test_an_engine_that_has_newer_weights_in_time_loads_them_and_refuses_nothing(
+    agent, engine
+):
+    async def scenario():
+        async with running(agent) as beliefs:
+            beliefs.name_version("m", 2, now())
+            engine.waiting = 3
+            await asyncio.sleep(WITHIN)
+        assert holds(engine, 2)()
+        assert (engine.orders, engine.refused) == ([2], 0)
+
+    asyncio.run(scenario())
+
+
+def test_newer_weights_are_loaded_after_the_old_ones_were_taken_out(
+    agent, engine, origin
+):
+    # Guards against an engine that stays empty once its weights were retired.
+    async def scenario():
+        origin.lacks = {2}
+        async with running(agent) as beliefs:
+            beliefs.name_version("m", 2, now())
+            await asyncio.sleep(WITHIN)
+            assert engine.loaded == ()
+            origin.lacks = set()
+            async with asyncio.timeout(5.0):
+                while not holds(engine, 2)():
+                    await asyncio.sleep(0.05)
+        assert engine.orders == [-2, 2]
+
+    asyncio.run(scenario())
+
+
+def test_weights_stay_while_the_age_of_newer_ones_is_a_guess(agent, engine, origin):
+    # Guards against an agent that starts and empties a sound engine seconds too early.
+    async def scenario():
+        origin.lacks = {2}
+        async with running(agent) as beliefs:
+            beliefs.name_version("m", 2, now() - 2 * WITHIN, False, now())
+            await asyncio.sleep(WITHIN / 2)
+            assert engine.orders == []
+            beliefs.date_version("m", 2, now() - WITHIN)
+            await asyncio.sleep(0.2)
+            assert engine.orders == [-2]
+
+    asyncio.run(scenario())
+
+
+def test_an_engine_that_does_not_answer_is_asked_again(agent, engine, origin):
+    # Guards against weights that stay because one order was lost.
+    async def scenario():
+        origin.lacks = {2}
+        unload, failures = engine.unload, []
+
+        async def failing(*args):
+            if len(failures) < 2:
+                failures.append(args)
+                raise PlatformUnavailable("engine", "no answer", True)
+            return await unload(*args)
+
+        engine.unload = failing
+        async with running(agent) as beliefs:
+            beliefs.name_version("m", 2, now())
+            await asyncio.sleep(WITHIN)
+        assert engine.loaded == ()
+
+    asyncio.run(scenario())
+
+
+def test_an_engine_that_loads_already_gets_no_other_order(agent, engine):
+    # Guards against newer weights that are thrown away while they are being loaded.
+    async def scenario():
+        agent.process.clock = now
+        beliefs = agent.process.believer.beliefs
+        beliefs.name_version("m", 2, now() - WITHIN)
+        engine.loading, engine.looks = (2, {}), 100
+        await agent.retirement.look(now())
+        assert engine.orders == []
+
+    asyncio.run(scenario())
+
+
+def test_a_version_that_is_over_when_it_is_whole_is_not_loaded(agent, engine):
+    # Guards against overdue weights that come into force at the end of a long transfer.
+    async def scenario():
+        agent.process.clock = now
+        beliefs = agent.process.believer.beliefs
+        manifest = await agent.manifests.get("m", 2)
+        beliefs.name_version("m", 2, now() - 2 * WITHIN)
+        beliefs.name_version("m", 3, now() - WITHIN)
+        assert await agent._gather(MODEL, manifest)
+        await agent._swap(MODEL, manifest)
+        assert engine.orders == []
+
+    asyncio.run(scenario())
+
+
+def test_entries_hear_at_once_that_an_engine_takes_nothing_more(agent, engine, origin):
+    # Guards against requests that are sent to an engine which refuses all of them.
+    async def scenario():
+        told = []
+        agent.tell = lambda state: told.append(agent.describe(state)[:2])
+        agent.process.clock = now
+        agent.process.believer.beliefs.name_version("m", 2, now() - WITHIN)
+        await agent.retirement.look(now())
+        assert told == [(1, False)]
+
+    asyncio.run(scenario())
