Retire weights by an order that lets what runs end

The order goes out 0.45 s ahead, which covers prompts that are being read, waits for an order of newer weights that is being prepared, and is made again when the engine doesn't answer in 0.15 s. A version that was overtaken and would be over during its load isn't loaded: what waits for the load would begin on it too late.

--- a/packages/wasabideck_agent/wasabideck_agent/node_agent.py
+++ b/packages/wasabideck_agent/wasabideck_agent/node_agent.py
@@ -61,6 +61,9 @@
 # Entries begin nothing on older weights from half a second before their time is over:
 # a server that stops earlier than that loses requests that it could still begin.
 LAST_SECONDS = 0.6
+# The longest streams that can't go on elsewhere keep an engine from loading for so long
+# (seconds).
+LONGEST_DRAIN_SECONDS = 2.5
 # Chunks fetched at once from peers near by, and over a region's link; and sent at once.
 # Few bytes of each are under way, so that more of them keep the links busy while none
 # gets in the way of live requests: with 3, 1 and 3 half of the transfers of a version
@@ -394,18 +397,35 @@
         return self.manifests.differs(version, manifest)
 
     async def _swap(self, model: EngineModel, manifest: Manifest) -> None:
-        """Order the engine to load what lies staged."""
+        """Order the engine to load what lies staged, when its time has come."""
         if (await self.engine.state()).busy:
             await asyncio.sleep(ORDER_LOOK_SECONDS)
             return
         version = int(manifest.version)
         now = self.process.clock()
-        if version < self.retirement.due(model, now):
-            # It was overtaken while it was fetched.
+        if self._soon_over(model, version, now):
             return
         if now < self._stops_at(model, version, now):
             await asyncio.sleep(ORDER_LOOK_SECONDS)
             return
+        self.retirement.loading = True
+        try:
+            await self._load(model, manifest)
+        finally:
+            self.retirement.loading = False
+
+    def _soon_over(self, model: EngineModel, version: int, now: float) -> bool:
+        """Whether a version that was overtaken would be over when it is loaded.
+
+        What waits meanwhile begins on it, and may do so only after the longest of what
+        runs has ended.
+        """
+        takes = model.load_seconds + (LONGEST_DRAIN_SECONDS if self._serves else 0.0)
+        return version < self.retirement.due(model, now + takes)
+
+    async def _load(self, model: EngineModel, manifest: Manifest) -> None:
+        """Check what lies staged and order the engine to load it."""
+        version = int(manifest.version)
         state = await self.staging.check(manifest)
         # Entries hear first, so that they send elsewhere what would wait out the swap.
         self._swapping_since = self.process.clock()
--- a/packages/wasabideck_agent/wasabideck_agent/retirement.py
+++ b/packages/wasabideck_agent/wasabideck_agent/retirement.py
@@ -20,11 +20,17 @@
 
 __all__ = ["Retirement"]
 
-# How long before the end the order goes out, after the last moment at which newer
-# weights are ordered in their place: the next look, a look at the engine and the order
-# itself take a tenth of a second together (seconds).
-AHEAD_SECONDS = 0.3
+# How long before the end the order goes out. What has a place by then may still have
+# its prompt read before it begins, 50 ms each; entries send nothing later than this
+# (seconds).
+AHEAD_SECONDS = 0.45
+# While newer weights are checked for an order of their own, that one is waited for
+# until so long before the end (seconds).
+LATEST_SECONDS = 0.3
 LOOK_SECONDS = 0.05
+# A call to the engine on the same VM that takes longer is given up and made again: an
+# order fits the engine's state once, however often it arrives (seconds).
+CALL_SECONDS = 0.15
 
 
 @define
@@ -37,12 +43,15 @@
         The model that the engine serves; None while it is not known.
     tell : callable
         Tells entries at once of an engine's state.
+    loading : bool
+        An order to load newer weights is being prepared.
     """
 
     process: NodeProcess
     engine: Engine
     model: Callable[[], EngineModel | None]
     tell: Callable[[EngineState], None]
+    loading: bool = False
     _settled: int = 0
 
     async def run(self) -> None:
@@ -51,7 +60,7 @@
             await asyncio.sleep(LOOK_SECONDS)
             try:
                 await self.look(self.process.clock())
-            except WasabideckError as exc:
+            except (WasabideckError, TimeoutError) as exc:
                 why = f"{type(exc).__name__}: {exc}"
                 self.process.events.emit("retirement.failed", why=why)
 
@@ -60,7 +69,8 @@
         model = self.model()
         if model is None:
             return
-        due = self.due(model, now + AHEAD_SECONDS)
+        ahead = LATEST_SECONDS if self.loading else AHEAD_SECONDS
+        due = self.due(model, now + ahead)
         if due > self._settled and await self._take_out(model, due):
             self._settled = due
 
@@ -71,14 +81,16 @@
 
     async def _take_out(self, model: EngineModel, due: int) -> bool:
         """Whether the engine holds nothing older than ``due``; orders it out if so."""
-        state = await self.engine.state()
+        async with asyncio.timeout(CALL_SECONDS):
+            state = await self.engine.state()
         held = held_version(state, model)
         if not 0 < held < due:
             return True
         if state.busy:
             # It begins nothing until the order in progress has ended.
             return False
-        answer = await self.engine.unload(model.model, due, state.orders)
+        async with asyncio.timeout(CALL_SECONDS):
+            answer = await self.engine.unload(model.model, due, state.orders)
         self.process.events.emit(
             "weights.retired",
             version=held,
--- a/packages/wasabideck_agent/wasabideck_agent/staging.py
+++ b/packages/wasabideck_agent/wasabideck_agent/staging.py
@@ -49,7 +49,7 @@
         """Load what lies there, unless it has accepted another order since."""
 
     async def unload(self, model: str, version: int, accepted: int) -> OrderAnswer:
-        """Begin nothing more on what it holds, refuse what waits, and hold nothing."""
+        """Begin nothing more on what it holds, and let go of it when what runs ends."""
 
 
 @define
