Keep an agent beside its engine until overdue weights are out

An agent that was told to stop left at once, and its engine with weights that were about to be over: in the record three agents end within seven seconds before a version is due, and nobody orders their engines any more. Now it goes on, bringing newer weights in if it can, until its engine has the newest, has accepted an order, or its time for stopping ends; then it takes the old ones out. A process that ends because a loop failed doesn't stay. The tests fail without it: the agent had no way to stay.

--- a/packages/wasabideck_agent/wasabideck_agent/node_agent.py
+++ b/packages/wasabideck_agent/wasabideck_agent/node_agent.py
@@ -61,6 +61,9 @@
 # Entries begin nothing on older weights from half a second before their time is over:
 # a server that stops earlier than that loses requests that it could still begin.
 LAST_SECONDS = 0.6
+# What is left of the time for stopping when the agent leaves its engine: its loops end
+# within it, also on a slow VM (seconds).
+CLOSING_SECONDS = 1.3
 # The longest streams that can't go on elsewhere keep an engine from loading for so long
 # (seconds).
 LONGEST_DRAIN_SECONDS = 2.5
@@ -115,6 +118,11 @@
         running = {asyncio.create_task(step) for step in (agent.run(), news.run())}
         stopping = asyncio.create_task(process.stop.wait())
         await asyncio.wait({*running, stopping}, return_when=asyncio.FIRST_COMPLETED)
+        if stopping.done() and not process.failed:
+            grace = process.cfg.bounds.grace - CLOSING_SECONDS
+            leaving = asyncio.create_task(agent.retirement.leave(grace))
+            running.add(leaving)
+            await asyncio.wait(running, return_when=asyncio.FIRST_COMPLETED)
         for task in (*running, stopping):
             task.cancel()
         for task in running:
--- a/packages/wasabideck_agent/wasabideck_agent/retirement.py
+++ b/packages/wasabideck_agent/wasabideck_agent/retirement.py
@@ -8,7 +8,8 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
 
 from attrs import define, evolve
 from wasabideck_base.node_process import NodeProcess
@@ -58,11 +59,8 @@
         """Look for ever whether weights have to go."""
         while True:
             await asyncio.sleep(LOOK_SECONDS)
-            try:
+            with self._noting_failures():
                 await self.look(self.process.clock())
-            except (WasabideckError, TimeoutError) as exc:
-                why = f"{type(exc).__name__}: {exc}"
-                self.process.events.emit("retirement.failed", why=why)
 
     async def look(self, now: float) -> None:
         """Take out what is older than the version that is due soon."""
@@ -74,6 +72,49 @@
         if due > self._settled and await self._take_out(model, due):
             self._settled = due
 
+    async def leave(self, grace: float) -> None:
+        """Go on until the engine has no weights that will be over.
+
+        After it there is nobody who could take them out.
+
+        Parameters
+        ----------
+        grace : float
+            Seconds after which they are taken out at once.
+        """
+        end = self.process.clock() + grace
+        self.process.events.emit("process.leaving", grace=grace)
+        while self.process.clock() < end:
+            if not await self._outlived():
+                return
+            await asyncio.sleep(LOOK_SECONDS)
+        model = self.model()
+        if model is not None:
+            newest = self.process.believer.beliefs.newest_version(model.model)
+            with self._noting_failures():
+                await self._take_out(model, newest)
+
+    async def _outlived(self) -> bool:
+        """Whether requests could begin on weights that a newer version was named for."""
+        model = self.model()
+        if model is None:
+            return False
+        newest = self.process.believer.beliefs.newest_version(model.model)
+        with self._noting_failures():
+            async with asyncio.timeout(CALL_SECONDS):
+                state = await self.engine.state()
+            return not state.busy and 0 < held_version(state, model) < newest
+        return True
+
+    @contextmanager
+    def _noting_failures(self) -> Iterator[None]:
+        """Pass over a call that failed, with a line: it is made again."""
+        try:
+            yield
+        except (WasabideckError, TimeoutError) as exc:
+            why = f"{type(exc).__name__}: {exc}"
+            self.process.events.emit("retirement.failed", why=why)
+
     def due(self, model: EngineModel, at: float) -> int:
         """The version that the engine may begin requests on at least, at a time."""
         within = self.process.cfg.bounds.version
--- a/packages/wasabideck_base/wasabideck_base/node_process.py
+++ b/packages/wasabideck_base/wasabideck_base/node_process.py
@@ -51,7 +51,15 @@
 
 @define
 class NodeProcess:
-    """What a process on a node has to work with."""
+    """What a process on a node has to work with.
+
+    Attributes
+    ----------
+    stop : Event
+        Set when the process has to end.
+    failed : bool
+        Whether it ends because one of its loops failed.
+    """
 
     cfg: NodeSettings
     events: Events
@@ -61,6 +69,7 @@
     clock: Callable[[], float]
     rng: random.Random
     stop: asyncio.Event
+    failed: bool = False
     on_reload: list[Callable[[NodeSettings], None]] = field(factory=list)
 
     def keep(self, step: Coroutine) -> asyncio.Task:
@@ -76,6 +85,7 @@
     def _ended(self, task: asyncio.Task) -> None:
         if not task.cancelled() and task.exception() is not None:
             self.events.emit("loop.failed", why=repr(task.exception()))
+            self.failed = True
             self.stop.set()
 
 
--- a/tests/adapter/test_retirement.py
+++ b/tests/adapter/test_retirement.py
@@ -216,3 +216,39 @@
         assert told == [(1, False)]
 
     asyncio.run(scenario())
+
+
+def test_an_agent_stays_until_its_engine_has_no_overdue_weights(agent, engine, origin):
+    # Guards against an engine that keeps old weights for good without its agent.
+    async def scenario():
+        origin.lacks = {2}
+        async with running(agent) as beliefs:
+            beliefs.name_version("m", 2, now())
+            began = now()
+            await agent.retirement.leave(5.0)
+            assert engine.loaded == ()
+            assert WITHIN / 2 < now() - began < WITHIN
+
+    asyncio.run(scenario())
+
+
+def test_an_agent_whose_time_ends_first_takes_the_weights_out_then(agent, engine):
+    # Guards against an agent that is killed with old weights still in its engine.
+    async def scenario():
+        agent.process.clock = now
+        agent.process.believer.beliefs.name_version("m", 2, now())
+        await agent.retirement.leave(0.2)
+        assert engine.orders == [-2]
+
+    asyncio.run(scenario())
+
+
+def test_an_agent_whose_engine_has_the_newest_weights_leaves_at_once(agent, engine):
+    async def scenario():
+        agent.process.clock = now
+        began = now()
+        await agent.retirement.leave(5.0)
+        assert now() - began < 0.5
+        assert engine.orders == []
+
+    asyncio.run(scenario())
