Send nothing that could wait to overdue weights that no agent takes out

An agent that has ended, or hasn't heard of the newer version, takes nothing out of its engine: there an entry's recall alone ends the wait. Both new tests fail without it. Eight tests whose servers had no agent give them one that knows version 2; what they check is unchanged.

--- a/packages/wasabideck_agent/wasabideck_agent/retirement.py
+++ b/packages/wasabideck_agent/wasabideck_agent/retirement.py
@@ -95,7 +95,7 @@
                 await self._take_out(model, newest)
 
     async def _outlived(self) -> bool:
-        """Whether requests could begin on weights that a newer version was named for."""
+        """Whether requests could begin on weights that are not the newest."""
         model = self.model()
         if model is None:
             return False
--- a/packages/wasabideck_forward/wasabideck_forward/dispatch.py
+++ b/packages/wasabideck_forward/wasabideck_forward/dispatch.py
@@ -248,6 +248,7 @@
             exchange.engine.layers,
             beliefs.least_version(model, bounds.version_seconds, now),
             beliefs.least_version(model, bounds.full_seconds, now),
+            beliefs.least_version(model, bounds.queue_seconds, now),
             late=exchange.tried_before or now > in_time_until,
             begun=begun,
             ahead=exchange.ahead,
--- a/packages/wasabideck_policy/wasabideck_policy/placement.py
+++ b/packages/wasabideck_policy/wasabideck_policy/placement.py
@@ -9,7 +9,7 @@
 from attrs import frozen
 
 from .backends import MOST_SILENT_PART, Backend
-from .engine_news import back_in
+from .engine_news import EngineNews, back_in
 
 __all__ = ["Demand", "Place", "Urgency", "choose", "pressure"]
 
@@ -64,6 +64,10 @@
         Version of the weights that may run it at least; 0 for any.
     soon_version : int
         Version that will be the least one before a queue is worked off.
+    held_version : int
+        Version that will be the least one before whatever waits at a server is begun
+        or given up: an older one only serves beside an agent that knows of it, and
+        takes the older weights out in time.
     late : bool
         Whether the goal cannot be kept any more.
     begun : bool
@@ -79,6 +83,7 @@
     layers: int = 0
     least_version: int = 0
     soon_version: int = 0
+    held_version: int = 0
     late: bool = False
     begun: bool = False
     ahead: bool = True
@@ -160,10 +165,17 @@
     held = backend.holds(demand.model, demand.layers, now)
     if held <= 0 or held < demand.least_version:
         return False
+    if held < demand.held_version and not _attended(news, demand):
+        return False
     idle = pressure(backend, now, demand.entries) < backend.listed.slots * IDLE_PART
     return held >= demand.soon_version or idle
 
 
+def _attended(news: EngineNews | None, demand: Demand) -> bool:
+    """Whether an agent beside the server knows how long its weights may be begun."""
+    return news is not None and news.named >= demand.held_version
+
+
 def _talking(able: list[Backend], now: float) -> list[Backend]:
     """Those that are not silent; all of them when most are, or the rest is crushed.
 
--- a/tests/forward/test_weights.py
+++ b/tests/forward/test_weights.py
@@ -29,14 +29,49 @@
     entry.beliefs.name_version(ENGINE.model, number, now - seconds)
 
 
-def tells(entry, name, version, serving=True, ready_in=0.0):
+def tells(entry, name, version, serving=True, ready_in=0.0, named=2):
     """Have a server's agent tell which version it begins requests on."""
     backend = entry.beliefs.backends.get(name)
-    news = EngineNews(backend.listed.address, version, serving, 0, 0, ready_in, 2)
+    news = EngineNews(backend.listed.address, version, serving, 0, 0, ready_in, named)
     backend.hear(news, asyncio.get_running_loop().time())
     entry.dispatch.wake()
 
 
+def test_a_server_without_an_agent_gets_nothing_that_could_wait_there_too_long(play):
+    # Guards against a queue that nobody beside the server ends with its weights' time.
+    async def scenario():
+        entry = Entry(configuration(route(**STREAM), engine=ENGINE))
+        alone = await entry.add_server(streams(event(1)), loaded=loaded(1))
+        attended = await entry.add_server(
+            *[streams(event(1))] * 3, loaded=loaded(1), slots=32
+        )
+        entry.beliefs.backends.get("i-1").in_progress = 5
+        named_ago(entry, 2, WITHIN - 0.8)
+        tells(entry, "i-1", 1)
+        for _ in range(3):
+            caller = await entry.caller()
+            await caller.ask(method=b"POST", body=b"prompt")
+            assert (await caller.answer())[0] == 200
+        assert (len(alone.requests), len(attended.requests)) == (0, 3)
+
+    play(scenario)
+
+
+def test_an_agent_that_has_not_heard_of_the_newer_version_holds_nothing(play):
+    # Guards against taking any agent's word for one that ends its engine's weights.
+    async def scenario():
+        entry = Entry(configuration(route(**STREAM), engine=ENGINE))
+        server = await entry.add_server(streams(event(1)), loaded=loaded(1))
+        named_ago(entry, 2, WITHIN - 0.8)
+        tells(entry, "i-0", 1, named=1)
+        caller = await entry.caller()
+        await caller.ask(method=b"POST", body=b"prompt")
+        assert (await caller.answer())[0] == 503
+        assert server.requests == []
+
+    play(scenario)
+
+
 def queues(seconds, begun, *pieces):
     """A server that begins a request after a while in its queue."""
 
@@ -60,6 +95,7 @@
         full = await entry.add_server(queues(1.2, begun, event(1)), loaded=loaded(1))
         newer = await entry.add_server(streams(event(1), event(2)))
         named_ago(entry, 2, WITHIN - 0.5)
+        tells(entry, "i-0", 1)
         caller = await entry.caller()
         await caller.ask(method=b"POST", body=b"prompt")
         await asyncio.sleep(0.1)
@@ -81,6 +117,7 @@
         begun = []
         await entry.add_server(queues(1.0, begun, event(1)), loaded=loaded(1))
         named_ago(entry, 2, WITHIN - 0.5)
+        tells(entry, "i-0", 1)
         caller = await entry.caller()
         await caller.ask(method=b"POST", body=b"prompt")
         await asyncio.sleep(0.1)
@@ -100,6 +137,8 @@
         await entry.add_server(streams(event(1), event(2)), loaded=loaded(1))
         entry.beliefs.backends.get("i-1").in_progress = 5
         named_ago(entry, 2, WITHIN - 0.8)
+        tells(entry, "i-0", 1)
+        tells(entry, "i-1", 1)
         connect = ServerPool._connect
 
         async def full_link(pool, backend, within):
@@ -128,6 +167,7 @@
         entry = Entry(configuration(route(**STREAM), engine=ENGINE))
         await entry.add_server(queues(1.0, [], event(1)), loaded=loaded(1))
         named_ago(entry, 2, WITHIN - 0.5)
+        tells(entry, "i-0", 1)
         caller = await entry.caller()
         await caller.ask(method=b"POST", body=b"prompt")
         await asyncio.sleep(0.1)
@@ -182,6 +222,7 @@
         await entry.add_server(head_alone, loaded=loaded(1))
         await entry.add_server(streams(event(1)))
         named_ago(entry, 2, WITHIN - 0.5)
+        tells(entry, "i-0", 1)
         caller = await entry.caller()
         await caller.ask(method=b"POST", body=b"prompt")
         await asyncio.sleep(0.1)
@@ -200,6 +241,7 @@
         full = await entry.add_server(hangs, loaded=loaded(1))
         await entry.add_server(streams(event(1)))
         named_ago(entry, 2, WITHIN - 0.3)
+        tells(entry, "i-0", 1)
         caller = await entry.caller()
         await caller.ask(method=b"POST", body=b"prompt")
         await asyncio.sleep(0.1)
@@ -222,6 +264,7 @@
         scripts = (hangs, hangs, hangs, hangs)
         await entry.add_server(*scripts, slots=32, loaded=loaded(1))
         named_ago(entry, 2, WITHIN - 0.3)
+        tells(entry, "i-0", 1)
         callers = [await entry.caller() for _ in range(4)]
         for caller in callers:
             await caller.ask(method=b"POST", body=b"prompt")
@@ -242,6 +285,7 @@
         await entry.add_server(slow, loaded=loaded(1))
         newer = await entry.add_server(streams(event(1)))
         named_ago(entry, 2, WITHIN - 0.5)
+        tells(entry, "i-0", 1)
         caller = await entry.caller()
         await caller.ask(method=b"POST", body=b"prompt")
         await asyncio.sleep(0.1)
