Date what the store tells by when the store answered

Drafts could be begun up to 0.8 s too late: an answer that took over half a second was taken for one that the store had held back until a version was named, and so for 0.1 s old. Behind a large row on a full link it had been given at once, and the version was that much older. Cause: the time of an event elsewhere taken from when it was heard of. The store tells its steady clock with each answer: what one took beyond the shortest way seen is known. Where the store tells no time nothing changes.

--- a/packages/wasabideck_base/wasabideck_base/rows.py
+++ b/packages/wasabideck_base/wasabideck_base/rows.py
@@ -56,10 +56,17 @@
 
 @frozen
 class Changes:
-    """Rows, and the store's version that they bring a reader to."""
+    """Rows, and the store's version that they bring a reader to.
+
+    Attributes
+    ----------
+    answered_at : float or None
+        When the store answered, seconds by its own steady clock; None when not told.
+    """
 
     rows: tuple[Row, ...]
     version: int
+    answered_at: float | None = None
 
 
 class RowStore(Protocol):
--- a/packages/wasabideck_base/wasabideck_base/table_watch.py
+++ b/packages/wasabideck_base/wasabideck_base/table_watch.py
@@ -33,9 +33,8 @@
 # A peer that knows a newer row has had it from an answer that should have come here,
 # too; so long is allowed for it (seconds).
 BEHIND_SECONDS = 0.8
-# An answer that takes longer was held back by the store until something changed; over a
-# full link 40 KB took 0.3 to 0.4 s. What it tells is as old as its way here: 10 ms, and
-# ten times that where a link is busy (seconds).
+# An answer that the store gives later was held back until something changed. It is taken
+# to be so old where the store doesn't tell when it answered, and at the least (seconds).
 HELD_SECONDS = 0.5
 WAY_SECONDS = 0.1
 # Pauses between tries while the store gives no answer (seconds). The longest stays
@@ -123,6 +122,8 @@
     version: int = -1
     newest: int = 0
     _changed_at: float = float("-inf")
+    _complete_at: float = float("-inf")
+    _least_apart: float = float("inf")
     heard_at: float = float("-inf")
     wait: float = WAIT_SECONDS
     told_from: float = float("inf")
@@ -220,7 +221,7 @@
         """From when on rows that are not here were written, as far as is known."""
         if now - self._hanging_from > HELD_SECONDS:
             return now - WAY_SECONDS
-        return max(self.heard_at, self._adopted_from)
+        return max(self._complete_at, self._adopted_from)
 
     def followed(self, now: float) -> Followed | None:
         """How far the table was followed here; None while the store does not answer.
@@ -264,15 +265,16 @@
 
     async def _read(self) -> None:
         lacked_at, longest = self._lacked()
+        asked_at = self.clock()
         changes = await self._ask(self.store.read(self.table))
         if changes.version < self.version:
             # An answer from before what is known here would take rows away that
             # have come since.
             await asyncio.sleep(self._pause())
             return
-        self._answered()
+        self._answered(changes, asked_at)
         self._read_again = False
-        self.told_from = max(lacked_at, self.heard_at - longest)
+        self.told_from = max(lacked_at, self._complete_at - longest)
         self._take(changes)
         self.whole(list(changes.rows))
 
@@ -287,10 +289,10 @@
         if changes.version < self.version:
             await asyncio.sleep(self._pause())
             return
-        self._answered()
-        if self.heard_at - asked_at > HELD_SECONDS:
-            lacked_at = self.heard_at - WAY_SECONDS
-        self.told_from = max(lacked_at, self.heard_at - longest)
+        self._answered(changes, asked_at)
+        if self._complete_at - asked_at > HELD_SECONDS:
+            lacked_at = self._complete_at - WAY_SECONDS
+        self.told_from = max(lacked_at, self._complete_at - longest)
         self._take(changes)
         if not changes.rows:
             return
@@ -309,7 +311,7 @@
         Who has just lost the word of others asks the store later than those who had
         a call under way, and not because the store was away.
         """
-        lacked_at = max(self.heard_at, self._adopted_from)
+        lacked_at = max(self._complete_at, self._adopted_from)
         if self._failures or self._adopted_from <= self.heard_at:
             return lacked_at, LONGEST_UNHEARD
         return lacked_at, LONGEST_UNHEARD + COVERED_SECONDS
@@ -337,14 +339,24 @@
         if newer:
             self.took(newer)
 
-    def _answered(self) -> None:
+    def _answered(self, changes: Changes, asked_at: float) -> None:
         self.heard_at = self.clock()
+        self._complete_at = self.heard_at - self._way(changes, asked_at)
         if self._failures:
             self._failures = 0
             lasted = self.heard_at - self._failing_since
             self.events.emit("store.back", table=self.table, seconds=round(lasted, 3))
             self.returned(lasted)
 
+    def _way(self, changes: Changes, asked_at: float) -> float:
+        """Seconds that an answer took here beyond the shortest way that was seen."""
+        if changes.answered_at is None:
+            return 0.0
+        apart = self.heard_at - changes.answered_at
+        self._least_apart = min(self._least_apart, apart)
+        # Another clock of the store's may be far ahead or behind.
+        return min(apart - self._least_apart, self.heard_at - asked_at)
+
     def _failed(self, exc: WasabideckError) -> None:
         self._failures += 1
         if self._failures == 1:
--- a/tests/beliefs/test_table_watch.py
+++ b/tests/beliefs/test_table_watch.py
@@ -278,3 +278,44 @@
         hanging.cancel()
 
     asyncio.run(run())
+
+
+class SlowWay(ScriptedStore):
+    """Answers at once; each answer then travels for so many seconds."""
+
+    def __init__(self, clock, ways, *answers):
+        super().__init__(*answers)
+        self.clock, self.ways = clock, list(ways)
+
+    async def _next(self, call):
+        answer = await super()._next(call)
+        answered_at = self.clock[0]
+        self.clock[0] += self.ways.pop(0)
+        return Changes(answer.rows, answer.version, answered_at + 1000.0)
+
+
+def test_an_answer_that_travels_long_is_no_answer_that_was_held_back(seen, clock):
+    # Guards against versions dated by an answer's arrival, late by a full link's queue.
+    first, late = Changes((row("a", 1),), 1), Changes((row("b", 2),), 2)
+    watch = watch_of(SlowWay(clock, [0.01, 0.9], first, late), seen, clock)
+
+    async def scenario():
+        await watch.step()
+        clock[0] = 0.4
+        await watch.step()
+
+    asyncio.run(scenario())
+    assert watch.heard_at == pytest.approx(1.3)
+    assert 0.0 <= watch.told_from <= 0.4
+
+
+def test_what_an_answer_may_lack_counts_from_when_the_store_gave_it(seen, clock):
+    first, late = Changes((row("a", 1),), 1), Changes((), 1)
+    watch = watch_of(SlowWay(clock, [0.01, 0.8], first, late), seen, clock)
+
+    async def scenario():
+        await watch.step()
+        await watch.step()
+
+    asyncio.run(scenario())
+    assert watch.lacked_from(clock[0]) == pytest.approx(0.02, abs=0.02)
