Hold a mass of removals from when they may have happened

Servers that left together could get requests 2.15 s after their removal was confirmed, where 2.0 are allowed: the 1.2 s for which a mass isn't believed counted from when it was heard of, a second late behind a configuration. It counts now from the last answer of the store that had them listed. What peers tell counts from hearing, as before: their word bears no time. The test fails without the change.

--- a/packages/wasabideck_base/wasabideck_base/believer.py
+++ b/packages/wasabideck_base/wasabideck_base/believer.py
@@ -327,11 +327,18 @@
         # of an entry and then of its removal, and the older row would put it back.
         last = {row.key: row for row in rows}
         gone = [key for key, row in last.items() if row.removed]
-        backends.remove(gone, self.clock())
+        backends.remove(gone, self.clock(), self._removed_from())
+
+    def _removed_from(self) -> float:
+        """From when on servers that the store's answer lacks may have been removed."""
+        return min(self.clock(), self.servers.told_from)
 
     def _whole_servers(self, rows: list[Row]) -> None:
         self.beliefs.listed = True
-        gone = self.beliefs.backends.keep_only({row.key for row in rows}, self.clock())
+        listed = {row.key for row in rows}
+        gone = self.beliefs.backends.keep_only(
+            listed, self.clock(), self._removed_from()
+        )
         for server in gone:
             self.events.emit("server.gone", server=server, version=0)
 
--- a/packages/wasabideck_base/wasabideck_base/table_watch.py
+++ b/packages/wasabideck_base/wasabideck_base/table_watch.py
@@ -33,9 +33,10 @@
 # A peer that knows a newer row has had it from an answer that should have come here,
 # too; so long is allowed for it (seconds).
 BEHIND_SECONDS = 0.8
-# An answer that the store gives later was held back until something changed. It is taken
-# to be so old where the store doesn't tell when it answered, and at the least (seconds).
+# An answer that the store gives later was held back until something changed (seconds).
 HELD_SECONDS = 0.5
+# An answer is as old as this at the least, its way included where the store does not
+# tell when it answered (seconds).
 WAY_SECONDS = 0.1
 # Pauses between tries while the store gives no answer (seconds). The longest stays
 # under the time in which a change has to be in force after the store's return.
--- a/packages/wasabideck_policy/wasabideck_policy/backends.py
+++ b/packages/wasabideck_policy/wasabideck_policy/backends.py
@@ -259,18 +259,29 @@
         known.held_until = 0.0
         return known
 
-    def keep_only(self, listed: set[str], now: float) -> list[str]:
+    def keep_only(self, listed: set[str], now: float, since: float) -> list[str]:
         """Remove what a whole list lacks; returns which servers those are."""
         gone = [name for name in self._known if name not in listed]
-        self.remove(gone, now)
+        self.remove(gone, now, since)
         return gone
 
-    def remove(self, servers: Iterable[str], now: float) -> None:
-        """Note that entries were removed: gone at once, or held after an outage."""
+    def remove(
+        self, servers: Iterable[str], now: float, since: float | None = None
+    ) -> None:
+        """Note that entries were removed: gone at once, or held after an outage.
+
+        Parameters
+        ----------
+        since : float or None
+            From when on they may have been removed, seconds; None for now. Servers that
+            left together may get requests for a while from then on, and not from when
+            this was heard of.
+        """
+        since = now if since is None else since
         found = [self._known[name] for name in servers if name in self._known]
         held_until = self.outage_ended + RETURN_SECONDS
         if self._is_mass(found):
-            held_until = max(held_until, now + self.mass_seconds)
+            held_until = max(held_until, since + self.mass_seconds)
         for backend in found:
             # One that was leaving when it was last listed has left.
             if held_until <= now or backend.listed.leaving:
--- a/tests/beliefs/test_backends.py
+++ b/tests/beliefs/test_backends.py
@@ -84,6 +84,14 @@
     assert whole.holds("m", 16, 100.0) == 2
 
 
+def test_a_mass_that_was_heard_of_late_is_held_no_longer_for_it(backends):
+    # Guards against removed servers that get requests longer than they may.
+    backends.mass_seconds = 1.2
+    backends.remove(["a", "bb", "ccc"], 101.0, since=100.0)
+    assert names(backends, 101.1) == {"a", "bb", "ccc", "dddd"}
+    assert names(backends, 101.25) == {"dddd"}
+
+
 def at(address, server, born, **kw):
     return Listed(server, "s", address, "dc", 8, born=born, **kw)
 
