--- a/tests/adapter/test_retirement.py
+++ b/tests/adapter/test_retirement.py
@@ -252,3 +252,21 @@
         assert engine.orders == []
 
     asyncio.run(scenario())
+
+
+def test_the_time_of_a_suspended_vm_counts_in_a_versions_age(agent, engine, origin):
+    # Guards against weights that live longer by as long as their VM was suspended.
+    async def scenario():
+        origin.lacks = {2}
+        suspended = [0.0]
+        agent.retirement.suspended = lambda: suspended[0]
+        agent.retirement._counted = 0.0
+        async with running(agent) as beliefs:
+            beliefs.name_version("m", 2, now())
+            await asyncio.sleep(0.2)
+            assert engine.orders == []
+            suspended[0] = 0.6
+            await asyncio.sleep(0.2)
+            assert engine.orders == [-2]
+
+    asyncio.run(scenario())
