Revert "Count a suspended VM's time in the ages of versions"

Left: a suspended VM counts its engine's weights as younger until an entry's next word of their age, within a second.

--- a/packages/wasabideck_agent/wasabideck_agent/retirement.py
+++ b/packages/wasabideck_agent/wasabideck_agent/retirement.py
@@ -8,11 +8,10 @@
 from __future__ import annotations
 
 import asyncio
-import time
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
 
-from attrs import define, evolve, field
+from attrs import define, evolve
 from wasabideck_base.node_process import NodeProcess
 from wasabideck_policy.configuration import EngineModel
 from wasabideck_policy.engine_state import EngineState, OrderAnswer
@@ -30,19 +29,11 @@
 # until so long before the end (seconds).
 LATEST_SECONDS = 0.3
 LOOK_SECONDS = 0.05
-# Two readings of clocks differ by less than this without a suspension (seconds).
-LEAST_SUSPENDED_SECONDS = 0.1
 # A call to the engine on the same VM that takes longer is given up and made again: an
 # order fits the engine's state once, however often it arrives (seconds).
 CALL_SECONDS = 0.25
 
 
-def _suspended_seconds() -> float:
-    # Read in this order, a pause between the two readings counts as no suspension.
-    boot = time.clock_gettime(time.CLOCK_BOOTTIME)
-    return boot - time.clock_gettime(time.CLOCK_MONOTONIC)
-
-
 @define
 class Retirement:
     """Retires the weights of one engine when newer ones are due.
@@ -55,8 +46,6 @@
         Tells entries at once of an engine's state.
     loading : bool
         An order to load newer weights is being prepared.
-    suspended : callable
-        Seconds for which the VM was suspended since it started.
     """
 
     process: NodeProcess
@@ -64,34 +53,15 @@
     model: Callable[[], EngineModel | None]
     tell: Callable[[EngineState], None]
     loading: bool = False
-    suspended: Callable[[], float] = _suspended_seconds
-    _counted: float = field(init=False)
     _settled: int = 0
 
-    def __attrs_post_init__(self) -> None:
-        """Begin with what has been counted so far."""
-        self._counted = self.suspended()
-
     async def run(self) -> None:
         """Look for ever whether weights have to go."""
         while True:
             await asyncio.sleep(LOOK_SECONDS)
-            self._count_suspended()
             with self._noting_failures():
                 await self.look(self.process.clock())
 
-    def _count_suspended(self) -> None:
-        """Have a suspended VM's time count in the ages of versions.
-
-        The steady clock leaves it out: weights would be over seconds later here.
-        """
-        seconds = self.suspended() - self._counted
-        if seconds < LEAST_SUSPENDED_SECONDS:
-            return
-        self._counted += seconds
-        self.process.believer.beliefs.age_versions(seconds)
-        self.process.events.emit("vm.suspended", seconds=round(seconds, 3))
-
     async def look(self, now: float) -> None:
         """Take out what is older than the version that is due soon."""
         model = self.model()
--- a/packages/wasabideck_base/wasabideck_base/vocabulary.py
+++ b/packages/wasabideck_base/wasabideck_base/vocabulary.py
@@ -81,9 +81,6 @@
         "an agent could not order weights whose time is over out of its engine",
         "read why; it tries again at once, and entries send nothing there",
     ),
-    "vm.suspended": Kind(
-        "a VM's steady clock left out a time; versions are older by it"
-    ),
     "weights.retired": Kind("an agent ordered weights out whose time is over"),
     "weights.over": Kind("what an engine has on weights whose time is over"),
     "process.leaving": Kind("a process stops gracefully and takes no new work"),
--- a/packages/wasabideck_policy/wasabideck_policy/beliefs.py
+++ b/packages/wasabideck_policy/wasabideck_policy/beliefs.py
@@ -108,13 +108,6 @@
         known.since, known.certain = since, True
         return True
 
-    def age_versions(self, seconds: float) -> None:
-        """Count versions as older by a time that this process's clock didn't count."""
-        for versions in self._versions.values():
-            for named in versions:
-                named.since -= seconds
-                named.heard_at -= seconds
-
     def undated(self, model: str) -> bool:
         """Whether the newest version was named at a time that is only guessed."""
         named = self._newest(model)
