Tests: a follower goes on from its reader's very place

Now the reader's place is past all rows of the table and the store is one past it; the followers have the readers' word at that place, then both readers end. Turned away by the store, a follower learns no other place, and every call that each of the four tries has to name the readers' place. The configuration is still sent to two only. The test has the name of what it holds; product code is unchanged and keeps it.

--- a/tests/beliefs/test_region_readers.py
+++ b/tests/beliefs/test_region_readers.py
@@ -42,6 +42,11 @@
     return [entry.number for entry in entries]
 
 
+def places(entries):
+    """Versions of the store that the entries' copies of the table reflect."""
+    return [entry.believer.operators.version for entry in entries]
+
+
 def ages(entry):
     """Ages of versions as the entry would tell them, seconds."""
     return entry.believer._ages_of(KEY)
@@ -211,20 +216,40 @@
     region(scenario)
 
 
-def test_an_adopted_version_brings_only_what_is_new(region):
-    # Followers whose readers end would read the whole table again, all at once.
+def test_a_follower_goes_on_from_the_readers_very_place(region):
+    # Guards against followers whose readers end, and that read the whole table again,
+    # rows that they have, or not all that the readers lacked.
     async def scenario(store, readers, followers):
         store.configure(2)
         await until(lambda: numbers(followers) == [2] * 4)
-        await asyncio.sleep(2.5 * region_readers.ASK_SECONDS)
         whole = store.rows["op", "config"].version
+        # The readers' place is past all rows of the table, and the store's past it.
+        store.put("other", "first", b"")
+        place = store.version
+        await until(lambda: places(readers) == [place] * 2)
+        since = asyncio.get_running_loop().time()
+        words = [f.believer.readers.readers for f in followers]
+        await until(lambda: all(word.last_word > since for word in words))
+        store.put("other", "second", b"")
+        assert places(readers) == [place] * 2
+        assert store.version == place + 1 > whole + 1
+        # Turned away, a follower learns no other place while it tries.
+        store.away = {f.vm for f in followers}
+        before = [len(f.reached.follows) for f in followers]
         for reader in readers:
             reader.stop()
+
+        def tried():
+            follows = [f.reached.follows for f in followers]
+            return [f[n:] for f, n in zip(follows, before, strict=True)]
+
+        await until(lambda: all(tried()))
+        assert {after for follows in tried() for after in follows} == {place}
+        store.away = set()
         store.name_version(3)
         found = [f.believer.beliefs for f in followers]
         await until(lambda: all(b.newest_version("m") == 3 for b in found))
         assert len(store.sent_of("config", whole)) == 2
-        assert all(f.reached.follows[-1] >= whole for f in followers)
 
     region(scenario)
 
