--- a/packages/wasabideck_agent/wasabideck_agent/news_loop.py
+++ b/packages/wasabideck_agent/wasabideck_agent/news_loop.py
@@ -36,7 +36,8 @@
     ----------
     describe : callable
         The version begun on, whether new requests are taken, seconds until the newest
-        version is served, and its number, for an engine's state; None to tell nothing.
+        version is served, and the newest one whose age is known, for an engine's state;
+        None to tell nothing.
     """
 
     process: NodeProcess
--- a/packages/wasabideck_agent/wasabideck_agent/node_agent.py
+++ b/packages/wasabideck_agent/wasabideck_agent/node_agent.py
@@ -253,7 +253,7 @@
             self.deliveries.in_force(model.model, held, manifest, state.born, wall)
 
     def describe(self, state: EngineState) -> tuple[int, bool, float, int] | None:
-        """What entries are told: version begun on, serving, ready in, newest named.
+        """What entries are told: version begun on, serving, ready in, newest dated.
 
         Nothing while the model is not known: the word that no version is held would
         have entries take back what waits at a sound server. While an order is in
@@ -273,7 +273,7 @@
         ordered, born = self._ordered
         if born == state.born and (state.busy or swapping):
             held = max(held, ordered)
-        return held, serving, ready_in, named
+        return held, serving, ready_in, self._dated(model)
 
     def _note_end(self, model: EngineModel, state: EngineState) -> None:
         """One line on what an engine has when its weights are over."""
@@ -320,6 +320,11 @@
         named = self.process.believer.beliefs.newest_version(model.model)
         return named or FIRST_VERSION
 
+    def _dated(self, model: EngineModel) -> int:
+        """The newest version whose end this agent knows, and holds its engine to."""
+        beliefs = self.process.believer.beliefs
+        return beliefs.newest_dated(model.model) or FIRST_VERSION
+
     async def _settle(self, model: EngineModel, version: int) -> None:
         """Hold the chunks of what is in force for servers that lack them."""
         await self.deliveries.write()
@@ -412,6 +417,7 @@
         version = int(manifest.version)
         now = self.process.clock()
         if self._soon_over(model, version, now):
+            await asyncio.sleep(RETRY_SECONDS)
             return
         if now < self._stops_at(model, version, now):
             await asyncio.sleep(ORDER_LOOK_SECONDS)
@@ -435,6 +441,9 @@
         """Check what lies staged and order the engine to load it."""
         version = int(manifest.version)
         state = await self.staging.check(manifest)
+        if self._soon_over(model, version, self.process.clock()):
+            # The check takes seconds on a slow VM.
+            return
         # Entries hear first, so that they send elsewhere what would wait out the swap.
         self._swapping_since = self.process.clock()
         self.tell(state)
--- a/packages/wasabideck_agent/wasabideck_agent/retirement.py
+++ b/packages/wasabideck_agent/wasabideck_agent/retirement.py
@@ -29,6 +29,11 @@
 # until so long before the end (seconds).
 LATEST_SECONDS = 0.3
 LOOK_SECONDS = 0.05
+# An engine that holds nothing is looked at so often, in case that an order still brings
+# overdue weights in; and so long after an order that it refused (seconds).
+EMPTY_LOOK_SECONDS = 0.2
+# A process that stops tries for so long to take the weights out at last (seconds).
+LAST_TRIES_SECONDS = 0.5
 # A call to the engine on the same VM that takes longer is given up and made again: an
 # order fits the engine's state once, however often it arrives (seconds).
 CALL_SECONDS = 0.25
@@ -53,7 +58,8 @@
     model: Callable[[], EngineModel | None]
     tell: Callable[[EngineState], None]
     loading: bool = False
-    _settled: int = 0
+    _none_older_than: int = 0
+    _next_look: float = float("-inf")
 
     async def run(self) -> None:
         """Look for ever whether weights have to go."""
@@ -69,8 +75,8 @@
             return
         ahead = LATEST_SECONDS if self.loading else AHEAD_SECONDS
         due = self.due(model, now + ahead)
-        if due > self._settled and await self._take_out(model, due):
-            self._settled = due
+        if due > self._none_older_than and now >= self._next_look:
+            await self._take_out(model, due)
 
     async def leave(self, grace: float) -> None:
         """Go on until the engine has no weights that will be over.
@@ -83,27 +89,27 @@
             Seconds after which they are taken out at once.
         """
         end = self.process.clock() + grace
-        self.process.events.emit("process.leaving", grace=grace)
-        while self.process.clock() < end:
-            if not await self._outlived():
+        self.process.events.emit("process.leaving", seconds=grace)
+        while (now := self.process.clock()) < end:
+            model = self.model()
+            newest = self._newest(model)
+            if model is None or not newest or not await self._outlived(model, newest):
                 return
+            if now >= end - LAST_TRIES_SECONDS:
+                with self._noting_failures():
+                    await self._take_out(model, newest)
             await asyncio.sleep(LOOK_SECONDS)
-        model = self.model()
-        if model is not None:
-            newest = self.process.believer.beliefs.newest_version(model.model)
-            with self._noting_failures():
-                await self._take_out(model, newest)
 
-    async def _outlived(self) -> bool:
-        """Whether requests could begin on weights that are not the newest."""
-        model = self.model()
-        if model is None:
-            return False
-        newest = self.process.believer.beliefs.newest_version(model.model)
+    def _newest(self, model: EngineModel | None) -> int:
+        beliefs = self.process.believer.beliefs
+        return beliefs.newest_version(model.model) if model else 0
+
+    async def _outlived(self, model: EngineModel, newest: int) -> bool:
+        """Whether requests can or will begin on weights that are not the newest."""
         with self._noting_failures():
             async with asyncio.timeout(CALL_SECONDS):
                 state = await self.engine.state()
-            return not state.busy and 0 < held_version(state, model) < newest
+            return state.busy or 0 < held_version(state, model) < newest
         return True
 
     @contextmanager
@@ -120,27 +126,26 @@
         within = self.process.cfg.bounds.version
         return self.process.believer.beliefs.surely_due(model.model, within, at)
 
-    async def _take_out(self, model: EngineModel, due: int) -> bool:
-        """Whether the engine holds nothing older than ``due``; orders it out if so."""
+    async def _take_out(self, model: EngineModel, due: int) -> None:
+        """Order out what an engine holds that is older than ``due``."""
         async with asyncio.timeout(CALL_SECONDS):
             state = await self.engine.state()
         if state.busy:
             # It begins nothing until the order has ended, and then on what that loads.
-            return False
+            return
         held = held_version(state, model)
-        if not 0 < held < due:
-            return True
+        if held >= due:
+            self._none_older_than = due
+            return
+        if held == 0:
+            self._next_look = self.process.clock() + EMPTY_LOOK_SECONDS
+            return
         async with asyncio.timeout(CALL_SECONDS):
             answer = await self.engine.unload(model.model, due, state.orders)
-        self.process.events.emit(
-            "weights.retired",
-            version=held,
-            due=due,
-            answer=answer.value,
-            running=state.running,
-            waiting=state.waiting,
-        )
-        if answer is not OrderAnswer.REFUSED:
-            self.tell(evolve(state, busy=True))
-        # The next look tells whether it is out.
-        return False
+        told = {"running": state.running, "waiting": state.waiting}
+        if answer is OrderAnswer.REFUSED:
+            self._next_look = self.process.clock() + EMPTY_LOOK_SECONDS
+            self.process.events.emit("retirement.failed", why="refused", **told)
+            return
+        self.process.events.emit("weights.retired", version=held, due=due, **told)
+        self.tell(evolve(state, busy=True))
--- a/packages/wasabideck_base/wasabideck_base/vocabulary.py
+++ b/packages/wasabideck_base/wasabideck_base/vocabulary.py
@@ -79,7 +79,7 @@
     "order.sent": Kind("an agent ordered its engine to serve a version"),
     "retirement.failed": Kind(
         "an agent could not order weights whose time is over out of its engine",
-        "read why; it tries again at once, and entries send nothing there",
+        "read why; it tries again at once; many of one agent: see its engine",
     ),
     "weights.retired": Kind("an agent ordered weights out whose time is over"),
     "weights.over": Kind("what an engine has on weights whose time is over"),
--- a/packages/wasabideck_policy/wasabideck_policy/beliefs.py
+++ b/packages/wasabideck_policy/wasabideck_policy/beliefs.py
@@ -139,6 +139,11 @@
         named = self._newest(model)
         return named.number if named else 0
 
+    def newest_dated(self, model: str) -> int:
+        """The newest version whose age is known, and not guessed; 0 for none."""
+        dated = (v.number for v in self._versions.get(model, ()) if v.certain)
+        return max(dated, default=0)
+
     def versions(self, model: str) -> list[int]:
         """Versions that were named, as far as is known, the oldest first."""
         return [named.number for named in self._versions.get(model, ())]
--- a/packages/wasabideck_policy/wasabideck_policy/engine_news.py
+++ b/packages/wasabideck_policy/wasabideck_policy/engine_news.py
@@ -29,7 +29,7 @@
     ready_in : float
         Seconds until it serves the newest version that is known there; 0 when it does.
     named : int
-        The newest version that is known there.
+        The newest version that is known there, with its age.
     pace : float
         How many times slower than usual it works.
     """
--- a/tests/adapter/agent_fakes.py
+++ b/tests/adapter/agent_fakes.py
@@ -71,7 +71,7 @@
     """Loads what lies staged, as it lies, some looks after it was ordered to."""
 
     def __init__(self):
-        self.lying, self.loaded, self.orders = {}, (), []
+        self.lying, self.loaded, self.orders, self.tried = {}, (), [], []
         self.loading, self.looks, self.born = None, 0, 1
         self.asked = self.checked = 0
         self.waiting, self.begun = 0, []
@@ -104,6 +104,7 @@
         return self.lying.get(index)
 
     async def load(self, model, version, queue, accepted):
+        self.tried.append(version)
         if self.loading or accepted != len(self.orders):
             return OrderAnswer.REFUSED
         self.orders.append(version)
--- a/tests/adapter/test_agent.py
+++ b/tests/adapter/test_agent.py
@@ -26,14 +26,14 @@
 def test_an_empty_engine_gets_the_first_version(agent, engine, rows):
     steps(agent, lambda: rows.rows)
     assert holds(engine, 1)()
-    assert engine.orders == [1]
+    assert engine.orders == engine.tried == [1]
 
 
 def test_a_named_version_replaces_the_one_in_force(agent, engine):
     steps(agent, holds(engine, 1))
     agent.process.believer.beliefs.name_version("m", 2, 0.0)
     steps(agent, holds(engine, 2))
-    assert engine.orders == [1, 2]
+    assert engine.orders == engine.tried == [1, 2]
 
 
 def test_a_piece_that_turned_bad_where_it_lay_is_mended_before_the_order(agent, engine):
@@ -71,7 +71,7 @@
     steps(agent, holds(engine, 1))
     engine.loaded, engine.born = (), 2
     steps(agent, holds(engine, 1))
-    assert engine.orders == [1, 1]
+    assert engine.orders == engine.tried == [1, 1]
 
 
 def test_an_agent_that_starts_again_leaves_the_report_as_it_was(
@@ -291,7 +291,7 @@
     steps_on(agent, holds(engine, 2))
     origin.lacks = set()
     steps_on(agent, holds(engine, 3))
-    assert engine.orders == [1, 2, 3]
+    assert engine.orders == engine.tried == [1, 2, 3]
 
 
 def test_a_newest_version_that_stalls_leaves_an_older_one_its_turn(
@@ -307,7 +307,7 @@
     origin.lacks = {3}
 
     steps_on(agent, holds(engine, 2))
-    assert engine.orders == [1, 2]
+    assert engine.orders == engine.tried == [1, 2]
 
 
 def test_an_older_version_that_is_soon_over_is_not_fetched(agent, origin):
--- a/tests/adapter/test_retirement.py
+++ b/tests/adapter/test_retirement.py
@@ -6,8 +6,10 @@
 import pytest
 from agent_fakes import MODEL, holds
 from attrs import evolve
+from wasabideck_agent.retirement import EMPTY_LOOK_SECONDS
 from wasabideck_base.http import PlatformUnavailable
 from wasabideck_policy.backends import Loaded
+from wasabideck_policy.engine_state import EngineState, OrderAnswer
 
 # How long a named version may take, here (seconds).
 WITHIN = 1.0
@@ -268,3 +270,122 @@
         assert engine.orders == [-3]
 
     asyncio.run(scenario())
+
+
+def test_overdue_weights_that_come_into_an_empty_engine_leave_it_again(agent, engine):
+    # Guards against an engine that was empty once and is never looked at again.
+    async def scenario():
+        agent.process.clock = now
+        beliefs = agent.process.believer.beliefs
+        beliefs.name_version("m", 2, now() - 2 * WITHIN)
+        beliefs.name_version("m", 3, now() - WITHIN)
+        engine.loaded = ()
+        await agent.retirement.look(now())
+        engine.loaded = (Loaded("m", 2, 0, 4),)
+        await asyncio.sleep(EMPTY_LOOK_SECONDS)
+        await agent.retirement.look(now())
+        assert engine.orders == [-3]
+
+    asyncio.run(scenario())
+
+
+def test_a_version_that_is_over_after_its_check_is_not_loaded(agent, engine):
+    # Guards against a check that takes so long that another version is due after it.
+    async def scenario():
+        agent.process.clock = now
+        beliefs = agent.process.believer.beliefs
+        manifest = await agent.manifests.get("m", 2)
+        beliefs.name_version("m", 2, now())
+        assert await agent._gather(MODEL, manifest)
+        read = engine.staged_piece
+
+        async def read_slowly(model, index):
+            beliefs.name_version("m", 3, now() - WITHIN)
+            return await read(model, index)
+
+        engine.staged_piece = read_slowly
+        engine.loaded = ()
+        await agent._swap(MODEL, manifest)
+        assert engine.orders == []
+
+    asyncio.run(scenario())
+
+
+def test_an_agent_stays_while_its_engine_loads(agent, engine):
+    # Guards against a version that comes in overtaken with nobody beside its engine.
+    async def scenario():
+        agent.process.clock = now
+        beliefs = agent.process.believer.beliefs
+        beliefs.name_version("m", 3, now())
+        engine.loaded, engine.loading, engine.looks = (), (2, {}), 10_000
+        leaving = asyncio.create_task(agent.retirement.leave(3.0))
+        await asyncio.sleep(0.2)
+        assert not leaving.done()
+        engine.loaded, engine.loading = (Loaded("m", 3, 0, 4),), None
+        await asyncio.wait_for(leaving, 1.0)
+
+    asyncio.run(scenario())
+
+
+def test_an_agent_that_stops_tries_more_than_once(agent, engine):
+    # Guards against one lost order that leaves old weights behind for good.
+    async def scenario():
+        agent.process.clock = now
+        unload, failures = engine.unload, []
+
+        async def failing(*args):
+            if not failures:
+                failures.append(args)
+                raise PlatformUnavailable("engine", "no answer", True)
+            return await unload(*args)
+
+        engine.unload = failing
+        agent.process.believer.beliefs.name_version("m", 2, now())
+        await agent.retirement.leave(0.4)
+        assert engine.orders == [-2]
+
+    asyncio.run(scenario())
+
+
+def test_an_agent_beside_an_engine_that_is_down_leaves_where_no_version_was_named(
+    agent, engine
+):
+    async def scenario():
+        agent.process.clock = now
+
+        async def down():
+            raise PlatformUnavailable("engine", "down", False)
+
+        engine.state = down
+        began = now()
+        await agent.retirement.leave(5.0)
+        assert now() - began < 0.5
+
+    asyncio.run(scenario())
+
+
+def test_an_engine_that_refuses_is_not_flooded(agent, engine, origin):
+    async def scenario():
+        origin.lacks, refused = {2}, []
+
+        async def refusing(*args):
+            refused.append(args)
+            return OrderAnswer.REFUSED
+
+        engine.unload = refusing
+        async with running(agent) as beliefs:
+            beliefs.name_version("m", 2, now() - WITHIN)
+            await asyncio.sleep(1.0)
+        assert 2 <= len(refused) <= 6
+
+    asyncio.run(scenario())
+
+
+def test_an_agent_tells_only_of_versions_whose_end_it_knows(agent, engine):
+    # Guards against entries that rely on an agent which only guesses a version's age.
+    beliefs = agent.process.believer.beliefs
+    beliefs.name_version("m", 2, 0.0, False, 0.0)
+    state = EngineState((Loaded("m", 1, 0, 4),), busy=False, born=1)
+    assert agent.describe(state)[3] == 1
+    beliefs.date_version("m", 2, 0.0)
+    assert agent.describe(state)[3] == 2
