Bound what the store's clock may tell of an answer's way

What a peer tells is dated by when it tells; a way longer than its call proves another clock; the shortest way follows a drift.

--- a/packages/wasabideck_base/wasabideck_base/rows.py
+++ b/packages/wasabideck_base/wasabideck_base/rows.py
@@ -61,7 +61,8 @@
     Attributes
     ----------
     answered_at : float or None
-        When the store answered, seconds by its own steady clock; None when not told.
+        When the store answered, seconds by its own steady clock, the last time if it
+        took several calls; None when not told.
     """
 
     rows: tuple[Row, ...]
--- a/packages/wasabideck_base/wasabideck_base/table_watch.py
+++ b/packages/wasabideck_base/wasabideck_base/table_watch.py
@@ -33,11 +33,14 @@
 # A peer that knows a newer row has had it from an answer that should have come here,
 # too; so long is allowed for it (seconds).
 BEHIND_SECONDS = 0.8
-# An answer that the store gives later was held back until something changed (seconds).
+# An answer that the store gives later than this was held back until something changed
+# (seconds).
 HELD_SECONDS = 0.5
 # An answer is as old as this at the least, its way included where the store does not
 # tell when it answered (seconds).
 WAY_SECONDS = 0.1
+# Seconds in a second that two steady clocks drift apart at the most.
+MOST_DRIFT = 2e-4
 # Pauses between tries while the store gives no answer (seconds). The longest stays
 # under the time in which a change has to be in force after the store's return.
 FIRST_PAUSE = 0.15
@@ -125,6 +128,7 @@
     _changed_at: float = float("-inf")
     _complete_at: float = float("-inf")
     _least_apart: float = float("inf")
+    _apart_at: float = float("-inf")
     heard_at: float = float("-inf")
     wait: float = WAIT_SECONDS
     told_from: float = float("inf")
@@ -181,6 +185,8 @@
             self._rows[row.key] = row
         if newer:
             self.events.emit("rows.heard", table=self.table, rows=len(newer))
+            # A peer's word doesn't say when they were written.
+            self.told_from = self.clock()
             self.took(newer)
 
     def above(self, version: int) -> list[Row]:
@@ -354,9 +360,13 @@
         if changes.answered_at is None:
             return 0.0
         apart = self.heard_at - changes.answered_at
-        self._least_apart = min(self._least_apart, apart)
-        # Another clock of the store's may be far ahead or behind.
-        return min(apart - self._least_apart, self.heard_at - asked_at)
+        drift = MOST_DRIFT * (self.heard_at - self._apart_at)
+        self._least_apart = min(self._least_apart + max(0.0, drift), apart)
+        self._apart_at = self.heard_at
+        if apart - self._least_apart > self.heard_at - asked_at:
+            # Longer than the whole call: the store has another clock now.
+            self._least_apart = apart
+        return apart - self._least_apart
 
     def _failed(self, exc: WasabideckError) -> None:
         self._failures += 1
--- a/tests/beliefs/test_table_watch.py
+++ b/tests/beliefs/test_table_watch.py
@@ -281,17 +281,21 @@
 
 
 class SlowWay(ScriptedStore):
-    """Answers at once; each answer then travels for so many seconds."""
+    """Answers after ``held``; each answer then travels for so many seconds."""
+
+    held = 0.0
 
     def __init__(self, clock, ways, *answers):
         super().__init__(*answers)
         self.clock, self.ways = clock, list(ways)
+        self.clock_ahead = 1000.0
 
     async def _next(self, call):
         answer = await super()._next(call)
+        self.clock[0] += self.held
         answered_at = self.clock[0]
         self.clock[0] += self.ways.pop(0)
-        return Changes(answer.rows, answer.version, answered_at + 1000.0)
+        return Changes(answer.rows, answer.version, answered_at + self.clock_ahead)
 
 
 def test_an_answer_that_travels_long_is_no_answer_that_was_held_back(seen, clock):
@@ -319,3 +323,43 @@
 
     asyncio.run(scenario())
     assert watch.lacked_from(clock[0]) == pytest.approx(0.02, abs=0.02)
+
+
+def test_a_store_with_another_clock_dates_nothing_earlier(seen, clock):
+    # Guards against versions taken for seconds older after the store was replaced.
+    answers = [Changes((row("a", n),), n) for n in range(1, 5)]
+    store = SlowWay(clock, [0.01] * 4, *answers)
+    watch = watch_of(store, seen, clock)
+
+    async def scenario():
+        await watch.step()
+        store.clock_ahead, store.held = -5000.0, 9.0
+        for _ in range(3):
+            await watch.step()
+
+    asyncio.run(scenario())
+    assert clock[0] - watch.told_from <= 0.2
+
+
+def test_clocks_that_drift_apart_make_no_way_longer(seen, clock):
+    first, later = Changes((row("a", 1),), 1), Changes((row("b", 2),), 2)
+    store = SlowWay(clock, [0.01, 0.01], first, later)
+    watch = watch_of(store, seen, clock)
+
+    async def scenario():
+        await watch.step()
+        clock[0] += 3600.0
+        store.clock_ahead, store.held = 1000.0 - 0.36, 9.0
+        await watch.step()
+
+    asyncio.run(scenario())
+    assert watch.lacked_from(clock[0]) == pytest.approx(clock[0], abs=0.02)
+
+
+def test_what_a_peer_tells_is_dated_by_when_it_tells(seen, clock):
+    # Guards against a mass of removals that is believed at once when a peer tells it.
+    watch = watch_of(ScriptedStore(Changes((row("a", 1),), 1)), seen, clock)
+    asyncio.run(watch.step())
+    clock[0] = 12.0
+    watch.hear([row("a", 2, removed=True)])
+    assert watch.told_from == 12.0
