Take an overdue answer of the store for no silence in which nothing was named

Followers dated a version 0.23 s too young while both their readers were cut off without a word: a call that hung for over half a second counted as one that the store holds back, though a reader's call waits 0.3 s only. A call that hangs for longer than it asked for tells nothing.

--- a/packages/wasabideck_base/wasabideck_base/believer.py
+++ b/packages/wasabideck_base/wasabideck_base/believer.py
@@ -15,7 +15,7 @@
 )
 from wasabideck_policy.membership import ENTRY, Member
 from wasabideck_policy.outcomes import WasabideckError
-from wasabideck_policy.readers import Readers
+from wasabideck_policy.readers import COVERED_SECONDS, Readers
 
 from .channels import Channels
 from .deployment import Deployment
@@ -289,7 +289,8 @@
         if key == CONFIGURATION or not self.readers.covered:
             return
         now = self.clock()
-        since = max(self.operators.lacked_from(now), now - LONGEST_UNHEARD)
+        longest = LONGEST_UNHEARD + COVERED_SECONDS
+        since = max(self.operators.lacked_from(now), now - longest)
         self._take_since(key, number, since)
 
     def _take_since(self, key: str, number: int, since: float) -> None:
--- a/packages/wasabideck_base/wasabideck_base/table_watch.py
+++ b/packages/wasabideck_base/wasabideck_base/table_watch.py
@@ -226,7 +226,7 @@
 
     def lacked_from(self, now: float) -> float:
         """From when on rows that are not here were written, as far as is known."""
-        if now - self._hanging_from > HELD_SECONDS:
+        if HELD_SECONDS < now - self._hanging_from <= self.wait:
             return now - WAY_SECONDS
         return max(self._complete_at, self._adopted_from)
 
@@ -297,7 +297,7 @@
             await asyncio.sleep(self._pause())
             return
         self._answered(changes, asked_at)
-        if self._complete_at - asked_at > HELD_SECONDS:
+        if HELD_SECONDS < self._complete_at - asked_at <= self.wait:
             lacked_at = self._complete_at - WAY_SECONDS
         self.told_from = max(lacked_at, self._complete_at - longest)
         self._take(changes)
--- a/tests/beliefs/test_region_readers.py
+++ b/tests/beliefs/test_region_readers.py
@@ -304,6 +304,23 @@
     region(scenario)
 
 
+def test_a_version_named_while_readers_are_silent_is_no_younger_than_it_is(region):
+    # Guards against overdue weights: a reader whose answer is overdue tells that it
+    # lacks nothing, and its followers date what they read next from that word.
+    async def scenario(store, readers, followers):
+        now = asyncio.get_running_loop().time
+        for reader in readers:
+            silently_cut_off(reader)
+        named_at = now()
+        store.name_version(2)
+        found = [f.believer.beliefs for f in followers]
+        await until(lambda: all(b.newest_version("m") == 2 for b in found))
+        for follower in followers:
+            assert ages(follower)[2] >= now() - named_at
+
+    region(scenario)
+
+
 def test_what_a_follower_reads_again_is_not_taken_for_new(region):
     # Its rows come as unknown ones from the store, which tells no times: a version that
     # was named long before would get its whole time once more.
--- a/tests/forward/test_weights.py
+++ b/tests/forward/test_weights.py
@@ -109,6 +109,25 @@
     play(scenario)
 
 
+def test_what_was_sent_early_to_a_server_without_an_agent_is_taken_back(play):
+    # Guards against a wait that outlasts the time in which such a server gets nothing.
+    async def scenario():
+        entry = Entry(configuration(route(**STREAM), engine=ENGINE))
+        begun = []
+        alone = await entry.add_server(queues(2.0, begun, event(1)), loaded=loaded(1))
+        await entry.add_server(streams(event(1), event(2)))
+        named_ago(entry, 2, WITHIN - 1.2)
+        caller = await entry.caller()
+        await caller.ask(method=b"POST", body=b"prompt")
+        await asyncio.sleep(1.0)
+        assert len(alone.requests) == 1
+        tells(entry, "i-1", 2)
+        assert (await caller.answer())[::2] == (200, event(1) + event(2))
+        assert begun == []
+
+    play(scenario)
+
+
 def test_what_a_server_begins_on_the_newer_weights_stays_there(play):
     # The server has been ordered to load version 2: what waits there is begun on it.
     # Taken back, it would lose its place, and be refused where no other serves yet.
