Let a guessed age count where nobody puts it right

All processes are killed beside servers that live, and nobody is left who knows when a version was named. Entries take it for long due; an agent counted it from when it heard of it, and kept overdue weights in its engine for eight seconds more. Now a guess counts once the process is calm, as it does for entries.

--- a/packages/wasabideck_agent/wasabideck_agent/retirement.py
+++ b/packages/wasabideck_agent/wasabideck_agent/retirement.py
@@ -122,9 +122,15 @@
             self.process.events.emit("retirement.failed", why=why)
 
     def due(self, model: EngineModel, at: float) -> int:
-        """The version that the engine may begin requests on at least, at a time."""
-        within = self.process.cfg.bounds.version
-        return self.process.believer.beliefs.surely_due(model.model, within, at)
+        """The version that the engine may begin requests on at least, at a time.
+
+        A process that has just started guesses the ages of versions until a peer tells
+        them. Where none does for long, entries guess the same.
+        """
+        bounds, beliefs = self.process.cfg.bounds, self.process.believer.beliefs
+        if at - beliefs.began < bounds.stable:
+            return beliefs.surely_due(model.model, bounds.version, at)
+        return beliefs.least_version(model.model, bounds.version, at)
 
     async def _take_out(self, model: EngineModel, due: int) -> None:
         """Order out what an engine holds that is older than ``due``."""
--- a/tests/adapter/test_retirement.py
+++ b/tests/adapter/test_retirement.py
@@ -92,6 +92,7 @@
     async def scenario():
         origin.lacks = {2}
         async with running(agent) as beliefs:
+            beliefs.began = now()
             beliefs.name_version("m", 2, now() - 2 * WITHIN, False, now())
             await asyncio.sleep(WITHIN / 2)
             assert engine.orders == []
@@ -389,3 +390,19 @@
     assert agent.describe(state)[3] == 1
     beliefs.date_version("m", 2, 0.0)
     assert agent.describe(state)[3] == 2
+
+
+def test_a_guess_that_nobody_puts_right_counts_in_the_end(agent, engine, origin):
+    # Guards against overdue weights where all processes start anew beside live engines.
+    async def scenario():
+        origin.lacks = {2}
+        async with running(agent) as beliefs:
+            beliefs.began = now()
+            beliefs.name_version("m", 2, now() - 2 * WITHIN, False, now() + 60.0)
+            await asyncio.sleep(0.2)
+            assert engine.orders == []
+            beliefs.began -= agent.process.cfg.bounds.stable
+            await asyncio.sleep(0.2)
+            assert engine.orders == [-2]
+
+    asyncio.run(scenario())
