--- a/tests/adapter/test_retirement.py
+++ b/tests/adapter/test_retirement.py
@@ -57,6 +57,7 @@
 
 
 def test_an_engine_that_has_newer_weights_in_time_just_loads_them(agent, engine):
+    # Guards against a sound swap that loses what waits for it.
     async def scenario():
         async with running(agent) as beliefs:
             beliefs.name_version("m", 2, now())
@@ -247,6 +248,7 @@
 
 
 def test_an_agent_whose_engine_has_the_newest_weights_leaves_at_once(agent, engine):
+    # Guards against every stop of an agent lasting for its whole grace.
     async def scenario():
         agent.process.clock = now
         began = now()
@@ -351,6 +353,7 @@
 def test_an_agent_beside_an_engine_that_is_down_leaves_where_no_version_was_named(
     agent, engine
 ):
+    # Guards against stops that wait beside a dead engine for nothing.
     async def scenario():
         agent.process.clock = now
 
@@ -366,6 +369,7 @@
 
 
 def test_an_engine_that_refuses_is_not_flooded(agent, engine, origin):
+    # Guards against an order every 0.05 s for as long as an engine refuses it.
     async def scenario():
         origin.lacks, refused = {2}, []
 
--- a/tests/beliefs/test_table_watch.py
+++ b/tests/beliefs/test_table_watch.py
@@ -342,6 +342,7 @@
 
 
 def test_clocks_that_drift_apart_make_no_way_longer(seen, clock):
+    # Guards against ages that grow with a process's uptime.
     first, later = Changes((row("a", 1),), 1), Changes((row("b", 2),), 2)
     store = SlowWay(clock, [0.01, 0.01], first, later)
     watch = watch_of(store, seen, clock)
