Load a whole version once the old weights are out, though it was overtaken

The engine was still ending what ran, so the agent looked anew, turned to version 3 and staged that over it; 11 servers of 46 took version 2. Whether an engine runs anything was taken from an old look besides. Now the agent waits for the engine with what is whole, and asks the engine itself.

--- a/packages/wasabideck_agent/wasabideck_agent/node_agent.py
+++ b/packages/wasabideck_agent/wasabideck_agent/node_agent.py
@@ -411,12 +411,12 @@
 
     async def _swap(self, model: EngineModel, manifest: Manifest) -> None:
         """Order the engine to load what lies staged, when its time has come."""
-        if (await self.engine.state()).busy:
-            await asyncio.sleep(ORDER_LOOK_SECONDS)
-            return
         version = int(manifest.version)
+        state = await self._when_free(model, version)
+        if state is None:
+            return
         now = self.process.clock()
-        if self._soon_over(model, version, now):
+        if self._soon_over(model, version, state.running, now):
             await asyncio.sleep(RETRY_SECONDS)
             return
         if now < self._stops_at(model, version, now):
@@ -428,20 +428,38 @@
         finally:
             self.retirement.loading = False
 
-    def _soon_over(self, model: EngineModel, version: int, now: float) -> bool:
+    async def _when_free(self, model: EngineModel, version: int) -> EngineState | None:
+        """The engine's state when it takes an order; None to look at everything anew.
+
+        A version that was overtaken is waited with: whoever looks anew turns to the
+        newest, whose pieces are staged over it.
+        """
+        while (state := await self.engine.state()).busy:
+            await asyncio.sleep(ORDER_LOOK_SECONDS)
+            if version >= self._named(model) or state.born != self._born:
+                return None
+            if self._ordered == (version, state.born):
+                return None
+            if self._soon_over(model, version, 0, self.process.clock()):
+                return None
+        return state if held_version(state, model) < version else None
+
+    def _soon_over(
+        self, model: EngineModel, version: int, running: int, now: float
+    ) -> bool:
         """Whether a version that was overtaken would be over when it is loaded.
 
         What waits meanwhile begins on it, and may do so only after the longest of what
         runs has ended.
         """
-        takes = model.load_seconds + (LONGEST_DRAIN_SECONDS if self._serves else 0.0)
+        takes = model.load_seconds + (LONGEST_DRAIN_SECONDS if running else 0.0)
         return version < self.retirement.due(model, now + takes)
 
     async def _load(self, model: EngineModel, manifest: Manifest) -> None:
         """Check what lies staged and order the engine to load it."""
         version = int(manifest.version)
         state = await self.staging.check(manifest)
-        if self._soon_over(model, version, self.process.clock()):
+        if self._soon_over(model, version, state.running, self.process.clock()):
             # The check takes seconds on a slow VM.
             return
         # Entries hear first, so that they send elsewhere what would wait out the swap.
--- a/tests/adapter/agent_fakes.py
+++ b/tests/adapter/agent_fakes.py
@@ -74,7 +74,7 @@
         self.lying, self.loaded, self.orders, self.tried = {}, (), [], []
         self.loading, self.looks, self.born = None, 0, 1
         self.asked = self.checked = 0
-        self.waiting, self.begun = 0, []
+        self.waiting, self.running, self.begun = 0, 0, []
 
     async def state(self):
         self.asked += 1
@@ -89,6 +89,7 @@
             self.loaded,
             self.loading is not None,
             orders=len(self.orders),
+            running=self.running,
             waiting=self.waiting,
             born=self.born,
         )
--- a/tests/adapter/test_retirement.py
+++ b/tests/adapter/test_retirement.py
@@ -161,11 +161,11 @@
         manifest = await agent.manifests.get("m", 2)
         beliefs.name_version("m", 2, now())
         beliefs.name_version("m", 3, now())
-        agent._serves = 1
+        engine.running = 1
         assert await agent._gather(MODEL, manifest)
         await agent._swap(MODEL, manifest)
         assert engine.orders == []
-        agent._serves = 0
+        engine.running = 0
         await agent._swap(MODEL, manifest)
         assert engine.orders == [2]
 
@@ -410,3 +410,29 @@
             assert engine.orders == [-2]
 
     asyncio.run(scenario())
+
+
+def test_a_whole_version_is_loaded_when_the_old_weights_are_out(agent, engine, origin):
+    # Guards against an engine that stays empty for the newest version with another one,
+    # which may serve for seconds, whole beside it.
+    async def scenario():
+        agent.process.clock = now
+        beliefs = agent.process.believer.beliefs
+        manifest = await agent.manifests.get("m", 2)
+        beliefs.name_version("m", 2, now() - WITHIN)
+        beliefs.name_version("m", 3, now() + 1.0)
+        assert await agent._gather(MODEL, manifest)
+        agent._born, agent._serves = engine.born, 1
+        engine.loading, engine.looks, engine.loaded = None, 0, ()
+        state, looks = engine.state, []
+
+        async def draining():
+            looks.append(1)
+            found = await state()
+            return evolve(found, busy=len(looks) < 6)
+
+        engine.state = draining
+        await agent._swap(MODEL, manifest)
+        assert engine.orders == [2]
+
+    asyncio.run(scenario())
