--- a/tests/adapter/agent_fakes.py
+++ b/tests/adapter/agent_fakes.py
@@ -74,7 +74,7 @@
         self.lying, self.loaded, self.orders, self.tried = {}, (), [], []
         self.loading, self.looks, self.born = None, 0, 1
         self.asked = self.checked = 0
-        self.waiting, self.running, self.begun = 0, 0, []
+        self.waiting, self.running, self.refused, self.begun = 0, 0, 0, []
 
     async def state(self):
         self.asked += 1
@@ -117,6 +117,7 @@
             return OrderAnswer.REFUSED
         self.orders.append(-version)
         self.loaded = ()
+        self.refused, self.waiting = self.refused + self.waiting, 0
         return OrderAnswer.BEGUN
 
     def has_place(self):
--- a/tests/adapter/test_retirement.py
+++ b/tests/adapter/test_retirement.py
@@ -52,6 +52,7 @@
             await asyncio.sleep(WITHIN)
             engine.has_place()
         assert engine.begun == []
+        assert engine.refused == 3
 
     asyncio.run(scenario())
 
@@ -64,7 +65,7 @@
             engine.waiting = 3
             await asyncio.sleep(WITHIN)
         assert holds(engine, 2)()
-        assert (engine.orders, engine.waiting) == ([2], 3)
+        assert (engine.orders, engine.waiting, engine.refused) == ([2], 3, 0)
 
     asyncio.run(scenario())
 
