Call the platform's services over plain kept connections; import less at a start

Ruled out: fewer looks at the engine (entries choose by them). Peers are no longer read twice for a transfer: the members are read on their own.

--- a/packages/wasabideck_agent/wasabideck_agent/agent.py
+++ b/packages/wasabideck_agent/wasabideck_agent/agent.py
@@ -10,7 +10,7 @@
 from wasabideck_base.channels import LINK_FAILURES, Channels
 from wasabideck_base.clients import Platform
 from wasabideck_base.events import Events
-from wasabideck_base.http import PlatformUnavailable
+from wasabideck_base.http_answers import PlatformUnavailable
 from wasabideck_base.metrics import Metrics
 from wasabideck_base.settings import PLAIN, AgentSettings
 from wasabideck_base.spread import PeersService, Spread
--- a/packages/wasabideck_agent/wasabideck_agent/claim_batch.py
+++ b/packages/wasabideck_agent/wasabideck_agent/claim_batch.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable
 
 from attrs import define, field
-from wasabideck_base.http import PlatformUnavailable
+from wasabideck_base.http_answers import PlatformUnavailable
 from wasabideck_base.table import Check, CheckFailed, Table, Write
 
 __all__ = ["ClaimBatch"]
--- a/packages/wasabideck_agent/wasabideck_agent/claim_store.py
+++ b/packages/wasabideck_agent/wasabideck_agent/claim_store.py
@@ -8,7 +8,7 @@
 from attrs import asdict, define, evolve, field
 from wasabideck_base.claim_rows import CLAIMS, claim_write, read_claim
 from wasabideck_base.events import Events
-from wasabideck_base.http import PlatformUnavailable
+from wasabideck_base.http_answers import PlatformUnavailable
 from wasabideck_base.table import Check, CheckFailed, Table, Write
 from wasabideck_policy.claims import (
     DONE,
--- a/packages/wasabideck_agent/wasabideck_agent/delivery_rows.py
+++ b/packages/wasabideck_agent/wasabideck_agent/delivery_rows.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from attrs import asdict, define, field
-from wasabideck_base.http import PlatformRefused, PlatformUnavailable
+from wasabideck_base.http_answers import PlatformRefused, PlatformUnavailable
 from wasabideck_base.table import Check, Table, Write
 from wasabideck_policy.deliveries import Delivery, row_key
 
--- a/packages/wasabideck_agent/wasabideck_agent/listed_peers.py
+++ b/packages/wasabideck_agent/wasabideck_agent/listed_peers.py
@@ -4,7 +4,7 @@
 
 from attrs import define
 from wasabideck_base.deployment import Deployment
-from wasabideck_base.http import PlatformRefused, PlatformUnavailable
+from wasabideck_base.http_answers import PlatformRefused, PlatformUnavailable
 from wasabideck_base.node_process import NodeProcess
 from wasabideck_policy.membership import AGENT, Member
 from wasabideck_policy.outcomes import WasabideckError
--- a/packages/wasabideck_agent/wasabideck_agent/load.py
+++ b/packages/wasabideck_agent/wasabideck_agent/load.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable
 
 from attrs import define, field
-from wasabideck_base.http import PlatformUnavailable, understood
+from wasabideck_base.http_answers import PlatformUnavailable, understood
 from wasabideck_base.servers import Engine
 from wasabideck_policy.affinity import CacheView
 
--- a/packages/wasabideck_agent/wasabideck_agent/node_agent.py
+++ b/packages/wasabideck_agent/wasabideck_agent/node_agent.py
@@ -7,13 +7,13 @@
 import time
 from collections.abc import Callable
 
-import aiohttp
 from attrs import define, evolve, field
 from wasabideck_base.deployment import Deployment
 from wasabideck_base.events import Events
+from wasabideck_base.http_pool import HttpPool
 from wasabideck_base.node import NodeSettings
-from wasabideck_base.node_process import NodeProcess, keep_alive_session, node_process
-from wasabideck_base.settings import WeightsSettings
+from wasabideck_base.node_process import NodeProcess, node_process
+from wasabideck_base.weights_settings import WeightsSettings
 from wasabideck_policy.configuration import EngineModel
 from wasabideck_policy.engine_state import EngineState, OrderAnswer
 from wasabideck_policy.manifests import Manifest
@@ -97,9 +97,9 @@
     chunks = ChunksService(store, links, UPLOADS)
     async with (
         node_process(cfg, AGENT, deployment, lambda p: (chunks,)) as process,
-        keep_alive_session(ORIGIN_IDLE_SECONDS) as to_origin,
+        HttpPool(ORIGIN_IDLE_SECONDS) as to_origin,
     ):
-        engine = deployment.open_engine(process.session, cfg.server_address)
+        engine = deployment.open_engine(process.pool, cfg.server_address)
         agent = NodeAgent(
             process,
             deployment,
@@ -141,7 +141,7 @@
 
     Attributes
     ----------
-    to_origin : ClientSession
+    to_origin : HttpPool
         Connections to the origin, which are let go when they idle.
     news : Event
         Set when a version was named.
@@ -164,7 +164,7 @@
     staging: Staging
     deliveries: DeliveryBook
     peers: ListedPeers
-    to_origin: aiohttp.ClientSession
+    to_origin: HttpPool
     news: asyncio.Event = field(factory=asyncio.Event)
     tell: Callable[[EngineState], None] = lambda state: None
     manifests: NumberedManifests = field(init=False)
@@ -355,7 +355,7 @@
             # All of it lay staged: nobody has to be asked for anything.
             await self._verified(manifest, {})
             return True
-        await asyncio.gather(self.process.believer.read_members(), self.peers.read())
+        await self.peers.read()
         transfer = self._gathering = self._transfer(manifest)
         fetching = asyncio.create_task(transfer.run())
         try:
--- a/packages/wasabideck_agent/wasabideck_agent/numbered_manifests.py
+++ b/packages/wasabideck_agent/wasabideck_agent/numbered_manifests.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable
 
 from attrs import define, field
-from wasabideck_base.http import PlatformRefused, PlatformUnavailable
+from wasabideck_base.http_answers import PlatformRefused, PlatformUnavailable
 from wasabideck_base.node_process import NodeProcess
 from wasabideck_policy.manifests import Manifest, Word, likeliest, numbered_name
 
--- a/packages/wasabideck_agent/wasabideck_agent/once.py
+++ b/packages/wasabideck_agent/wasabideck_agent/once.py
@@ -10,7 +10,7 @@
 from wasabideck_base.channels import LINK_FAILURES, Channels
 from wasabideck_base.claim_rows import stored_answer
 from wasabideck_base.events import Events
-from wasabideck_base.http import PlatformRefused, PlatformUnavailable
+from wasabideck_base.http_answers import PlatformRefused, PlatformUnavailable
 from wasabideck_policy.claims import Claim, Verdict
 from wasabideck_policy.outcomes import Answered, Failure, NotRun, Outcome, Unknown
 from wasabideck_wire import inner_pb2 as pb
--- a/packages/wasabideck_agent/wasabideck_agent/orders.py
+++ b/packages/wasabideck_agent/wasabideck_agent/orders.py
@@ -8,7 +8,7 @@
 
 from attrs import define
 from wasabideck_base.events import Events
-from wasabideck_base.http import PlatformRefused, PlatformUnavailable
+from wasabideck_base.http_answers import PlatformRefused, PlatformUnavailable
 from wasabideck_base.servers import Engine, Loaded
 from wasabideck_policy.orders import (
     OrderBook,
--- a/packages/wasabideck_agent/wasabideck_agent/runs.py
+++ b/packages/wasabideck_agent/wasabideck_agent/runs.py
@@ -8,7 +8,7 @@
 
 from attrs import define, field
 from wasabideck_base.events import Events
-from wasabideck_base.http import PlatformRefused, PlatformUnavailable
+from wasabideck_base.http_answers import PlatformRefused, PlatformUnavailable
 from wasabideck_base.servers import (
     Engine,
     Generation,
--- a/packages/wasabideck_agent/wasabideck_agent/transfer.py
+++ b/packages/wasabideck_agent/wasabideck_agent/transfer.py
@@ -8,13 +8,13 @@
 import time
 from collections.abc import Callable
 from functools import partial
+from typing import TYPE_CHECKING
 
 from attrs import define, field
 from wasabideck_base.channels import LINK_FAILURES, Channels
 from wasabideck_base.events import Events
-from wasabideck_base.http import PlatformRefused, PlatformUnavailable
-from wasabideck_base.settings import WeightsSettings
-from wasabideck_base.weights import Origin
+from wasabideck_base.http_answers import PlatformRefused, PlatformUnavailable
+from wasabideck_base.weights_settings import WeightsSettings
 from wasabideck_policy.baselines import POLICIES
 from wasabideck_policy.fetch_window import FetchWindow
 from wasabideck_policy.manifests import CorruptChunk, Manifest
@@ -44,6 +44,10 @@
 from .chunks_service import ChunksService
 from .links import Links
 
+if TYPE_CHECKING:
+    # Its client library is a fifth of an agent's start, and not used on every platform.
+    from wasabideck_base.weights import Origin
+
 __all__ = ["Transfer", "limits_of"]
 
 # A fetch waits behind a few others at its sender; one that takes this many slots has
--- a/packages/wasabideck_base/wasabideck_base/channels.py
+++ b/packages/wasabideck_base/wasabideck_base/channels.py
@@ -18,7 +18,7 @@
 )
 from grpclib.exceptions import GRPCError, StreamTerminatedError
 from grpclib.server import Server
-from wasabideck_wire.convert import MalformedMessage
+from wasabideck_wire.malformed import MalformedMessage
 
 from .addresses import split_address
 from .events import Clock
--- a/packages/wasabideck_base/wasabideck_base/deployment.py
+++ b/packages/wasabideck_base/wasabideck_base/deployment.py
@@ -5,12 +5,12 @@
 from collections.abc import Callable
 from typing import Any
 
-import aiohttp
 from attrs import frozen
 from wasabideck_policy.backends import Listed
 from wasabideck_policy.configuration import Configuration
 from wasabideck_policy.declarations import Declaration
 
+from .http_pool import HttpPool
 from .node import NodeSettings
 from .rows import Row, RowStore
 
@@ -43,7 +43,7 @@
     declaration_of: Callable[[Row], Declaration | None]
     listed_of: Callable[[Row], Listed]
     read_configuration: Callable[[bytes], Configuration]
-    open_store: Callable[[aiohttp.ClientSession, NodeSettings], RowStore]
+    open_store: Callable[[HttpPool, NodeSettings], RowStore]
     wire: Any
-    open_engine: Callable[[aiohttp.ClientSession, str], Any]
-    open_origin: Callable[[aiohttp.ClientSession, str], Any]
+    open_engine: Callable[[HttpPool, str], Any]
+    open_origin: Callable[[HttpPool, str], Any]
--- a/packages/wasabideck_base/wasabideck_base/hearsay.py
+++ b/packages/wasabideck_base/wasabideck_base/hearsay.py
@@ -13,7 +13,7 @@
 from wasabideck_policy.quarantine import Quarantine
 from wasabideck_policy.rendezvous import rank
 from wasabideck_wire import inner_pb2 as pb
-from wasabideck_wire.convert import crashes_from, crashes_to
+from wasabideck_wire.crashes import crashes_from, crashes_to
 from wasabideck_wire.inner_grpc import PeersBase, PeersStub
 
 from .channels import LINK_FAILURES, Channels
--- a/packages/wasabideck_base/wasabideck_base/members.py
+++ b/packages/wasabideck_base/wasabideck_base/members.py
@@ -6,7 +6,8 @@
 from attrs import define, field
 from wasabideck_policy.membership import Member
 
-from .http import HttpClient, understood
+from .http import HttpClient
+from .http_answers import understood
 
 __all__ = ["Members"]
 
--- a/packages/wasabideck_base/wasabideck_base/node_process.py
+++ b/packages/wasabideck_base/wasabideck_base/node_process.py
@@ -6,13 +6,11 @@
 import os
 import random
 import signal
-import socket
 import sys
 import time
 from collections.abc import AsyncIterator, Callable, Coroutine
 from contextlib import asynccontextmanager
 
-import aiohttp
 import eliot
 from attrs import define, field
 from wasabideck_policy.membership import AGENT, ENTRY, Member
@@ -24,21 +22,13 @@
 from .deployment import Deployment
 from .events import Clock, Events
 from .hearsay import HearsayService
+from .http_pool import HttpPool
 from .inner_limits import InnerServer
 from .node import NodeSettings
 from .node_metrics import NodeMetrics, listen_for_scrapes
 
-__all__ = ["NodeProcess", "keep_alive_session", "node_process"]
-
-# A connection to the store that went silent while nothing was due is found by probes
-# of the kernel's, which are no calls: after two seconds, and twice a second then.
-PROBE_AFTER_SECONDS = 2
-PROBE_EVERY_SECONDS = 1
-PROBES = 2
-USER_TIMEOUT_MS = 4000
-# Idle connections are kept so long unless a session says otherwise: the library's own
-# figure (seconds).
-IDLE_SECONDS = 15.0
+__all__ = ["NodeProcess", "node_process"]
+
 # Bytes of one answer of the inner protocol that may be under way. Chunks leave a VM
 # over the link that carries its server's streams, and what is under way waits in that
 # link's queue, with the streams' events behind it. With whole chunks of 24 KB under way
@@ -63,7 +53,7 @@
 
     cfg: NodeSettings
     events: Events
-    session: aiohttp.ClientSession
+    pool: HttpPool
     channels: Channels
     believer: Believer
     clock: Callable[[], float]
@@ -89,20 +79,6 @@
             self.stop.set()
 
 
-def keep_alive_session(idle_seconds: float = IDLE_SECONDS) -> aiohttp.ClientSession:
-    """A client session whose connections do not stay silent unnoticed.
-
-    Parameters
-    ----------
-    idle_seconds : float
-        Seconds after which a connection that nobody uses is closed.
-    """
-    connector = aiohttp.TCPConnector(
-        limit=0, keepalive_timeout=idle_seconds, socket_factory=_probing_socket
-    )
-    return aiohttp.ClientSession(connector=connector, auto_decompress=False)
-
-
 @asynccontextmanager
 async def node_process(
     cfg: NodeSettings, kind: str, deployment: Deployment, services: Callable
@@ -128,13 +104,13 @@
     me = Member(
         cfg.vm, kind, cfg.inner_address, cfg.region, cfg.data_centre, cfg.service
     )
-    async with keep_alive_session() as session:
-        store = deployment.open_store(session, cfg)
+    async with HttpPool() as pool:
+        store = deployment.open_store(pool, cfg)
         believer = Believer(
             cfg, me, deployment, store, channels, events, loop.time, rng
         )
         process = NodeProcess(
-            cfg, events, session, channels, believer, loop.time, rng, stop
+            cfg, events, pool, channels, believer, loop.time, rng, stop
         )
         inner = InnerServer([HearsayService(believer.hearsay), *services(process)])
         observe_clock(inner, events.clock)
@@ -180,14 +156,3 @@
     os.set_blocking(descriptor, False)
     eliot.add_destinations(BoundedLog(descriptor, time.monotonic))
     return Events(vm, Clock(), time.time)
-
-
-def _probing_socket(address: tuple) -> socket.socket:
-    family, kind, protocol, _, _ = address
-    sock = socket.socket(family, kind, protocol)
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, PROBE_AFTER_SECONDS)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, PROBE_EVERY_SECONDS)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, PROBES)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
-    return sock
--- a/packages/wasabideck_base/wasabideck_base/spread.py
+++ b/packages/wasabideck_base/wasabideck_base/spread.py
@@ -14,12 +14,8 @@
 from wasabideck_policy.quarantine import Quarantine
 from wasabideck_policy.tickets import Assignment, TicketState
 from wasabideck_wire import inner_pb2 as pb
-from wasabideck_wire.convert import (
-    assignments_from,
-    crashes_from,
-    crashes_to,
-    entries_from,
-)
+from wasabideck_wire.convert import assignments_from, entries_from
+from wasabideck_wire.crashes import crashes_from, crashes_to
 from wasabideck_wire.inner_grpc import PeersBase, PeersStub
 
 from .events import Events
--- a/packages/wasabideck_base/wasabideck_base/table.py
+++ b/packages/wasabideck_base/wasabideck_base/table.py
@@ -8,7 +8,8 @@
 import orjson
 from attrs import define, frozen
 
-from .http import HttpClient, PlatformRefused, PlatformUnavailable, understood
+from .http import HttpClient
+from .http_answers import PlatformRefused, PlatformUnavailable, understood
 
 __all__ = ["Check", "CheckFailed", "Table", "Write"]
 
--- a/packages/wasabideck_base/wasabideck_base/ticket_store.py
+++ b/packages/wasabideck_base/wasabideck_base/ticket_store.py
@@ -16,7 +16,7 @@
     digest_of,
 )
 
-from .http import PlatformUnavailable
+from .http_answers import PlatformUnavailable
 from .table import Check, Table, Write
 
 __all__ = [
--- a/packages/wasabideck_base/wasabideck_base/version_dates.py
+++ b/packages/wasabideck_base/wasabideck_base/version_dates.py
@@ -18,7 +18,7 @@
 from wasabideck_policy.outcomes import WasabideckError
 
 from .events import Events
-from .http import PlatformRefused, PlatformUnavailable
+from .http_answers import PlatformRefused, PlatformUnavailable
 from .rows import Changes, Row, RowStore, RowWrite, WriteConflict
 
 __all__ = ["DATES", "MalformedDates", "VersionDates", "dates_of"]
--- a/packages/wasabideck_entry/wasabideck_entry/entry.py
+++ b/packages/wasabideck_entry/wasabideck_entry/entry.py
@@ -15,7 +15,7 @@
 from wasabideck_base.channels import LINK_FAILURES, Channels, observe_clock
 from wasabideck_base.clients import Platform, connect_platform
 from wasabideck_base.events import Events, open_events
-from wasabideck_base.http import PlatformUnavailable
+from wasabideck_base.http_answers import PlatformUnavailable
 from wasabideck_base.inner_limits import InnerServer
 from wasabideck_base.metrics import Metrics
 from wasabideck_base.process import (
--- a/packages/wasabideck_entry/wasabideck_entry/resolve.py
+++ b/packages/wasabideck_entry/wasabideck_entry/resolve.py
@@ -4,7 +4,7 @@
 
 from attrs import define, frozen
 from wasabideck_base.claim_rows import claim_write, read_claim, stored_answer
-from wasabideck_base.http import PlatformRefused, PlatformUnavailable
+from wasabideck_base.http_answers import PlatformRefused, PlatformUnavailable
 from wasabideck_base.table import Table
 from wasabideck_policy.claims import DONE, RELEASED, RUNNING, Claim
 from wasabideck_policy.outcomes import Answered, Failure, NotRun, Outcome
--- a/packages/wasabideck_wire/wasabideck_wire/convert.py
+++ b/packages/wasabideck_wire/wasabideck_wire/convert.py
@@ -11,32 +11,20 @@
     NotRun,
     Outcome,
     Unknown,
-    WasabideckError,
 )
-from wasabideck_policy.quarantine import Quarantine
 from wasabideck_policy.tickets import Assignment, change_from_json, change_to_json
 
 from . import inner_pb2 as pb
+from .malformed import MalformedMessage
 
 __all__ = [
-    "MalformedMessage",
     "assignments_from",
-    "crashes_from",
-    "crashes_to",
     "entries_from",
     "final_from",
     "outcome_from",
 ]
 
 
-class MalformedMessage(WasabideckError):
-    """A peer's message holds what is no data of the system."""
-
-    def __init__(self, message: str, why: str):
-        super().__init__(f"{message}: {why}")
-        self.message = message
-
-
 def entries_from(assignments: Iterable[Assignment]) -> list[pb.Entry]:
     """Messages for assignments of tickets."""
     return [
@@ -91,22 +79,3 @@
     if final.outcome == pb.Final.NOT_RUN:
         return NotRun(failure, retry_after, final.settled)
     return Unknown(failure, retry_after, final.crash)
-
-
-def crashes_to(quarantine: Quarantine, now: float) -> list[pb.Quarantined]:
-    """Messages for the crashes that a quarantine has not yet forgotten."""
-    return [
-        pb.Quarantined(
-            fingerprint=name, crashes=sorted(crashes), until=max(crashes.values())
-        )
-        for name, crashes in quarantine.recent(now).items()
-    ]
-
-
-def crashes_from(
-    quarantine: Quarantine, messages: Iterable[pb.Quarantined], now: float
-) -> None:
-    """Take other processes' crashes into a quarantine."""
-    for message in messages:
-        for crash in message.crashes:
-            quarantine.take(message.fingerprint, crash, message.until, now)
--- /dev/null
+++ b/packages/wasabideck_wire/wasabideck_wire/crashes.py
@@ -0,0 +1,30 @@
+"""Conversion of crashes of servers between messages and a quarantine."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+from wasabideck_policy.quarantine import Quarantine
+
+from . import inner_pb2 as pb
+
+__all__ = ["crashes_from", "crashes_to"]
+
+
+def crashes_to(quarantine: Quarantine, now: float) -> list[pb.Quarantined]:
+    """Messages for the crashes that a quarantine has not yet forgotten."""
+    return [
+        pb.Quarantined(
+            fingerprint=name, crashes=sorted(crashes), until=max(crashes.values())
+        )
+        for name, crashes in quarantine.recent(now).items()
+    ]
+
+
+def crashes_from(
+    quarantine: Quarantine, messages: Iterable[pb.Quarantined], now: float
+) -> None:
+    """Take other processes' crashes into a quarantine."""
+    for message in messages:
+        for crash in message.crashes:
+            quarantine.take(message.fingerprint, crash, message.until, now)
--- a/tests/adapter/agent_fakes.py
+++ b/tests/adapter/agent_fakes.py
@@ -16,7 +16,7 @@
 from wasabideck_agent.staging import Staging
 from wasabideck_base.channels import Channels
 from wasabideck_base.events import Clock, Events
-from wasabideck_base.http import PlatformUnavailable
+from wasabideck_base.http_answers import PlatformUnavailable
 from wasabideck_base.node import NodeSettings, StoreSettings
 from wasabideck_base.rows import Changes, Row, WriteConflict
 from wasabideck_policy.backends import Listed, Loaded
--- a/tests/adapter/test_agent.py
+++ b/tests/adapter/test_agent.py
@@ -17,7 +17,7 @@
 from wasabideck_agent.listed_peers import ListedPeers
 from wasabideck_agent.news_loop import NewsLoop
 from wasabideck_agent.node_agent import LAST_SECONDS
-from wasabideck_base.http import PlatformUnavailable
+from wasabideck_base.http_answers import PlatformUnavailable
 from wasabideck_policy.backends import Loaded
 from wasabideck_policy.engine_state import EngineState, OrderAnswer
 from wasabideck_policy.membership import AGENT, Member
--- a/tests/adapter/test_manifests.py
+++ b/tests/adapter/test_manifests.py
@@ -6,9 +6,9 @@
 import pytest
 from agent_fakes import CHUNKS, FakeEngine, FakeOrigin, FakeStore, digest, new_agent
 from attrs import evolve
-from wasabideck_base.http import PlatformUnavailable
+from wasabideck_base.http_answers import PlatformUnavailable
+from wasabideck_base.http_pool import HttpPool, PooledClient
 from wasabideck_base.inner_limits import InnerServer
-from wasabideck_base.node_process import keep_alive_session
 from wasabideck_policy.engine_state import EngineState
 from wasabideck_policy.manifests import (
     CorruptManifest,
@@ -226,9 +226,8 @@
 
         server = await asyncio.start_server(answer, "127.0.0.1")
         port = server.sockets[0].getsockname()[1]
-        async with keep_alive_session(idle_seconds=0.2) as session:
-            async with session.get(f"http://127.0.0.1:{port}/") as got:
-                await got.read()
+        async with HttpPool(idle_seconds=0.2) as pool:
+            await PooledClient(f"127.0.0.1:{port}", 3.0, pool).call("GET", "/")
             assert not closed.is_set()
             await asyncio.wait_for(closed.wait(), 3)
         server.close()
--- a/tests/adapter/test_origin.py
+++ b/tests/adapter/test_origin.py
@@ -2,19 +2,19 @@
 
 import asyncio
 
-import aiohttp
 import pytest
 from test_store import BODY, SILENCE, serving
 from wasabideck_adapter import engine as engine_module
 from wasabideck_adapter.engine import OriginClient
-from wasabideck_base.http import HttpClient, PlatformUnavailable
+from wasabideck_base.http_answers import PlatformUnavailable
+from wasabideck_base.http_pool import HttpPool, PooledClient
 
 
 def piece_of(pieces, pause, whole):
     async def run():
         server, port = await serving(pieces, pause, whole)
-        async with aiohttp.ClientSession() as session:
-            http = HttpClient(f"http://127.0.0.1:{port}", 3.0, session)
+        async with HttpPool() as pool:
+            http = PooledClient(f"127.0.0.1:{port}", 3.0, pool)
             try:
                 async with asyncio.timeout(10):
                     return await OriginClient(http).piece("m", 2, 0)
--- a/tests/adapter/test_retirement.py
+++ b/tests/adapter/test_retirement.py
@@ -7,7 +7,7 @@
 from agent_fakes import MODEL, holds
 from attrs import evolve
 from wasabideck_agent.retirement import AHEAD_SECONDS, EMPTY_LOOK_SECONDS
-from wasabideck_base.http import PlatformUnavailable
+from wasabideck_base.http_answers import PlatformUnavailable
 from wasabideck_policy.backends import Loaded
 from wasabideck_policy.engine_state import EngineState, OrderAnswer
 
--- a/tests/adapter/test_store.py
+++ b/tests/adapter/test_store.py
@@ -2,11 +2,11 @@
 
 import asyncio
 
-import aiohttp
 import pytest
 from wasabideck_adapter import store as store_module
 from wasabideck_adapter.store import StoreClient
-from wasabideck_base.http import HttpClient, PlatformUnavailable
+from wasabideck_base.http_answers import PlatformUnavailable
+from wasabideck_base.http_pool import HttpPool, PooledClient
 
 BODY = b'{"rows": [], "ver": 7, "pad": "%s"}' % (b"x" * 400)
 SILENCE = 0.2
@@ -33,8 +33,8 @@
 def read_of(pieces, pause, whole):
     async def run():
         server, port = await serving(pieces, pause, whole)
-        async with aiohttp.ClientSession() as session:
-            http = HttpClient(f"http://127.0.0.1:{port}", 3.0, session)
+        async with HttpPool() as pool:
+            http = PooledClient(f"127.0.0.1:{port}", 3.0, pool)
             try:
                 async with asyncio.timeout(10):
                     return await StoreClient(http).read("op")
@@ -65,8 +65,8 @@
     # Guards against an answer on its way that looks like a silent connection.
     async def run():
         server, port = await serving(pieces=12, pause=SILENCE / 4, whole=True)
-        async with aiohttp.ClientSession() as session:
-            http = HttpClient(f"http://127.0.0.1:{port}", 3.0, session)
+        async with HttpPool() as pool:
+            http = PooledClient(f"127.0.0.1:{port}", 3.0, pool)
             client = StoreClient(http)
             reading = asyncio.create_task(client.read("op"))
             while client.received("op") == 0:
--- a/tests/answers_fakes.py
+++ b/tests/answers_fakes.py
@@ -13,7 +13,7 @@
 from wasabideck_agent.runs_service import RunsService
 from wasabideck_base.channels import Channels
 from wasabideck_base.events import Clock
-from wasabideck_base.http import PlatformUnavailable
+from wasabideck_base.http_answers import PlatformUnavailable
 from wasabideck_base.servers import Loaded
 from wasabideck_base.table import CheckFailed
 from wasabideck_entry.calls import Call, Caller, Ended, Part
--- a/tests/beliefs/region.py
+++ b/tests/beliefs/region.py
@@ -10,7 +10,7 @@
 from wasabideck_base.channels import Channels
 from wasabideck_base.events import Clock, Events
 from wasabideck_base.hearsay import HearsayService
-from wasabideck_base.http import PlatformUnavailable
+from wasabideck_base.http_answers import PlatformUnavailable
 from wasabideck_base.inner_limits import InnerServer
 from wasabideck_base.node import NodeSettings, StoreSettings
 from wasabideck_base.rows import Changes, Row
--- a/tests/beliefs/test_table_watch.py
+++ b/tests/beliefs/test_table_watch.py
@@ -5,7 +5,7 @@
 
 import pytest
 from wasabideck_base.events import Clock, Events
-from wasabideck_base.http import PlatformUnavailable
+from wasabideck_base.http_answers import PlatformUnavailable
 from wasabideck_base.rows import Changes, HistoryLost, Row
 from wasabideck_base.table_watch import BEHIND_SECONDS, Followed, TableWatch
 
--- a/tests/beliefs/test_version_dates.py
+++ b/tests/beliefs/test_version_dates.py
@@ -5,7 +5,7 @@
 
 import pytest
 from wasabideck_base.events import Clock, Events
-from wasabideck_base.http import PlatformUnavailable
+from wasabideck_base.http_answers import PlatformUnavailable
 from wasabideck_base.rows import Changes, Row, WriteConflict
 from wasabideck_base.version_dates import DATES, VersionDates
 from wasabideck_policy.beliefs import Beliefs
--- a/tests/product/test_input_limits.py
+++ b/tests/product/test_input_limits.py
@@ -11,7 +11,8 @@
 from grpclib.exceptions import GRPCError
 from wasabideck_base.channels import LINK_FAILURES, Channels
 from wasabideck_base.events import Clock
-from wasabideck_base.http import HttpClient, PlatformNonsense
+from wasabideck_base.http import HttpClient
+from wasabideck_base.http_answers import PlatformNonsense
 from wasabideck_base.inner_limits import MOST_MESSAGE, MOST_STREAMS, InnerServer
 from wasabideck_base.members import Members
 from wasabideck_base.settings import CallerSettings
@@ -19,8 +20,9 @@
 from wasabideck_entry.caller_limits import HeldConnections, TooManyConnections
 from wasabideck_policy.tickets import MAX_TICKET_BYTES
 from wasabideck_wire import inner_pb2 as pb
-from wasabideck_wire.convert import MalformedMessage, assignments_from
+from wasabideck_wire.convert import assignments_from
 from wasabideck_wire.inner_grpc import PeersStub
+from wasabideck_wire.malformed import MalformedMessage
 
 OPERATOR = "sample-operator-token"
 CALLER = "sample-caller-token"
--- a/tests/test_claims_stateful.py
+++ b/tests/test_claims_stateful.py
@@ -13,7 +13,7 @@
 )
 from wasabideck_agent import claim_store
 from wasabideck_agent.claim_store import ClaimStore
-from wasabideck_base.http import PlatformUnavailable
+from wasabideck_base.http_answers import PlatformUnavailable
 from wasabideck_policy.claims import DONE, Claim, Verdict, judge
 
 WORDS = st.lists(st.sampled_from(["ok", "lost", "late", "late", "down"]), max_size=5)
--- a/tests/test_servers.py
+++ b/tests/test_servers.py
@@ -9,7 +9,8 @@
 from sanic import Sanic
 from wasabideck_base.channels import Channels
 from wasabideck_base.events import Clock
-from wasabideck_base.http import HttpClient, PlatformUnavailable
+from wasabideck_base.http import HttpClient
+from wasabideck_base.http_answers import PlatformUnavailable
 from wasabideck_base.servers import (
     PlainService,
     ServerDied,
--- a/tests/tickets/test_acceptance.py
+++ b/tests/tickets/test_acceptance.py
@@ -3,7 +3,7 @@
 import asyncio
 
 import pytest
-from wasabideck_base.http import PlatformUnavailable
+from wasabideck_base.http_answers import PlatformUnavailable
 from wasabideck_base.ticket_store import (
     TicketRaced,
     TicketUnknown,
--- a/tests/tickets/test_orders.py
+++ b/tests/tickets/test_orders.py
@@ -9,7 +9,7 @@
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 from hypothesis.stateful import run_state_machine_as_test as run_machine
 from wasabideck_agent.orders import Orders, OrderWithheld
-from wasabideck_base.http import PlatformUnavailable
+from wasabideck_base.http_answers import PlatformUnavailable
 from wasabideck_policy import orders as policy
 from wasabideck_policy.orders import OrderBook, Serving, gate_open, order_due
 from wasabideck_policy.tickets import Assignment, Change
--- a/tests/tickets/test_ticket_machine.py
+++ b/tests/tickets/test_ticket_machine.py
@@ -13,7 +13,7 @@
 from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
 from hypothesis.stateful import run_state_machine_as_test as run_machine
 from wasabideck_base import ticket_store
-from wasabideck_base.http import PlatformUnavailable
+from wasabideck_base.http_answers import PlatformUnavailable
 from wasabideck_policy.outcomes import WasabideckError
 from wasabideck_policy.tickets import (
     Assignment,
--- a/tests/weights/test_transfer.py
+++ b/tests/weights/test_transfer.py
@@ -16,7 +16,7 @@
 from wasabideck_agent.transfer import Transfer
 from wasabideck_base.channels import Channels
 from wasabideck_base.events import Clock, Events
-from wasabideck_base.http import PlatformUnavailable
+from wasabideck_base.http_answers import PlatformUnavailable
 from wasabideck_base.settings import WeightsSettings
 from wasabideck_policy.membership import AGENT, Member
 from wasabideck_policy.rendezvous import rank
