Look for weights that are soon over only when there are some

Cause: an agent looked twenty times a second whether its engine's weights end, also in the minutes in which no version ends. Change: five times a second until an end comes within the time ahead of it. Ruled out: waking by news alone, as a date may be found without a newer version.

--- a/packages/wasabideck_agent/wasabideck_agent/retirement.py
+++ b/packages/wasabideck_agent/wasabideck_agent/retirement.py
@@ -29,6 +29,9 @@
 # until so long before the end (seconds).
 LATEST_SECONDS = 0.3
 LOOK_SECONDS = 0.05
+# While no version's end is near, looks are so far apart: a date that is found meanwhile
+# is acted on well within the time ahead (seconds).
+QUIET_SECONDS = 0.2
 # An engine that holds nothing is looked at so often, in case that an order still brings
 # overdue weights in; and so long after an order that it refused (seconds).
 EMPTY_LOOK_SECONDS = 0.2
@@ -64,10 +67,18 @@
     async def run(self) -> None:
         """Look for ever whether weights have to go."""
         while True:
-            await asyncio.sleep(LOOK_SECONDS)
+            await asyncio.sleep(self.pause(self.process.clock()))
             with self._noting_failures():
                 await self.look(self.process.clock())
 
+    def pause(self, now: float) -> float:
+        """Seconds until the next look: short only when weights may have to go soon."""
+        model = self.model()
+        if model is None:
+            return QUIET_SECONDS
+        soon = self.due(model, now + AHEAD_SECONDS + QUIET_SECONDS)
+        return LOOK_SECONDS if soon > self._none_older_than else QUIET_SECONDS
+
     async def look(self, now: float) -> None:
         """Take out what is older than the version that is due soon."""
         model = self.model()
