Bound what agents tell, and choose near by among a few servers

Cause: an entry of the large deployment takes 540 words a second; each walked over all servers to find the one at an address, and a request walked over them four times. An agent told the first 48 entries in the order of the store's rows, the same for all. One request counted as 11.5 (36 entries), so that it filled a server of eight slots. Ruled out: news through relays (one more hop, and a loss when one is killed). Change: servers are indexed by address, service and data centre; entries take turns near by and are drawn by rendezvous far off, so that what an agent sends is bounded; a request goes to one of a few servers near by that has a place, first to one with an open connection, and all are looked at only where none has. What others send is reckoned by the number of open servers. Changes of the servers' list come together for a quarter of the time in which a leaving server serves.

--- a/packages/wasabideck_agent/wasabideck_agent/news_loop.py
+++ b/packages/wasabideck_agent/wasabideck_agent/news_loop.py
@@ -8,9 +8,9 @@
 from attrs import define, field
 from wasabideck_base.engine_datagrams import EngineNewsSender
 from wasabideck_base.node_process import NodeProcess
+from wasabideck_policy.audience import Audience, audience_of
 from wasabideck_policy.engine_news import EngineNews, worth_telling
 from wasabideck_policy.engine_state import EngineState
-from wasabideck_policy.membership import ENTRY
 from wasabideck_policy.outcomes import WasabideckError
 
 from .staging import Engine
@@ -20,12 +20,12 @@
 # The engine's own report from its own VM is fresh and costs a millisecond of processor.
 # Entries choose by this word: a place is free or taken every 0.1 s (seconds).
 LOOK_SECONDS = 0.1
-# Entries in other regions hear every fourth word, and each big change: a word is 70
-# bytes with its headers, and the links between regions are thin.
-FAR_EVERY = 4
-# At the target size each agent tells so many entries, its own region's first; the
-# others use other servers.
-MOST_TOLD = 48
+# Entries in other regions hear every sixth word, and each big change: a word is 70
+# bytes with its headers, the links between regions are thin, and a server near by is
+# chosen as long as one has a place. Two words fit into the time for which one is fresh.
+FAR_EVERY = 6
+# Who is there changes rarely, and is looked at so often (seconds).
+MEMBERS_SECONDS = 1.0
 
 
 @define
@@ -44,6 +44,8 @@
     engine: Engine
     describe: Callable[[EngineState], tuple[int, bool, float, int] | None]
     sender: EngineNewsSender = field(factory=EngineNewsSender)
+    audience: Audience = field(factory=Audience)
+    _audience_at: float = float("-inf")
     _last: EngineNews | None = None
     _looks: int = 0
 
@@ -77,18 +79,20 @@
             named,
             state.pace,
         )
-        everyone = worth_telling(self._last, news) or self._looks % FAR_EVERY == 0
+        self._take_members(self.process.clock())
+        if worth_telling(self._last, news):
+            self._last = news
+            self.sender.send(news, self.audience.for_change())
+            return
+        with_far = self._looks % FAR_EVERY == 0
         self._looks += 1
-        if everyone:
+        if with_far:
             self._last = news
-        self.sender.send(news, self._addresses(everyone))
+        self.sender.send(news, self.audience.for_word(with_far))
 
-    def _addresses(self, everyone: bool) -> list[str]:
-        cfg = self.process.cfg
-        members = self.process.believer.hearsay.members.values()
-        entries = [m for m in members if m.kind == ENTRY]
-        near = [m.address for m in entries if m.region == cfg.region]
-        if not everyone:
-            return near[:MOST_TOLD]
-        far = [m.address for m in entries if m.region != cfg.region]
-        return [*near, *far][:MOST_TOLD]
+    def _take_members(self, now: float) -> None:
+        if now - self._audience_at < MEMBERS_SECONDS:
+            return
+        self._audience_at = now
+        cfg, members = self.process.cfg, self.process.believer.hearsay.members
+        self.audience.take(*audience_of(cfg.vm, cfg.region, members.values()))
--- a/packages/wasabideck_base/wasabideck_base/believer.py
+++ b/packages/wasabideck_base/wasabideck_base/believer.py
@@ -23,7 +23,7 @@
 from .deployment import Deployment
 from .events import Events
 from .hearsay import CALM_SECONDS, CUT_OFF_SECONDS, NEAR_HEARD_SECONDS, Hearsay
-from .http import PlatformRefused, PlatformUnavailable
+from .http_answers import PlatformRefused, PlatformUnavailable
 from .member_rows import MEMBERS, MalformedMember, member_of, member_row
 from .node import NodeSettings
 from .region_readers import RegionReaders
@@ -51,9 +51,12 @@
 CONFIGURED_SECONDS = 10.0
 # Leases last three heartbeats, 3.6 s: what was shorter by far let none lapse (seconds).
 OUTAGE_SECONDS = 1.0
-# Word of a server that leaves takes so long, half a second of waiting for more of it
-# included (seconds).
-HEARING_SECONDS = 0.8
+# The pause in which more changes of the servers' list come together, as a part of the
+# time in which a leaving server still serves. Where servers are added one after the
+# other every entry would else ask the store for each.
+SETTLE_PART = 0.25
+# Word of a server that leaves takes so long, beside that pause (seconds).
+HEARING_SECONDS = 0.3
 # Who declarations come from when they do not come from a peer.
 STORE = "store"
 
@@ -91,13 +94,15 @@
         """Put the watches together."""
         self.beliefs = Beliefs(self.clock())
         drain = self.cfg.bounds.drain
-        self.beliefs.backends.mass_seconds = max(0.0, drain - HEARING_SECONDS)
+        settle = SETTLE_PART * drain
+        self.beliefs.backends.mass_seconds = max(0.0, drain - settle - HEARING_SECONDS)
         self.operators = self._watch(
             self.deployment.operators, self._took_operators, self._whole_operators
         )
         self.servers = self._watch(
             self.deployment.servers, self._took_servers, self._whole_servers
         )
+        self.servers.settle = settle
         # Agents hear from entries near by what operators declare: each configuration
         # is some 40 KB, and would cross a region's thin link once for each agent.
         followed = (self.operators, self.servers) if self._is_entry else ()
@@ -171,8 +176,10 @@
                 self.events.emit("row.unreadable", why=str(exc))
                 continue
             self.hearsay.members[member.vm] = member
-        members = self.hearsay.members.values()
-        self.beliefs.entries = max(1, sum(m.kind == ENTRY for m in members))
+        entries = [m for m in self.hearsay.members.values() if m.kind == ENTRY]
+        near = sum(m.data_centre == self.me.data_centre for m in entries)
+        self.beliefs.entries = max(1, len(entries))
+        self.beliefs.near_entries = max(1, near)
 
     def _watch(self, table: str, took: Callable, whole: Callable) -> TableWatch:
         return TableWatch(
--- a/packages/wasabideck_base/wasabideck_base/table_watch.py
+++ b/packages/wasabideck_base/wasabideck_base/table_watch.py
@@ -11,7 +11,7 @@
 from wasabideck_policy.readers import COVERED_SECONDS
 
 from .events import Events
-from .http import PlatformRefused, PlatformUnavailable
+from .http_answers import PlatformRefused, PlatformUnavailable
 from .rows import Changes, HistoryLost, Row, RowStore
 
 __all__ = ["Followed", "TableWatch"]
@@ -108,6 +108,8 @@
         When the store last answered for this table, seconds.
     wait : float
         How long the store may hold an answer back, seconds.
+    settle : float
+        Pause after an answer with changes, for more of them to come, seconds.
     told_from : float
         From when on what its present answer tells may have been written, seconds.
     adopted : int
@@ -134,6 +136,7 @@
     _apart_at: float = float("-inf")
     heard_at: float = float("-inf")
     wait: float = WAIT_SECONDS
+    settle: float = SETTLE_SECONDS
     told_from: float = float("inf")
     adopted: int = -1
     first_read_unchecked: bool = False
@@ -318,7 +321,7 @@
         close = now - self._changed_at < STORM_SECONDS
         self._read_again = close and self.rereads
         self._changed_at = now
-        await asyncio.sleep(SETTLE_SECONDS)
+        await asyncio.sleep(self.settle)
 
     def _lacked(self) -> tuple[float, float]:
         """From when on the next answer's rows were written, and how long at the most.
--- a/packages/wasabideck_forward/wasabideck_forward/dispatch.py
+++ b/packages/wasabideck_forward/wasabideck_forward/dispatch.py
@@ -6,9 +6,8 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Container
 
 from attrs import define, field
 from wasabideck_policy.backends import Backend
@@ -17,7 +16,13 @@
 from wasabideck_policy.fresh_share import FreshShare
 from wasabideck_policy.late_lane import LateLane
 from wasabideck_policy.outliers import Outliers
-from wasabideck_policy.placement import Demand, Place, Urgency, choose
+from wasabideck_policy.placement import (
+    Demand,
+    Place,
+    Urgency,
+    choose,
+    choose_near,
+)
 from wasabideck_policy.retry_share import RetryShare
 
 from .crash_watch import CrashWatch
@@ -103,6 +108,8 @@
     ----------
     outliers : Outliers
         Servers that fail, which get nothing for a while.
+    kept : callable
+        Names of the servers with an idle connection.
     """
 
     beliefs: Beliefs
@@ -112,16 +119,19 @@
     rng: random.Random
     crashes: CrashWatch
     outliers: Outliers = field(factory=Outliers)
+    kept: Callable[[], Container[str]] = frozenset
     _shares: dict[str, RetryShare] = field(factory=dict)
     _fresh: dict[str, FreshShare] = field(factory=dict)
     _news: asyncio.Event = field(factory=asyncio.Event)
+    _waiting: int = 0
     _late: LateLane = field(factory=LateLane)
     _patience: dict[str, float] = field(factory=dict)
 
     def wake(self) -> None:
         """Wake requests that wait for a server: something is known anew."""
-        self._news.set()
-        self._news = asyncio.Event()
+        if self._waiting:
+            self._news.set()
+            self._news = asyncio.Event()
 
     def set_bounds(self, bounds: Bounds) -> None:
         """Take changed figures in."""
@@ -200,9 +210,17 @@
             if place.full or not soon:
                 raise self._no_place(exchange, place)
             exchange.waited = True
-            with contextlib.suppress(TimeoutError):
-                async with asyncio.timeout(back_in):
-                    await self._news.wait()
+            await self._wait_for_news(back_in)
+
+    async def _wait_for_news(self, seconds: float) -> None:
+        self._waiting += 1
+        try:
+            async with asyncio.timeout(seconds):
+                await self._news.wait()
+        except TimeoutError:
+            return
+        finally:
+            self._waiting -= 1
 
     def _has_turn(self, exchange: Exchange, place: Place, now: float) -> bool:
         """Whether a request may be sent now; late ones wait for each other."""
@@ -224,12 +242,27 @@
 
     def _choose(self, exchange: Exchange, now: float) -> Place:
         demand = self._demand(exchange, now)
+        # What has been tried, or is left out, has to be looked for among all.
+        whole = not exchange.tried and not self.outliers.any_out(now)
+        if whole and demand.model:
+            place = self._choose_near(exchange.service, demand, now)
+            if place is not None:
+                return place
         known = self.beliefs.backends.of_service(exchange.service, now)
-        sound = self.outliers.sound((b.server for b in known), now)
-        left = [
-            b for b in known if b.server in sound and b.server not in exchange.tried
-        ]
-        return choose(left, demand, now, self.rng)
+        if not whole:
+            sound = self.outliers.sound((b.server for b in known), now)
+            known = [
+                b for b in known if b.server in sound and b.server not in exchange.tried
+            ]
+        return choose(known, demand, now, self.rng)
+
+    def _choose_near(self, service: str, demand: Demand, now: float) -> Place | None:
+        near = self.beliefs.backends.near(service, self.data_centre, now)
+        if not near:
+            return None
+        names = self.kept()
+        kept = [b for b in near if b.server in names] if names else []
+        return choose_near(near, kept, demand, now, self.rng)
 
     def _demand(self, exchange: Exchange, now: float) -> Demand:
         if exchange.engine is None:
@@ -253,6 +286,7 @@
             begun=begun,
             ahead=exchange.ahead,
             entries=max(1, beliefs.entries),
+            near_entries=max(1, beliefs.near_entries),
         )
 
     def may_try_again(self, exchange: Exchange, now: float) -> bool:
--- a/packages/wasabideck_forward/wasabideck_forward/entry_process.py
+++ b/packages/wasabideck_forward/wasabideck_forward/entry_process.py
@@ -136,6 +136,7 @@
         CrashWatch(quarantine, process.events, process.events.wall),
     )
     pool = ServerPool(deployment.wire, process.clock)
+    dispatch.kept = pool.kept
     forwarder = Forwarder(pool, deployment.wire, process.events, dispatch)
     process.on_reload.append(lambda cfg: dispatch.set_bounds(_bounds(cfg)))
 
--- a/packages/wasabideck_forward/wasabideck_forward/server_pool.py
+++ b/packages/wasabideck_forward/wasabideck_forward/server_pool.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Container
 
 from attrs import define, field
 from wasabideck_policy.backends import Backend
@@ -63,11 +63,17 @@
         kept = self._idle.get(backend.server, [])
         while kept:
             conn = kept.pop()
+            if not kept:
+                del self._idle[backend.server]
             if conn.usable and _still_open(conn, idempotent, now):
                 return conn
             conn.close()
         return await self._connect(backend, CONNECT_SECONDS)
 
+    def kept(self) -> Container[str]:
+        """Servers that there are idle connections to."""
+        return self._idle.keys()
+
     def give_back(self, backend: Backend, conn: ServerConnection) -> None:
         """Keep a connection whose answer has ended, if it is good for another."""
         kept = self._idle.setdefault(backend.server, [])
--- a/packages/wasabideck_policy/wasabideck_policy/backends.py
+++ b/packages/wasabideck_policy/wasabideck_policy/backends.py
@@ -195,6 +195,11 @@
     _known: dict[str, Backend] = field(factory=dict)
     outage_ended: float = -RETURN_SECONDS
     mass_seconds: float = MASS_SECONDS
+    _at: dict[str, Backend] = field(factory=dict)
+    _of_service: dict[str, tuple[Backend, ...]] = field(factory=dict)
+    _near: dict[tuple[str, str], tuple[Backend, ...]] = field(factory=dict)
+    _indexed: bool = False
+    _held_first: float = float("inf")
 
     def __len__(self) -> int:
         return len(self._known)
@@ -207,16 +212,17 @@
         """A known server, or None."""
         return self._known.get(server)
 
-    def of_service(self, service: str, now: float) -> list[Backend]:
+    def of_service(self, service: str, now: float) -> tuple[Backend, ...]:
         """Servers of a service that may get new requests now."""
         self._drop_removed(now)
-        youngest = self._youngest()
-        return [
-            b
-            for b in self._known.values()
-            if b.listed.service == service and not b.listed.leaving
-            if not _outlived(b, youngest)
-        ]
+        self._index()
+        return self._of_service.get(service, ())
+
+    def near(self, service: str, data_centre: str, now: float) -> tuple[Backend, ...]:
+        """Those of a service in one data centre that may get new requests now."""
+        self._drop_removed(now)
+        self._index()
+        return self._near.get((service, data_centre), ())
 
     def may_get(self, server: str, now: float) -> bool:
         """Whether a server may still get new requests now."""
@@ -241,11 +247,12 @@
 
     def at(self, address: str) -> Backend | None:
         """The server at an address, the youngest one if several are listed there."""
-        found = [b for b in self._known.values() if b.listed.address == address]
-        return max(found, key=lambda b: b.listed.born, default=None)
+        self._index()
+        return self._at.get(address)
 
     def take(self, listed: Listed) -> Backend:
         """Take in one entry of the list."""
+        self._indexed = False
         known = self._known.get(listed.server)
         if known is None or known.listed.address != listed.address:
             known = self._known[listed.server] = Backend(listed)
@@ -277,6 +284,7 @@
             left together may get requests for a while from then on, and not from when
             this was heard of.
         """
+        self._indexed = False
         since = now if since is None else since
         found = [self._known[name] for name in servers if name in self._known]
         held_until = self.outage_ended + RETURN_SECONDS
@@ -288,6 +296,7 @@
                 del self._known[backend.server]
             elif not backend.held_until:
                 backend.held_until = held_until
+                self._held_first = min(self._held_first, held_until)
 
     def _is_mass(self, removed: list[Backend]) -> bool:
         """Whether so many of a service vanished at once that the list is at fault."""
@@ -297,21 +306,43 @@
             n >= MASS_LEAST and n > MASS_SHARE * sizes[name] for name, n in lost.items()
         )
 
-    def _youngest(self) -> dict[str, int]:
-        """When the youngest server at each address was born."""
-        born: dict[str, int] = {}
+    def _index(self) -> None:
+        """Sort servers by address and by service, if any of them has changed.
+
+        Each request and each word of an agent looks servers up, and at the target size
+        there are hundreds of both a second, and over a thousand servers.
+        """
+        if self._indexed:
+            return
+        self._indexed = True
+        self._at = {}
+        for b in self._known.values():
+            other = self._at.get(b.listed.address)
+            if other is None or other.listed.born < b.listed.born:
+                self._at[b.listed.address] = b
+        found: dict[str, list[Backend]] = {}
         for b in self._known.values():
-            address = b.listed.address
-            born[address] = max(born.get(address, 0), b.listed.born)
-        return born
+            if not b.listed.leaving and not _outlived(b, self._at):
+                found.setdefault(b.listed.service, []).append(b)
+        self._of_service = {name: tuple(some) for name, some in found.items()}
+        near: dict[tuple[str, str], list[Backend]] = {}
+        for name, some in found.items():
+            for b in some:
+                near.setdefault((name, b.listed.data_centre), []).append(b)
+        self._near = {place: tuple(some) for place, some in near.items()}
 
     def _drop_removed(self, now: float) -> None:
+        if now < self._held_first:
+            return
+        self._indexed = False
         for backend in list(self._known.values()):
             if backend.held_until and now >= backend.held_until:
                 del self._known[backend.server]
+        held = (b.held_until for b in self._known.values() if b.held_until)
+        self._held_first = min(held, default=float("inf"))
 
 
-def _outlived(backend: Backend, youngest: Mapping[str, int]) -> bool:
+def _outlived(backend: Backend, youngest: Mapping[str, Backend]) -> bool:
     """Whether a younger server is listed at the address.
 
     After a loss of power the entries of servers that are gone stay listed for seconds,
@@ -319,7 +350,7 @@
     them, and what it sends there comes back refused, one try spent.
     """
     born = backend.listed.born
-    return 0 < born < youngest[backend.listed.address]
+    return 0 < born < youngest[backend.listed.address].listed.born
 
 
 def _count(backends: Iterable[Backend]) -> Mapping[str, int]:
--- a/packages/wasabideck_policy/wasabideck_policy/beliefs.py
+++ b/packages/wasabideck_policy/wasabideck_policy/beliefs.py
@@ -53,6 +53,8 @@
         When the store, or a peer in its place, last answered, seconds.
     entries : int
         Entries of the deployment, this one counted.
+    near_entries : int
+        Those of them in this process's data centre.
     """
 
     began: float
@@ -62,6 +64,7 @@
     listed: bool = False
     heard_at: float = -STALE_SECONDS
     entries: int = 1
+    near_entries: int = 1
 
     @property
     def ready(self) -> bool:
--- a/packages/wasabideck_policy/wasabideck_policy/outliers.py
+++ b/packages/wasabideck_policy/wasabideck_policy/outliers.py
@@ -56,6 +56,10 @@
         record = self._records.get(vm)
         return record is not None and now < record.until
 
+    def any_out(self, now: float) -> bool:
+        """Whether any VM is left out now."""
+        return any(now < record.until for record in self._records.values())
+
     def sound(self, vms: Iterable[str], now: float) -> set[str]:
         """VMs that may be used; all of them when too many would be left out."""
         known = set(vms)
--- a/packages/wasabideck_policy/wasabideck_policy/placement.py
+++ b/packages/wasabideck_policy/wasabideck_policy/placement.py
@@ -11,7 +11,7 @@
 from .backends import MOST_SILENT_PART, Backend
 from .engine_news import EngineNews, back_in
 
-__all__ = ["Demand", "Place", "Urgency", "choose", "pressure"]
+__all__ = ["Demand", "Place", "Urgency", "choose", "choose_near", "pressure"]
 
 # Servers compared for a request. Ten entries with reports some hundred ms old would
 # all pick the one best; a few drawn at random keep them apart.
@@ -38,9 +38,14 @@
 # once: with this part of its slots taken there is no queue.
 IDLE_PART = 0.8
 # What one entry sent to a server since its agent last told counts as so many more for
-# each other entry: they heard the same word. With 20 entries and 30 engines at twice
-# their rate 0.7 did no better, and the lower one spares servers under little load.
+# each other entry, where so few servers are open that all send to the same ones: they
+# heard the same word. Where many are open, each draws others.
 HERD_PART = 0.3
+# A server near by with less than this part of its slots taken is good enough: no other
+# one would begin the request sooner.
+AT_HAND_PART = 0.75
+# Servers near by that are looked at before all are (count).
+PROBED = 6
 
 
 class Urgency:
@@ -76,6 +81,8 @@
         Whether it is among those that are sent ahead of the others.
     entries : int
         Entries that choose among the same servers.
+    near_entries : int
+        Those of them in this entry's own data centre.
     """
 
     data_centre: str
@@ -88,6 +95,7 @@
     begun: bool = False
     ahead: bool = True
     entries: int = 1
+    near_entries: int = 1
 
 
 @frozen
@@ -115,48 +123,122 @@
     back_in: float | None = None
 
 
-def pressure(backend: Backend, now: float, entries: int = 1) -> float:
+def pressure(backend: Backend, now: float, rivals: float = 0.0) -> float:
     """Requests on a server as far as this process can tell.
 
     All entries hear an agent's word at once. When most servers are full they all send
     to the one that said it is not, 52 requests in 0.2 s where 36 had room; it refused
     the rest, which had one try less, and what it took waited for seconds. So each takes
     the others to do as it does itself until the agent tells again.
+
+    Parameters
+    ----------
+    rivals : float
+        Requests that other entries send there for one of this entry.
     """
     age = max(0.0, now - backend.told_at)
-    herd = _herd(backend.sent_since, entries) - backend.sent_since
-    return backend.in_progress + (backend.others + herd) * exp(-age / FADING_SECONDS)
+    others = backend.others + backend.sent_since * rivals
+    if others <= 0:
+        return backend.in_progress
+    return backend.in_progress + others * exp(-age / FADING_SECONDS)
+
+
+def _rivals(entries: int, opened: int) -> float:
+    """Requests that others send to a server for one of this entry.
+
+    Each entry draws a few of the servers that are open. With many open ones hardly
+    another one draws the same, with few all do.
+    """
+    return (entries - 1) * min(HERD_PART, DRAWN / max(opened, 1))
 
 
-def _herd(own: int, entries: int) -> float:
-    """What all entries have sent, by what this one has."""
-    return own * (1 + (entries - 1) * HERD_PART)
+def _opened(backends: Sequence[Backend]) -> int:
+    """How many servers have places by what they told."""
+    return sum(
+        b.in_progress + b.others < b.listed.slots * OPEN_PART
+        and (b.news is None or b.news.serving)
+        for b in backends
+    )
+
+
+def choose_near(
+    near: Sequence[Backend],
+    kept: Sequence[Backend],
+    demand: Demand,
+    now: float,
+    rng: random.Random,
+) -> Place | None:
+    """A server near by that begins the request at once; None if none is at hand.
+
+    Power of a few choices: at the target size a look at all servers for each request
+    takes longer than a token, and one that is far off, over links that all share, has
+    nothing that a free one near by has not.
+
+    Parameters
+    ----------
+    near : sequence of Backend
+        Servers in the entry's own data centre.
+    kept : sequence of Backend
+        Those of them that it has an idle connection to.
+    """
+    rivals = _rivals(demand.near_entries, len(near))
+    drawn = rng.sample(kept, min(PROBED, len(kept)))
+    drawn += rng.sample(near, min(PROBED, len(near)))
+    found: list[Backend] = []
+    for backend in drawn:
+        if backend in found or not _at_hand(backend, demand, now, rivals):
+            continue
+        found.append(backend)
+        if len(found) == DRAWN:
+            break
+    if not found:
+        return None
+    best = min(found, key=lambda b: _price(b, demand, now, rivals))
+    return _placed(best, _taken(best, demand, now, rivals), demand)
+
+
+def _at_hand(backend: Backend, demand: Demand, now: float, rivals: float) -> bool:
+    if backend.full_until > now or backend.silent(now):
+        return False
+    if not _able(backend, demand, now, rivals):
+        return False
+    return _taken(backend, demand, now, rivals) < AT_HAND_PART
 
 
 def choose(
     backends: Sequence[Backend], demand: Demand, now: float, rng: random.Random
 ) -> Place:
     """The least pressed of a few servers that can run the request."""
-    able = [b for b in backends if _able(b, demand, now)]
+    rivals = _rivals(demand.entries, _opened(backends))
+    able = [b for b in backends if _able(b, demand, now, rivals)]
     if not able:
         return Place(None, back_in=_back_in(backends, demand, now))
-    able = _talking(able, now)
-    free = [b for b in able if b.full_until <= now and not _full(b, demand, now)]
+    able = _talking(_known(able, demand), now)
+    free = [
+        b for b in able if b.full_until <= now and not _full(b, demand, now, rivals)
+    ]
     if not free:
         return Place(None, full=True)
-    drawn = rng.sample(free, min(DRAWN, len(free)))
-    best = min(drawn, key=lambda b: _price(b, demand, now))
-    if demand.model and _taken(best, demand, now) >= OPEN_PART:
+
+    def price(backend: Backend) -> float:
+        return _price(backend, demand, now, rivals)
+
+    best = min(rng.sample(free, min(DRAWN, len(free))), key=price)
+    if demand.model and _taken(best, demand, now, rivals) >= OPEN_PART:
         # Another of the free ones may have a place at once.
-        best = min(free, key=lambda b: _price(b, demand, now))
-    taken = _taken(best, demand, now)
+        best = min(free, key=price)
+    return _placed(best, _taken(best, demand, now, rivals), demand)
+
+
+def _placed(backend: Backend, taken: float, demand: Demand) -> Place:
+    """The place of a request on a server with a part of its slots taken."""
     opened = taken < OPEN_PART
     in_time = taken < EAGER_PART and (demand.ahead or opened) and not demand.late
     urgent = demand.begun or in_time
-    return Place(best, Urgency.FRESH if urgent else Urgency.LATE, free=opened)
+    return Place(backend, Urgency.FRESH if urgent else Urgency.LATE, free=opened)
 
 
-def _able(backend: Backend, demand: Demand, now: float) -> bool:
+def _able(backend: Backend, demand: Demand, now: float, rivals: float) -> bool:
     if not demand.model:
         return True
     news = backend.fresh_news(now)
@@ -167,8 +249,9 @@
         return False
     if held < demand.held_version and not _attended(news, demand):
         return False
-    idle = pressure(backend, now, demand.entries) < backend.listed.slots * IDLE_PART
-    return held >= demand.soon_version or idle
+    if held >= demand.soon_version:
+        return True
+    return pressure(backend, now, rivals) < backend.listed.slots * IDLE_PART
 
 
 def _attended(news: EngineNews | None, demand: Demand) -> bool:
@@ -176,6 +259,22 @@
     return news is not None and news.named >= demand.held_version
 
 
+def _known(able: list[Backend], demand: Demand) -> list[Backend]:
+    """Without servers far off whose agents never told this entry of them.
+
+    An agent tells a few of the entries far off. What this one sees of other servers is
+    its own requests only, so that they would always look the least pressed.
+    """
+    if not demand.model:
+        return able
+    known = [
+        b
+        for b in able
+        if b.news is not None or b.listed.data_centre == demand.data_centre
+    ]
+    return known or able
+
+
 def _talking(able: list[Backend], now: float) -> list[Backend]:
     """Those that are not silent; all of them when most are, or the rest is crushed.
 
@@ -196,21 +295,22 @@
     return back_in(known, newer) if demand.model else None
 
 
-def _full(backend: Backend, demand: Demand, now: float) -> bool:
+def _full(backend: Backend, demand: Demand, now: float, rivals: float) -> bool:
     slots = backend.listed.slots
     part = FULL_PART if demand.model else PLAIN_QUEUE_PART
-    return slots > 0 and pressure(backend, now, demand.entries) >= slots * (1 + part)
+    return slots > 0 and pressure(backend, now, rivals) >= slots * (1 + part)
 
 
-def _taken(backend: Backend, demand: Demand, now: float) -> float:
+def _taken(backend: Backend, demand: Demand, now: float, rivals: float) -> float:
     """Part of its slots that is taken, prompts that it has to read first included."""
-    unread = _herd(len(backend.unread), demand.entries) if demand.model else 0.0
-    taken = pressure(backend, now, demand.entries) + UNREAD_WEIGHT * unread
+    taken = pressure(backend, now, rivals)
+    if demand.model:
+        taken += UNREAD_WEIGHT * len(backend.unread) * (1 + rivals)
     return taken / max(backend.listed.slots, 1)
 
 
-def _price(backend: Backend, demand: Demand, now: float) -> float:
-    price = _taken(backend, demand, now)
+def _price(backend: Backend, demand: Demand, now: float, rivals: float) -> float:
+    price = _taken(backend, demand, now, rivals)
     news = backend.fresh_news(now)
     if news is not None:
         price *= max(1.0, news.pace)
--- a/tests/beliefs/test_placement.py
+++ b/tests/beliefs/test_placement.py
@@ -5,7 +5,14 @@
 import pytest
 from wasabideck_policy.backends import Backend, Listed
 from wasabideck_policy.engine_news import EngineNews
-from wasabideck_policy.placement import FULL_PART, Demand, Urgency, choose
+from wasabideck_policy.placement import (
+    FULL_PART,
+    PROBED,
+    Demand,
+    Urgency,
+    choose,
+    choose_near,
+)
 
 NOW = 100.0
 DEMAND = Demand("dc", "m", 16)
@@ -205,3 +212,92 @@
     server = engine("full", 20)
     demand = Demand("dc", "m", 16, late=True, begun=True)
     assert choose([server], demand, NOW, random.Random(1)).urgency == Urgency.FRESH
+
+
+def far_engine(name, pressed):
+    backend = Backend(Listed(name, "s", f"{name}:1", "elsewhere", 16))
+    backend.hear(EngineNews(f"{name}:1", 1, True, pressed, 0, 0.0, 2), NOW)
+    return backend
+
+
+def test_a_server_far_off_that_never_told_is_not_taken_for_idle():
+    # An agent tells a part of the entries far off. To the others its server showed
+    # their own requests only: it looked idle while its engine was full.
+    untold = Backend(Listed("untold", "s", "untold:1", "elsewhere", 16))
+    untold.versions["m"] = 1
+    for seed in range(20):
+        assert place([engine("a", 14), untold], seed=seed).backend is not untold
+    # It is better than none.
+    assert place([untold]).backend is untold
+
+
+def test_with_many_open_servers_one_request_fills_none():
+    # Thirty-six entries and 136 servers: one request that had been sent to a server
+    # stood for eleven of the other entries, and made it full for this one.
+    servers = [engine(f"s-{n}", 2, slots=8) for n in range(136)]
+    for server in servers:
+        server.begin(NOW)
+    found = place(servers, Demand("dc", "m", 16, entries=36))
+    assert found.free
+    assert found.urgency == Urgency.FRESH
+
+
+def test_with_one_open_server_each_entry_sends_it_little():
+    # All other servers are full, and 36 entries hear at once that one has a place.
+    full = [engine(f"s-{n}", 12, slots=8) for n in range(9)]
+    servers = [engine("open", 4, slots=8), *full]
+    demand, sent = Demand("dc", "m", 16, entries=36), 0
+    while (found := place(servers, demand)).backend is not None and sent < 50:
+        found.backend.begin(NOW)
+        sent += 1
+    assert sent == 1
+
+
+NEAR = Demand("dc", "m", 16, entries=36, near_entries=7)
+
+
+def near_place(near, kept=(), demand=NEAR, seed=1):
+    return choose_near(near, kept, demand, NOW, random.Random(seed))
+
+
+def test_a_server_with_an_open_connection_is_taken_where_it_has_a_place():
+    # Each entry met each of 136 servers every seven seconds: three in four requests
+    # needed a new connection, and servers reset what was over their number.
+    near = [engine(f"n-{n}", 3, slots=8) for n in range(27)]
+    kept = near[4:7]
+    for seed in range(20):
+        assert near_place(near, kept, seed=seed).backend in kept
+
+
+def test_a_full_server_is_not_taken_for_its_open_connection():
+    near = [engine(f"n-{n}", 3, slots=8) for n in range(27)]
+    kept = [engine("kept", 7, slots=8)]
+    assert near_place([*near, *kept], kept).backend is not kept[0]
+
+
+def test_where_nothing_near_has_a_place_all_are_looked_at():
+    assert near_place([engine(f"n-{n}", 8, slots=8) for n in range(27)]) is None
+    assert near_place([]) is None
+
+
+def test_a_silent_or_swapping_server_near_by_is_passed_over():
+    swapping = engine("swapping", 0, serving=False)
+    refused = engine("refused", 0)
+    refused.full_until = NOW + 1.0
+    old = engine("old", 0)
+    assert near_place([swapping, refused]) is None
+    assert near_place([old], demand=Demand("dc", "m", 16, least_version=2)) is None
+
+
+def test_a_choice_near_by_looks_at_a_few_servers_whatever_their_number():
+    # Guards against a walk over all servers for each request.
+    class Counting(list):
+        looks = 0
+
+        def __getitem__(self, index):
+            self.looks += 1
+            return super().__getitem__(index)
+
+    near = Counting(engine(f"n-{n}", 3, slots=8) for n in range(1400))
+    assert near_place(near) is not None
+    assert near.looks <= PROBED
