Leave servers that send bytes without end, in a head or in an event

Cause: a head, interim answers, a late answer to another request and an event had no limit of bytes; each byte counted as a sign of life, so that a caller was kept for all of its route's time, and the process kept all bytes. Ruled out: a limit on whole bodies, which have no size that all servers keep to: they are written on as they come, and end with the route's time. Change: 256 KB before an answer's head and 64 KB of an event, then the server has failed and another one is tried where the request allows it; bytes before a whole head are no sign of life.

--- a/packages/wasabideck_forward/wasabideck_forward/delivery.py
+++ b/packages/wasabideck_forward/wasabideck_forward/delivery.py
@@ -13,7 +13,7 @@
 from wasabideck_policy.outcomes import WasabideckError
 
 from .caller_connection import CallerConnection
-from .event_stream import Event, EventSplitter
+from .event_stream import Event, EventSplitter, EventTooLong
 from .exchange import Delivered, Exchange
 from .messages import AnswerHead, header_of, passed_on
 from .server_connection import Answer, AnswerBroken, LeaveAsked
@@ -221,7 +221,7 @@
         data = await _next_bytes(exchange, answer, listening, first)
         if not data:
             break
-        events = delivered.splitter.feed(data)
+        events = _events_of(delivered.splitter, data)
         if events and first:
             _check_follows(events[0], after)
             first = False
@@ -235,6 +235,14 @@
     caller.end()
 
 
+def _events_of(splitter: EventSplitter, data: bytes) -> list[Event]:
+    """The events that are whole now; raises ``AnswerBroken`` when none will be."""
+    try:
+        return splitter.feed(data)
+    except EventTooLong as exc:
+        raise AnswerBroken(str(exc)) from exc
+
+
 async def _next_bytes(
     exchange: Exchange, answer: Answer, listening: Listening, first: bool
 ) -> bytes:
@@ -276,7 +284,7 @@
 
     Raises ``AnswerBroken`` when that is not the one that follows.
     """
-    events = EventSplitter().feed(data)
+    events = _events_of(EventSplitter(), data)
     for event in events:
         if event.event_id:
             _check_follows(event, after)
--- a/packages/wasabideck_forward/wasabideck_forward/event_stream.py
+++ b/packages/wasabideck_forward/wasabideck_forward/event_stream.py
@@ -3,10 +3,20 @@
 from __future__ import annotations
 
 from attrs import define, field, frozen
+from wasabideck_policy.outcomes import WasabideckError
 
-__all__ = ["Event", "EventSplitter"]
+__all__ = ["Event", "EventSplitter", "EventTooLong"]
 
 _ENDS = (b"\n\n", b"\r\n\r\n")
+# An event holds a few tokens. One without end would fill this process's memory, and
+# its caller would see none of it.
+MOST_EVENT_BYTES = 64 * 1024
+
+
+class EventTooLong(WasabideckError):
+    """A stream's bytes go on and on without the end of an event."""
+
+    status = 502
 
 
 @frozen
@@ -29,7 +39,7 @@
     last_id: bytes = field(default=b"")
 
     def feed(self, data: bytes) -> list[Event]:
-        """The events that are whole now."""
+        """The events that are whole now; raises ``EventTooLong``."""
         self._rest += data
         events = []
         while (end := self._end()) >= 0:
@@ -37,6 +47,8 @@
             event = Event(whole, _id_of(whole))
             self.last_id = event.event_id or self.last_id
             events.append(event)
+        if len(self._rest) > MOST_EVENT_BYTES:
+            raise EventTooLong(f"{len(self._rest)} bytes of an event without its end")
         return events
 
     @property
--- a/packages/wasabideck_forward/wasabideck_forward/server_connection.py
+++ b/packages/wasabideck_forward/wasabideck_forward/server_connection.py
@@ -21,6 +21,9 @@
 MOST_FOREIGN = 2
 # An answer's bytes that wait for a slow caller before the server is made to wait.
 MOST_WAITING_BYTES = 256 * 1024
+# Bytes that may come before an answer's head is there: its own, of interim answers, and
+# of answers to earlier requests. A server in trouble may send them without end.
+MOST_BYTES_BEFORE = 256 * 1024
 
 
 class AnswerBroken(WasabideckError):
@@ -168,6 +171,7 @@
         self._headers: list[tuple[bytes, bytes]] = []
         self._skipping = False
         self._foreign = 0
+        self._bytes_before = 0
         self._until_close = False
         self._spoilt = False
         self._idle_seconds: float | None = None
@@ -179,6 +183,7 @@
     def send(self, data: bytes, answer: Answer) -> None:
         """Send a request; its answer comes in through ``answer``."""
         self._answer = answer
+        self._bytes_before = 0
         answer.resume = self._resume_reading
         self._transport.write(data)
 
@@ -214,8 +219,8 @@
 
     def data_received(self, data: bytes) -> None:
         """Parse what came; bytes that nothing was asked for spoil the connection."""
-        self._heard(self._clock())
-        if self._answer is None:
+        answer = self._answer
+        if answer is None:
             # A second answer to the last request. It belongs to nobody, and what
             # follows it could be taken for the answer to the next request.
             self.close()
@@ -224,6 +229,14 @@
             self._parser.feed_data(data)
         except httptools.HttpParserError as exc:
             self._fail(f"no HTTP: {exc}")
+            return
+        if answer.head is not None:
+            self._heard(self._clock())
+            return
+        # No sign of life: a head that comes in drops would keep its caller waiting.
+        self._bytes_before += len(data)
+        if self._bytes_before > MOST_BYTES_BEFORE:
+            self._fail(f"over {MOST_BYTES_BEFORE} bytes and no head")
 
     def eof_received(self) -> bool:
         """Take the end for the body's end where nothing else says where it is."""
