Let a few agents a region read a version's manifest, and ask near peers for chunks

Cause: when a version is named each of 136 agents read its manifest from the origin, which takes 48 connections and sends 7.3 Mbit/s: a second of its link, and resets for two in three. Each read it again, and the list of servers, after three seconds, though a copy takes 5.2 s by the link. 64 owners of chunks asked at once. Of all known holders 64 were drawn and then those near by kept, an eighth of what a VM could fetch from. Ruled out: asking any peer for the manifest (a spoilt one would go round); the list of servers from entries (they know no more, and it is read once a transfer now). Change: five agents a region read a manifest, the others take what two of them, or one that holds it whole, say, and read it themselves after a second; it is read again only when a transfer stands still; 24 owners; holders near by are drawn from those near by.

--- a/packages/wasabideck_agent/wasabideck_agent/listed_peers.py
+++ b/packages/wasabideck_agent/wasabideck_agent/listed_peers.py
@@ -11,6 +11,9 @@
 
 __all__ = ["ListedPeers"]
 
+# Who is listed is read again after so long (seconds).
+FRESH_SECONDS = 2.0
+
 
 @define
 class ListedPeers:
@@ -24,6 +27,12 @@
     process: NodeProcess
     deployment: Deployment
     _ips: set[str] | None = None
+    _read_at: float = float("-inf")
+
+    async def refresh(self) -> None:
+        """Read, unless that was done a moment ago."""
+        if self.process.clock() - self._read_at > FRESH_SECONDS:
+            await self.read()
 
     async def read(self) -> None:
         """Read beside which VMs a server of this service is listed."""
@@ -43,6 +52,7 @@
             if listed.service == self.process.cfg.service and not listed.leaving:
                 ips.add(_ip(listed.address))
         self._ips = ips
+        self._read_at = self.process.clock()
 
     def members(self) -> list[Member]:
         """The peers as far as is known; before the first read, all of the service."""
--- a/packages/wasabideck_agent/wasabideck_agent/node_agent.py
+++ b/packages/wasabideck_agent/wasabideck_agent/node_agent.py
@@ -48,9 +48,10 @@
 ACCEPTED_SECONDS = 0.15
 # What came meanwhile is staged so often during a transfer (seconds).
 STAGE_SECONDS = 0.4
-# A transfer that lasts longer than the links need may have a spoilt manifest, whose
-# chunks nobody has: it is read again then (seconds).
+# A transfer that lasts long and stands still may have a spoilt manifest, whose chunks
+# nobody has: it is read again then (seconds).
 MANIFEST_SECONDS = 3.0
+STILL_SECONDS = 0.5
 # The origin takes few connections for a whole fleet, and each agent would keep one by
 # its reads of the manifest: those that come late are turned away, and those that are
 # open when power is lost stay taken. A read of the next piece follows sooner (seconds).
@@ -355,7 +356,7 @@
             # All of it lay staged: nobody has to be asked for anything.
             await self._verified(manifest, {})
             return True
-        await self.peers.read()
+        await self.peers.refresh()
         transfer = self._gathering = self._transfer(manifest)
         fetching = asyncio.create_task(transfer.run())
         try:
@@ -387,7 +388,8 @@
             elif not self.choice.goes_on(model, manifest, missing, newest):
                 return False
             now = self.process.clock()
-            if now - read_at > MANIFEST_SECONDS:
+            still = transfer.still_for() > STILL_SECONDS
+            if still and now - read_at > MANIFEST_SECONDS:
                 read_at = now
                 await self.peers.read()
                 if await self._reread(model, manifest):
--- a/packages/wasabideck_agent/wasabideck_agent/numbered_manifests.py
+++ b/packages/wasabideck_agent/wasabideck_agent/numbered_manifests.py
@@ -3,20 +3,41 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 from collections.abc import Callable
 
 from attrs import define, field
 from wasabideck_base.http_answers import PlatformRefused, PlatformUnavailable
 from wasabideck_base.node_process import NodeProcess
-from wasabideck_policy.manifests import Manifest, Word, likeliest, numbered_name
+from wasabideck_policy.manifests import (
+    Manifest,
+    Word,
+    agreed,
+    likeliest,
+    numbered_name,
+)
+from wasabideck_policy.membership import Member
+from wasabideck_policy.rendezvous import rank
 
 from .chunk_store import ChunkStore
 from .listed_peers import ListedPeers
 from .origin_chunks import NumberedOrigin
-from .peers_word import ask_peers
+from .peers_word import ask_all, ask_peers
 
 __all__ = ["NumberedManifests"]
 
+# Agents of a region that read a manifest from the origin, which takes few connections
+# and sends a manifest in the time of a quarter of a chunk; all others ask some of them.
+READERS = 5
+ASKED = 3
+# A reader has it after some tenths of a second (seconds). Who hears nothing after so
+# many tries reads it as well.
+PAUSE_SECONDS = 0.2
+TRIES = 4
+# Rows of members stay when a VM is gone: the list of servers tells which are there. It
+# is not waited for longer than this (seconds).
+PEERS_SECONDS = 0.5
+
 
 @define
 class NumberedManifests:
@@ -51,7 +72,15 @@
         return self._known[version]
 
     async def find(self, model: str, version: int) -> None:
-        """Read a manifest from the origin, or hear of it from peers if that fails."""
+        """Read a manifest from the origin, or hear of it from peers if that fails.
+
+        Where many agents are near by only a few of them read it, and tell the others.
+        """
+        if version not in self._known:
+            manifest = await self._told(model, version)
+            if manifest is not None:
+                self._take(version, manifest, "readers")
+                return
         try:
             manifest = await self.origin().manifest(model, version)
         except (PlatformUnavailable, PlatformRefused) as exc:
@@ -68,6 +97,33 @@
         if self.differs(version, manifest):
             self._take(version, manifest, "origin")
 
+    def _readers(self, name: str) -> list[Member]:
+        """The agents near by that read a manifest; empty if this one is among them."""
+        cfg = self.process.cfg
+        near = {m.vm: m for m in self.peers.members() if m.region == cfg.region}
+        ranked = rank(f"{name}/{cfg.region}", {*near, cfg.vm})[:READERS]
+        return [] if cfg.vm in ranked else [near[vm] for vm in ranked]
+
+    async def _told(self, model: str, version: int) -> Manifest | None:
+        """What readers near by agree on; None if there is nothing within a while."""
+        process, name = self.process, numbered_name(model, version)
+        if not self._readers(name):
+            return None
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(PEERS_SECONDS):
+                await self.peers.refresh()
+        readers = self._readers(name)
+        for _ in range(TRIES if readers else 0):
+            await asyncio.sleep(PAUSE_SECONDS * process.rng.uniform(0.7, 1.3))
+            asked = process.rng.sample(readers, min(ASKED, len(readers)))
+            words = await ask_all(
+                model, version, process.cfg.vm, asked, process.channels
+            )
+            manifest = agreed(words)
+            if manifest is not None:
+                return manifest
+        return None
+
     def differs(self, version: int, manifest: Manifest) -> bool:
         """Whether a manifest is another one than is known of its version."""
         known = self._known.get(version)
--- a/packages/wasabideck_agent/wasabideck_agent/peers_word.py
+++ b/packages/wasabideck_agent/wasabideck_agent/peers_word.py
@@ -19,7 +19,7 @@
 
 from .bitmaps import from_bitmap
 
-__all__ = ["ask_peers"]
+__all__ = ["ask_all", "ask_peers"]
 
 # Peers asked at once. A manifest of 64 chunks is 4.4 KB, so that so many answers are
 # as many bytes as one chunk. Where one peer of 41 has it, a try in seven finds it.
@@ -44,9 +44,16 @@
         The asker.
     """
     drawn = rng.sample(peers, min(ASKED, len(peers)))
+    return await ask_all(model, version, vm, drawn, channels)
+
+
+async def ask_all(
+    model: str, version: int, vm: str, peers: Sequence[Member], channels: Channels
+) -> list[Word]:
+    """The words of all these peers that have one to give."""
     # Side by side: one that is frozen would hold up the question to the others.
     words = await asyncio.gather(
-        *(_ask(model, version, vm, peer, channels) for peer in drawn)
+        *(_ask(model, version, vm, peer, channels) for peer in peers)
     )
     return [word for word in words if word is not None]
 
--- a/packages/wasabideck_agent/wasabideck_agent/transfer.py
+++ b/packages/wasabideck_agent/wasabideck_agent/transfer.py
@@ -181,6 +181,10 @@
                 origin_seconds=round(self.read_at - self.begun, 3),
             )
 
+    def still_for(self) -> float:
+        """Seconds for which no chunk has come."""
+        return self.clock() - max(self.view.fed_at, self.begun)
+
     async def _wait(self) -> None:
         """Wait for news, or for a set-back peer to be worth another try."""
         self._news.clear()
--- a/packages/wasabideck_agent/wasabideck_agent/version_choice.py
+++ b/packages/wasabideck_agent/wasabideck_agent/version_choice.py
@@ -107,8 +107,7 @@
         self, model: EngineModel, held: int, version: int, transfer: Transfer
     ) -> bool:
         """Whether the newest version stands still while an older one could go on."""
-        fed_at = max(transfer.view.fed_at, transfer.begun)
-        if transfer.clock() - fed_at < STALL_SECONDS:
+        if transfer.still_for() < STALL_SECONDS:
             return False
         if self._older(model, held, version) is None:
             return False
--- a/packages/wasabideck_policy/wasabideck_policy/distribution.py
+++ b/packages/wasabideck_policy/wasabideck_policy/distribution.py
@@ -169,10 +169,9 @@
     near = sum(view.sources.values()) - view.sources[ORIGIN] - view.far_active
     if near >= view.limits.near:
         return None
-    known = list(view.holders.values())
+    known = [p for p in view.holders.values() if p.region == view.region]
     if len(known) > WEIGHED_HOLDERS:
         known = rng.sample(known, WEIGHED_HOLDERS)
-    known = [p for p in known if p.region == view.region]
     idle = [p for p in known if view.sources[p.vm] < view.limits.a_peer]
     free = [p for p in idle if p.busy_until <= now and p.held & wanted]
     same = [p for p in free if p.data_centre == view.data_centre]
--- a/packages/wasabideck_policy/wasabideck_policy/manifests.py
+++ b/packages/wasabideck_policy/wasabideck_policy/manifests.py
@@ -17,6 +17,7 @@
     "CorruptManifest",
     "Manifest",
     "Word",
+    "agreed",
     "chunk_digest",
     "likeliest",
     "manifest_from_json",
@@ -157,6 +158,19 @@
     return next(w.manifest for w in words if w.manifest.digest == digest)
 
 
+def agreed(words: Sequence[Word]) -> Manifest | None:
+    """A manifest that one agent holds whole, or that two say; none if there is none.
+
+    A single word may have been read spoilt, and whoever takes it fetches a chunk that
+    nobody has.
+    """
+    for word in words:
+        if word.whole:
+            return word.manifest
+    counted = Counter(word.manifest.digest for word in words)
+    return next((w.manifest for w in words if counted[w.manifest.digest] > 1), None)
+
+
 def chunk_digest(data: bytes) -> str:
     """SHA-256 of a chunk's bytes, hexadecimal."""
     return hashlib.sha256(data).hexdigest()
--- a/packages/wasabideck_policy/wasabideck_policy/views.py
+++ b/packages/wasabideck_policy/wasabideck_policy/views.py
@@ -41,8 +41,9 @@
 ORIGIN = ""
 
 # Agents among which the chunks' reads from the origin are spread. Fewer would make
-# one VM's link the bottleneck of the first copies; more only cost ranking time.
-OWNER_POOL = 64
+# one VM's link the bottleneck of the first copies; more would need more connections at
+# once than an origin takes, which turns the others away.
+OWNER_POOL = 24
 # Agents of a region that bring chunks over its link, each with an equal share of it.
 GATEWAYS = 4
 # Places in rank from which a VM keeps an eye on those before it.
--- a/tests/adapter/test_manifests.py
+++ b/tests/adapter/test_manifests.py
@@ -6,6 +6,7 @@
 import pytest
 from agent_fakes import CHUNKS, FakeEngine, FakeOrigin, FakeStore, digest, new_agent
 from attrs import evolve
+from wasabideck_agent.numbered_manifests import READERS
 from wasabideck_base.http_answers import PlatformUnavailable
 from wasabideck_base.http_pool import HttpPool, PooledClient
 from wasabideck_base.inner_limits import InnerServer
@@ -16,8 +17,10 @@
     likeliest,
     manifest_to_json,
     numbered_from_json,
+    numbered_name,
 )
 from wasabideck_policy.membership import AGENT, Member
+from wasabideck_policy.rendezvous import rank
 
 
 class SpoiltOrigin(FakeOrigin):
@@ -233,3 +236,65 @@
         server.close()
 
     asyncio.run(run())
+
+
+def crowd(size):
+    """Agents of one region, all with origins of their own that count."""
+    return {f"vm-{n}": agent_of(CountingOrigin()) for n in range(size)}
+
+
+class CountingOrigin(FakeOrigin):
+    """Counts the reads of manifests."""
+
+    def __init__(self):
+        super().__init__()
+        self.manifests_read = 0
+
+    async def manifest(self, model, version):
+        self.manifests_read += 1
+        return await super().manifest(model, version)
+
+
+def read_by_all(agents):
+    """Digests of what all agents take a manifest for, each asked at once."""
+
+    async def run():
+        async with reached(**agents):
+            found = await asyncio.gather(*(know(agent) for agent in agents.values()))
+            return {manifest.digest for manifest in found}
+
+    return asyncio.run(run())
+
+
+@pytest.mark.parametrize("size", [20, 40])
+def test_a_few_agents_near_by_read_a_manifest_for_all(size):
+    # Guards against an origin of 48 connections that 136 agents ask in one moment: it
+    # turned most of them away, and sent two thirds of a copy as manifests.
+    agents = crowd(size)
+    assert len(read_by_all(agents)) == 1
+    read = sum(origin_of(agent).manifests_read for agent in agents.values())
+    assert read == READERS
+
+
+def test_a_manifest_that_one_reader_read_spoilt_is_not_taken_from_it_alone():
+    agents = crowd(12)
+    ranked = rank(f"{numbered_name('m', 1)}/r", agents)[:READERS]
+    agents[ranked[0]].deployment.open_origin = lambda *_: SpoiltOrigin()
+    found = read_by_all(agents)
+    others = [a for name, a in agents.items() if name != ranked[0]]
+    assert len(found) == 2
+    assert len({a.manifests.known(1).digest for a in others}) == 1
+
+
+def test_readers_that_are_gone_hold_nobody_up_for_long():
+    agents = crowd(12)
+    ranked = rank(f"{numbered_name('m', 1)}/r", agents)[:READERS]
+
+    async def run():
+        async with reached(**agents):
+            late = next(a for name, a in agents.items() if name not in ranked)
+            async with asyncio.timeout(3):
+                await know(late)
+            assert origin_of(late).manifests_read == 1
+
+    asyncio.run(run())
--- /dev/null
+++ b/tests/weights/test_large_rollout.py
@@ -0,0 +1,44 @@
+"""A rollout among hundreds of VMs in several regions."""
+
+import random
+
+from wasabideck_policy.distribution import next_fetch
+from wasabideck_policy.membership import AGENT, Member
+from wasabideck_policy.views import View, hear, set_members
+
+CHUNKS = 96
+REGIONS = 5
+ORIGIN_CONNECTIONS = 48
+
+
+def view_of(vm, vms):
+    regions = [f"r{n % REGIONS}" for n in range(vms)]
+    members = [Member(f"vm-{n}", AGENT, "", r, "dc") for n, r in enumerate(regions)]
+    region = next(m.region for m in members if m.vm == vm)
+    view = View(vm, [f"d-{n}" for n in range(CHUNKS)], 0.0, region, "dc")
+    set_members(view, "m", members)
+    return view
+
+
+def test_the_one_holder_near_by_is_found_among_hundreds_far_off():
+    # Guards against a VM that fetches nothing for a while since those that it weighs
+    # are drawn from all regions, and hardly any is of its own.
+    for seed in range(20):
+        view = view_of("vm-0", 400)
+        for n in range(1, 400):
+            if n % REGIONS:
+                hear(view, f"vm-{n}", 1, 1.0)
+        hear(view, "vm-5", 1 << 3, 1.0)
+        view.progress_at = 1.0
+        fetch = next_fetch(view, 1.0, random.Random(seed))
+        assert (fetch.index, fetch.source) == (3, "vm-5")
+
+
+def test_all_who_read_from_the_origin_at_once_fit_into_its_connections():
+    # Guards against an origin that resets connections over its number: those who own
+    # its chunks lose a try, and a rollout of hundreds its first second.
+    readers = 0
+    for n in range(400):
+        fetch = next_fetch(view_of(f"vm-{n}", 400), 2.0, random.Random(n))
+        readers += fetch is not None and not fetch.source
+    assert 0 < readers <= ORIGIN_CONNECTIONS / 2
