Move chunks between agents by plain HTTP in place of HTTP/2

Ruled out: a larger window for HTTP/2 (streams' events wait behind what is under way); one answer a chunk with small socket buffers (nothing bounds what a link's queue holds). Change: a chunk is asked for in parts of 4 KB, one after the other, over kept connections, with the inner protocol's messages; so are holdings. A transfer is given its calls, and the product's own interface keeps those by gRPC.

--- a/packages/wasabideck_agent/wasabideck_agent/agent.py
+++ b/packages/wasabideck_agent/wasabideck_agent/agent.py
@@ -25,6 +25,7 @@
 from .load import LoadReader
 from .manifest_reader import ManifestReader
 from .orders import Orders
+from .peer_calls import grpc_calls
 from .runs import Runner
 from .transfer import Transfer
 
@@ -102,7 +103,7 @@
             self.store,
             self.chunks,
             self.platform.origin,
-            self.channels,
+            grpc_calls(self.channels),
             self.links,
             self.events,
             self.peers,
--- a/packages/wasabideck_agent/wasabideck_agent/chunks_service.py
+++ b/packages/wasabideck_agent/wasabideck_agent/chunks_service.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import time
 from collections import Counter
 from collections.abc import Callable
 
@@ -20,6 +21,9 @@
 PART_BYTES = 256 * 1024
 # A VM sends about as much as it receives; those who find nobody else go beyond.
 SHARE = 1.05
+# An upload whose asker has not come for its next part for so long is given up, as the
+# asker is gone or has the chunk from elsewhere (seconds).
+ABANDONED_SECONDS = 1.0
 
 Listener = Callable[[str, int], None]
 
@@ -48,12 +52,17 @@
     listeners: dict[str, Listener] = field(factory=dict)
     numbered: Callable[[str], Manifest | None] = lambda name: None
     uploads: int = 0
+    clock: Callable[[], float] = time.monotonic
+    _parts_at: dict[tuple[str, str, int], float] = field(factory=dict)
 
     async def Holdings(
         self, stream: Stream[pb.HoldingsRequest, pb.HoldingsReply]
     ) -> None:
         """Which chunks of a manifest are here, and which are being read."""
-        req = await stream.recv_message()
+        await stream.send_message(self.holdings(await stream.recv_message()))
+
+    def holdings(self, req: pb.HoldingsRequest) -> pb.HoldingsReply:
+        """Which chunks of a manifest are here, and the manifest if it is wanted."""
         self._hear(req)
         known = self.store.manifest(req.manifest) or self.numbered(req.manifest)
         digest = known.digest if known else req.manifest
@@ -65,7 +74,7 @@
         )
         if req.want_manifest and known:
             reply.manifest_json = manifest_to_json(known)
-        await stream.send_message(reply)
+        return reply
 
     async def Fetch(self, stream: Stream[pb.FetchRequest, pb.FetchPart]) -> None:
         """Send one chunk in parts, or refuse at once."""
@@ -73,12 +82,7 @@
         self._hear(req)
         data = self._chunk(req)
         if data is None or self._declines(req):
-            refusal = pb.FetchPart(
-                refused=True,
-                holdings=self._bitmap(req.manifest),
-                sent=self.sent[req.manifest],
-            )
-            await stream.send_message(refusal)
+            await stream.send_message(self._refusal(req))
             return
         self.uploads += 1
         self.sent[req.manifest] += 1
@@ -87,6 +91,46 @@
         finally:
             self.uploads -= 1
 
+    def part(self, req: pb.FetchRequest, begin: int, size: int) -> pb.FetchPart:
+        """One part of a chunk, or a refusal; for who asks for one after the other.
+
+        An upload takes a place from its first part to its last one, or until its asker
+        has not come back for a while.
+        """
+        now = self.clock()
+        asked = (req.vm, req.manifest, req.index)
+        for other, at in list(self._parts_at.items()):
+            if now - at > ABANDONED_SECONDS:
+                self._end_upload(other)
+        data = self._chunk(req)
+        if begin == 0:
+            self._hear(req)
+        if data is None or not 0 <= begin < max(len(data), 1):
+            return self._refusal(req)
+        if asked not in self._parts_at:
+            if self._declines(req):
+                return self._refusal(req)
+            self.uploads += 1
+            self.sent[req.manifest] += begin == 0
+        self._parts_at[asked] = now
+        part = pb.FetchPart(data=data[begin : begin + size])
+        if begin + size >= len(data):
+            self._end_upload(asked)
+            part.holdings = self._bitmap(req.manifest)
+            part.sent = self.sent[req.manifest]
+        return part
+
+    def _end_upload(self, asked: tuple[str, str, int]) -> None:
+        del self._parts_at[asked]
+        self.uploads -= 1
+
+    def _refusal(self, req: pb.FetchRequest) -> pb.FetchPart:
+        return pb.FetchPart(
+            refused=True,
+            holdings=self._bitmap(req.manifest),
+            sent=self.sent[req.manifest],
+        )
+
     async def _send(self, stream: Stream, manifest: str, data: bytes) -> None:
         for begin in range(0, len(data), PART_BYTES):
             part = pb.FetchPart(data=data[begin : begin + PART_BYTES])
--- a/packages/wasabideck_agent/wasabideck_agent/node_agent.py
+++ b/packages/wasabideck_agent/wasabideck_agent/node_agent.py
@@ -22,6 +22,7 @@
 from wasabideck_policy.superseding import OVERHEAD
 from wasabideck_policy.waves import DRAIN_SECONDS, wave_delay
 
+from .chunk_http import http_calls, listen_for_chunks, port_of_chunks
 from .chunk_store import ChunkStore
 from .chunks_service import ChunksService
 from .deliveries_log import DeliveriesLog
@@ -31,6 +32,7 @@
 from .news_loop import NewsLoop
 from .numbered_manifests import NumberedManifests
 from .origin_chunks import NumberedOrigin, OriginChunks
+from .peer_calls import PeerCalls
 from .retirement import Retirement
 from .staging import Engine, Staging, held_version
 from .transfer import Transfer
@@ -56,6 +58,8 @@
 # its reads of the manifest: those that come late are turned away, and those that are
 # open when power is lost stay taken. A read of the next piece follows sooner (seconds).
 ORIGIN_IDLE_SECONDS = 1.0
+# Connections to peers are kept for the next chunk of the same transfer (seconds).
+PEER_IDLE_SECONDS = 3.0
 # Weights of the first version lie with the servers of a new deployment, and nobody
 # names it.
 FIRST_VERSION = 1
@@ -99,7 +103,10 @@
     async with (
         node_process(cfg, AGENT, deployment, lambda p: (chunks,)) as process,
         HttpPool(ORIGIN_IDLE_SECONDS) as to_origin,
+        HttpPool(PEER_IDLE_SECONDS) as to_peers,
     ):
+        port = port_of_chunks(cfg.inner_port)
+        giving = await listen_for_chunks(chunks, cfg.ip, port)
         engine = deployment.open_engine(process.pool, cfg.server_address)
         agent = NodeAgent(
             process,
@@ -112,6 +119,7 @@
             _book(process),
             ListedPeers(process, deployment),
             to_origin,
+            http_calls(to_peers),
         )
         process.believer.on_version = lambda model, number: agent.news.set()
         news = NewsLoop(process, engine, agent.describe)
@@ -124,6 +132,7 @@
             leaving = asyncio.create_task(agent.retirement.leave(grace))
             running.add(leaving)
             await asyncio.wait(running, return_when=asyncio.FIRST_COMPLETED)
+        giving.close()
         for task in (*running, stopping):
             task.cancel()
         for task in running:
@@ -144,6 +153,8 @@
     ----------
     to_origin : HttpPool
         Connections to the origin, which are let go when they idle.
+    calls : PeerCalls
+        How other agents are asked for chunks.
     news : Event
         Set when a version was named.
     tell : callable
@@ -166,6 +177,7 @@
     deliveries: DeliveryBook
     peers: ListedPeers
     to_origin: HttpPool
+    calls: PeerCalls
     news: asyncio.Event = field(factory=asyncio.Event)
     tell: Callable[[EngineState], None] = lambda state: None
     manifests: NumberedManifests = field(init=False)
@@ -521,7 +533,7 @@
             self.store,
             self.chunks,
             OriginChunks(self._origin(), manifest),
-            self.process.channels,
+            self.calls,
             self.links,
             self.process.events,
             self.peers.members,
--- /dev/null
+++ b/packages/wasabideck_agent/wasabideck_agent/peer_calls.py
@@ -0,0 +1,51 @@
+"""How a transfer asks its peers: by what they hold, and for chunks."""
+
+from __future__ import annotations
+
+from collections.abc import AsyncIterator, Awaitable, Callable
+
+from attrs import frozen
+from wasabideck_base.channels import Channels
+from wasabideck_wire import inner_pb2 as pb
+from wasabideck_wire.inner_grpc import ChunksStub
+
+__all__ = ["PeerCalls", "grpc_calls"]
+
+
+@frozen
+class PeerCalls:
+    """Calls of other agents; each raises one of ``LINK_FAILURES`` when it fails.
+
+    Attributes
+    ----------
+    fetch : callable
+        Given an address, a request and seconds, the parts of a chunk as they come.
+    holdings : callable
+        Given an address, a request and seconds, what the agent there holds.
+    drop : callable
+        Given an address, closes connections that may be silent.
+    """
+
+    fetch: Callable[[str, pb.FetchRequest, float], AsyncIterator[pb.FetchPart]]
+    holdings: Callable[[str, pb.HoldingsRequest, float], Awaitable[pb.HoldingsReply]]
+    drop: Callable[[str], None]
+
+
+def grpc_calls(channels: Channels) -> PeerCalls:
+    """Calls over the inner protocol's channels."""
+
+    async def fetch(
+        address: str, req: pb.FetchRequest, seconds: float
+    ) -> AsyncIterator[pb.FetchPart]:
+        stub = ChunksStub(channels.get(address))
+        async with stub.Fetch.open(timeout=seconds) as stream:
+            await stream.send_message(req, end=True)
+            async for part in stream:
+                yield part
+
+    async def holdings(
+        address: str, req: pb.HoldingsRequest, seconds: float
+    ) -> pb.HoldingsReply:
+        return await ChunksStub(channels.get(address)).Holdings(req, timeout=seconds)
+
+    return PeerCalls(fetch, holdings, channels.drop)
--- a/packages/wasabideck_agent/wasabideck_agent/transfer.py
+++ b/packages/wasabideck_agent/wasabideck_agent/transfer.py
@@ -11,7 +11,7 @@
 from typing import TYPE_CHECKING
 
 from attrs import define, field
-from wasabideck_base.channels import LINK_FAILURES, Channels
+from wasabideck_base.channels import LINK_FAILURES
 from wasabideck_base.events import Events
 from wasabideck_base.http_answers import PlatformRefused, PlatformUnavailable
 from wasabideck_base.weights_settings import WeightsSettings
@@ -37,12 +37,12 @@
     set_members,
 )
 from wasabideck_wire import inner_pb2 as pb
-from wasabideck_wire.inner_grpc import ChunksStub
 
 from .bitmaps import from_bitmap, to_bitmap
 from .chunk_store import ChunkStore
 from .chunks_service import ChunksService
 from .links import Links
+from .peer_calls import PeerCalls
 
 if TYPE_CHECKING:
     # Its client library is a fifth of an agent's start, and not used on every platform.
@@ -109,7 +109,7 @@
     store: ChunkStore
     service: ChunksService
     origin: Origin
-    channels: Channels
+    calls: PeerCalls
     links: Links
     events: Events
     peers_of: Callable[[], list[Member]]
@@ -266,8 +266,7 @@
         return data
 
     async def _read_peer(self, fetch: Fetch) -> bytes:
-        stub = ChunksStub(self.channels.get(self._address(fetch.source)))
-        view = self.view
+        address, view = self._address(fetch.source), self.view
         starving = self.clock() - view.fed_at > STARVING_SLOTS * view.limits.slot
         req = pb.FetchRequest(
             manifest=self._digest,
@@ -278,9 +277,8 @@
         )
         limit = max(FETCH_SLOTS * view.limits.slot, FETCH_FLOOR_SECONDS)
         parts: list[bytes] = []
-        async with stub.Fetch.open(timeout=limit) as stream:
-            await stream.send_message(req, end=True)
-            async for part in stream:
+        async with contextlib.aclosing(self.calls.fetch(address, req, limit)) as coming:
+            async for part in coming:
                 if part.holdings or part.refused:
                     self._heard(fetch.source, from_bitmap(part.holdings), part.sent)
                 if part.refused:
@@ -317,12 +315,12 @@
 
     async def _ask(self, vm: str) -> None:
         self.asks += 1
-        stub = ChunksStub(self.channels.get(self._address(vm)))
+        address = self._address(vm)
         req = pb.HoldingsRequest(
             manifest=self._digest, vm=self.me.vm, have=to_bitmap(self.view.held)
         )
         try:
-            reply = await stub.Holdings(req, timeout=self.cfg.call_seconds)
+            reply = await self.calls.holdings(address, req, self.cfg.call_seconds)
         except LINK_FAILURES:
             # Behind a full link words are late, too. While parts of chunks come, the
             # peer lives, and closing the connection would throw them away.
@@ -364,4 +362,4 @@
         """Take a peer for lost, and the connection to it for silent."""
         lose(self.view, vm, self.clock())
         if address := self._addresses.get(vm):
-            self.channels.drop(address)
+            self.calls.drop(address)
--- a/packages/wasabideck_base/wasabideck_base/http_pool.py
+++ b/packages/wasabideck_base/wasabideck_base/http_pool.py
@@ -280,6 +280,11 @@
         else:
             self.drop(conn)
 
+    def drop_idle(self, address: str) -> None:
+        """Close the idle connections to an address, which may be silent."""
+        for conn in list(self._idle.pop(address, [])):
+            self.drop(conn)
+
     def drop(self, conn: _Connection) -> None:
         """Close a connection."""
         conn.close()
--- a/tests/adapter/agent_fakes.py
+++ b/tests/adapter/agent_fakes.py
@@ -13,6 +13,7 @@
 from wasabideck_agent.links import Link, Links
 from wasabideck_agent.listed_peers import ListedPeers
 from wasabideck_agent.node_agent import NodeAgent
+from wasabideck_agent.peer_calls import grpc_calls
 from wasabideck_agent.staging import Staging
 from wasabideck_base.channels import Channels
 from wasabideck_base.events import Clock, Events
@@ -190,6 +191,7 @@
         DeliveryBook("vm", "s", DeliveriesLog(rows), events),
         ListedPeers(process, deployment),
         None,
+        grpc_calls(process.channels),
     )
     process.time = clock
     made.staging.boot_clock = lambda: clock[0]
--- /dev/null
+++ b/tests/weights/test_chunk_http.py
@@ -0,0 +1,193 @@
+"""Chunks between agents over plain HTTP."""
+
+import asyncio
+import base64
+import random
+from contextlib import AsyncExitStack, asynccontextmanager
+
+import pytest
+from driver import manifest_of
+from wasabideck_agent.chunk_http import (
+    MOST_QUESTION_BYTES,
+    PART_BYTES,
+    http_calls,
+    listen_for_chunks,
+    port_of_chunks,
+)
+from wasabideck_agent.chunk_store import ChunkStore
+from wasabideck_agent.chunks_service import ABANDONED_SECONDS, ChunksService
+from wasabideck_agent.links import Link, Links
+from wasabideck_agent.transfer import Transfer
+from wasabideck_base.channels import LINK_FAILURES
+from wasabideck_base.events import open_events
+from wasabideck_base.http_answers import PlatformUnavailable
+from wasabideck_base.http_pool import HttpPool
+from wasabideck_base.weights_settings import WeightsSettings
+from wasabideck_policy.membership import AGENT, Member
+from wasabideck_wire import inner_pb2 as pb
+
+SIZE = 3 * PART_BYTES + 100
+TEXTS = [f"{n:04d}" * (SIZE // 4) for n in range(8)]
+MANIFEST = manifest_of("v1", TEXTS)
+
+
+def store_of(*indices):
+    store = ChunkStore()
+    store.know(MANIFEST)
+    for index in indices:
+        store.add(MANIFEST.chunks[index], TEXTS[index].encode(), "")
+    return store
+
+
+def service_of(store, uploads=3):
+    return ChunksService(store, Links(Link(), Link(), Link()), uploads)
+
+
+@asynccontextmanager
+async def listening(service):
+    """An agent that gives chunks: the address that its row of members has."""
+    server = await listen_for_chunks(service, "127.0.0.1", 0)
+    port = server.sockets[0].getsockname()[1]
+    try:
+        yield f"127.0.0.1:{port - port_of_chunks(0)}"
+    finally:
+        server.close()
+
+
+def request(index=0, vm="b"):
+    return pb.FetchRequest(manifest=MANIFEST.digest, index=index, vm=vm)
+
+
+async def fetched(calls, address, req):
+    return [part async for part in calls.fetch(address, req, 3.0)]
+
+
+def test_a_chunk_comes_in_small_parts_and_with_what_its_sender_holds():
+    service = service_of(store_of(0, 2))
+
+    async def run():
+        async with listening(service) as address, HttpPool() as pool:
+            return await fetched(http_calls(pool), address, request(2))
+
+    parts = asyncio.run(run())
+    assert b"".join(part.data for part in parts) == TEXTS[2].encode()
+    assert max(len(part.data) for part in parts) == PART_BYTES
+    assert [part.holdings for part in parts[:-1]] == [b""] * (len(parts) - 1)
+    assert parts[-1].holdings == b"\x05"
+    assert (service.uploads, service.sent[MANIFEST.digest]) == (0, 1)
+
+
+def test_what_is_not_held_is_refused_with_what_is():
+    async def run():
+        async with listening(service_of(store_of(1))) as address, HttpPool() as pool:
+            return await fetched(http_calls(pool), address, request(0))
+
+    (part,) = asyncio.run(run())
+    assert part.refused
+    assert part.holdings == b"\x02"
+
+
+def test_an_upload_keeps_its_place_until_its_last_part():
+    # Guards against a sender that takes on more than its link carries.
+    service = service_of(store_of(0, 1), uploads=1)
+    service.clock = lambda: 10.0
+    assert not service.part(request(0, "b"), 0, PART_BYTES).refused
+    assert service.part(request(1, "c"), 0, PART_BYTES).refused
+    for begin in range(PART_BYTES, SIZE, PART_BYTES):
+        assert not service.part(request(0, "b"), begin, PART_BYTES).refused
+    assert not service.part(request(1, "c"), 0, PART_BYTES).refused
+
+
+def test_an_upload_whose_asker_is_gone_gives_its_place_back():
+    # Guards against agents that are killed in the middle of a rollout, and whose
+    # peers would send to nobody any more.
+    service, now = service_of(store_of(0, 1), uploads=1), [10.0]
+    service.clock = lambda: now[0]
+    service.part(request(0, "gone"), 0, PART_BYTES)
+    now[0] += ABANDONED_SECONDS + 0.1
+    assert not service.part(request(1, "c"), 0, PART_BYTES).refused
+    assert service.uploads == 1
+
+
+@pytest.mark.parametrize(
+    "question",
+    [
+        b"GET /chunk/!!/0 HTTP/1.1\r\n\r\n",
+        b"GET /chunk/%s/x HTTP/1.1\r\n\r\n" % base64.b64encode(b"\xff\xff"),
+        b"GET /else HTTP/1.1\r\n\r\n",
+        b"no http at all\r\n\r\n",
+        b"GET /" + b"x" * 2 * MOST_QUESTION_BYTES + b" HTTP/1.1\r\n\r\n",
+        b"GET / HTTP/1.1\r\n" + b"X: y\r\n" * MOST_QUESTION_BYTES + b"\r\n",
+    ],
+    ids=["base64", "begin", "path", "http", "long-path", "long-head"],
+)
+def test_what_is_no_question_is_answered_so_or_not_at_all(question):
+    async def run():
+        async with listening(service_of(store_of(0))) as address:
+            host, _, port = address.rpartition(":")
+            reader, writer = await asyncio.open_connection(
+                host, port_of_chunks(int(port))
+            )
+            writer.write(question)
+            try:
+                return await reader.read(200)
+            except ConnectionError:
+                return b""
+            finally:
+                writer.close()
+
+    answer = asyncio.run(asyncio.wait_for(run(), 5))
+    assert answer == b"" or answer.startswith(b"HTTP/1.1 400")
+
+
+def test_a_peer_that_is_gone_is_a_failed_link():
+    async def run():
+        async with HttpPool() as pool:
+            with pytest.raises(LINK_FAILURES):
+                await fetched(http_calls(pool), "127.0.0.1:1", request())
+            with pytest.raises(LINK_FAILURES):
+                req = pb.HoldingsRequest(manifest=MANIFEST.digest)
+                await http_calls(pool).holdings("127.0.0.1:1", req, 1.0)
+
+    asyncio.run(run())
+
+
+class NoOrigin:
+    async def chunk(self, digest, vm):
+        raise PlatformUnavailable("origin", "down", False)
+
+
+def test_a_rollout_among_peers_ends_with_all_chunks_everywhere():
+    stores = {f"vm-{n}": store_of(*range(n * 2, n * 2 + 2)) for n in range(4)}
+
+    async def run():
+        async with AsyncExitStack() as stack:
+            services = {vm: service_of(store, 2) for vm, store in stores.items()}
+            members = [
+                Member(vm, AGENT, await stack.enter_async_context(listening(service)))
+                for vm, service in services.items()
+            ]
+            transfers = []
+            for vm, service in services.items():
+                pool = await stack.enter_async_context(HttpPool())
+                events, _ = open_events(vm, "/dev/null")
+                transfers.append(
+                    Transfer(
+                        Member(vm, AGENT, ""),
+                        MANIFEST,
+                        stores[vm],
+                        service,
+                        NoOrigin(),
+                        http_calls(pool),
+                        Links(Link(), Link(), Link()),
+                        events,
+                        lambda vm=vm: [m for m in members if m.vm != vm],
+                        WeightsSettings(link_rate=1e6),
+                        random.Random(vm),
+                    )
+                )
+            async with asyncio.timeout(20):
+                await asyncio.gather(*(transfer.run() for transfer in transfers))
+
+    asyncio.run(run())
+    assert all(store.whole(MANIFEST) for store in stores.values())
--- a/tests/weights/test_transfer.py
+++ b/tests/weights/test_transfer.py
@@ -13,6 +13,7 @@
 from wasabideck_agent.chunks_service import ChunksService
 from wasabideck_agent.links import Link, Links
 from wasabideck_agent.manifest_reader import ManifestReader
+from wasabideck_agent.peer_calls import grpc_calls
 from wasabideck_agent.transfer import Transfer
 from wasabideck_base.channels import Channels
 from wasabideck_base.events import Clock, Events
@@ -106,7 +107,7 @@
         await server.wait_closed()
 
 
-def transfer_from(members, origin, events):
+def transfer_from(members, origin, events, channels):
     store = ChunkStore()
     store.know(MANIFEST)
     links = Links(Link(), Link(), Link())
@@ -116,7 +117,7 @@
         store,
         ChunksService(store, links, 3),
         origin,
-        Channels(events.clock),
+        grpc_calls(channels),
         links,
         events,
         lambda: members,
@@ -129,9 +130,11 @@
     # An engine answers rubbish after a rollout in which one VM's memory was bad.
     async def body():
         async with serving("bad", CorruptingService) as bad, serving("good") as good:
-            transfer = transfer_from([bad, good], FakeOrigin(down=True), events)
+            channels = Channels(events.clock)
+            origin = FakeOrigin(down=True)
+            transfer = transfer_from([bad, good], origin, events, channels)
             await asyncio.wait_for(transfer.run(), 20)
-            transfer.channels.close()
+            channels.close()
             return transfer
 
     transfer = asyncio.run(body())
@@ -144,13 +147,14 @@
     async def body():
         async with serving("b", texts=TEXTS[:3]) as half:
             origin = FakeOrigin(down=True)
-            transfer = transfer_from([half], origin, events)
+            channels = Channels(events.clock)
+            transfer = transfer_from([half], origin, events, channels)
             running = asyncio.create_task(transfer.run())
             while transfer.store.held(MANIFEST).bit_count() < 3:
                 await asyncio.sleep(0)
             running.cancel()
             await asyncio.wait({running})
-            transfer.channels.close()
+            channels.close()
             left = asyncio.all_tasks() - {asyncio.current_task()}
             names = {task.get_coro().__qualname__ for task in left}
             return transfer, names
@@ -208,14 +212,15 @@
     async def body():
         async with serving("b", texts=(), with_store=True) as (member, store):
             origin = StalledOrigin()
-            transfer = transfer_from([member], origin, events)
+            channels = Channels(events.clock)
+            transfer = transfer_from([member], origin, events, channels)
             running = asyncio.create_task(transfer.run())
             while not origin.reads:
                 await asyncio.sleep(0)
             for digest, text in zip(MANIFEST.chunks, TEXTS, strict=True):
                 store.add(digest, text.encode(), "")
             await asyncio.wait_for(running, 20)
-            transfer.channels.close()
+            channels.close()
             return transfer
 
     transfer = asyncio.run(body())
@@ -227,7 +232,8 @@
     # Guards against chunks begun anew over a full link since a question was late there.
     async def body():
         async with serving("b", SlowService, texts=TEXTS[:3]) as half:
-            transfer = transfer_from([half], FakeOrigin(down=True), events)
+            channels = Channels(events.clock)
+            transfer = transfer_from([half], FakeOrigin(down=True), events, channels)
             transfer.cfg = WeightsSettings(call_seconds=0.3)
             running = asyncio.create_task(transfer.run())
             async with asyncio.timeout(10):
@@ -235,7 +241,7 @@
                     await asyncio.sleep(0.01)
             running.cancel()
             await asyncio.wait({running})
-            transfer.channels.close()
+            channels.close()
 
     asyncio.run(body())
     assert SlowService.fetched == 3
