Ask for the later parts of a chunk in a few bytes

Cause: each part of 4 KB was asked for with the whole first question, some 290 bytes with heads, 7 in 100 of what an agent's link carries the other way. Change: later parts name the asker, the chunk and where they begin; an upload is known by those, and one that was given up is refused.

--- a/packages/wasabideck_agent/wasabideck_agent/chunk_http.py
+++ b/packages/wasabideck_agent/wasabideck_agent/chunk_http.py
@@ -47,9 +47,12 @@
     ) -> AsyncIterator[pb.FetchPart]:
         loop = asyncio.get_running_loop()
         until = loop.time() + seconds
-        question, begin = _quoted(req), 0
+        begin = 0
         while True:
-            path = f"/chunk/{question}/{begin}"
+            path = f"/chunk/{_quoted(req)}"
+            if begin:
+                # Short, as it goes over the link that carries chunks to others.
+                path = f"/more/{req.vm}/{req.index}/{begin}"
             data = await _call(pool, address, path, until - loop.time())
             part = _message(pb.FetchPart, data)
             yield part
@@ -147,13 +150,15 @@
 
 def _answer(service: ChunksService, url: bytes) -> Message | None:
     """The message that a question is answered with; None if it is none."""
-    kind, _, rest = url.removeprefix(b"/").partition(b"/")
-    question, _, begin = rest.partition(b"/")
+    kind, *rest = url.removeprefix(b"/").split(b"/")
     try:
+        if kind == b"more":
+            vm, index, begin = rest
+            return service.next_part(vm.decode(), int(index), int(begin), PART_BYTES)
+        (question,) = rest
         data = base64.b64decode(question, b"-_", validate=True)
         if kind == b"chunk":
-            req = pb.FetchRequest.FromString(data)
-            return service.part(req, int(begin), PART_BYTES)
+            return service.first_part(pb.FetchRequest.FromString(data), PART_BYTES)
         if kind == b"holdings":
             return service.holdings(pb.HoldingsRequest.FromString(data))
     except (binascii.Error, DecodeError, ValueError):
--- a/packages/wasabideck_agent/wasabideck_agent/chunks_service.py
+++ b/packages/wasabideck_agent/wasabideck_agent/chunks_service.py
@@ -28,6 +28,15 @@
 Listener = Callable[[str, int], None]
 
 
+@define
+class _Upload:
+    """A chunk that a peer fetches part by part."""
+
+    manifest: str
+    data: bytes
+    asked_at: float
+
+
 @define
 class ChunksService(ChunksBase):
     """Answers what is held here, and uploads it, a few chunks at a time.
@@ -53,7 +62,7 @@
     numbered: Callable[[str], Manifest | None] = lambda name: None
     uploads: int = 0
     clock: Callable[[], float] = time.monotonic
-    _parts_at: dict[tuple[str, str, int], float] = field(factory=dict)
+    _begun: dict[tuple[str, int], _Upload] = field(factory=dict)
 
     async def Holdings(
         self, stream: Stream[pb.HoldingsRequest, pb.HoldingsReply]
@@ -91,37 +100,46 @@
         finally:
             self.uploads -= 1
 
-    def part(self, req: pb.FetchRequest, begin: int, size: int) -> pb.FetchPart:
-        """One part of a chunk, or a refusal; for who asks for one after the other.
+    def first_part(self, req: pb.FetchRequest, size: int) -> pb.FetchPart:
+        """The first part of a chunk, or a refusal; ``next_part`` gives the others.
 
         An upload takes a place from its first part to its last one, or until its asker
         has not come back for a while.
         """
-        now = self.clock()
-        asked = (req.vm, req.manifest, req.index)
-        for other, at in list(self._parts_at.items()):
-            if now - at > ABANDONED_SECONDS:
-                self._end_upload(other)
+        self._give_up_uploads(self.clock())
+        self._hear(req)
+        asked = req.vm, req.index
+        if asked in self._begun:
+            # Asked for anew: its former answer is lost.
+            self._end_upload(asked)
         data = self._chunk(req)
-        if begin == 0:
-            self._hear(req)
-        if data is None or not 0 <= begin < max(len(data), 1):
+        if not data or self._declines(req):
             return self._refusal(req)
-        if asked not in self._parts_at:
-            if self._declines(req):
-                return self._refusal(req)
-            self.uploads += 1
-            self.sent[req.manifest] += begin == 0
-        self._parts_at[asked] = now
-        part = pb.FetchPart(data=data[begin : begin + size])
-        if begin + size >= len(data):
-            self._end_upload(asked)
-            part.holdings = self._bitmap(req.manifest)
-            part.sent = self.sent[req.manifest]
+        self.uploads += 1
+        self.sent[req.manifest] += 1
+        self._begun[asked] = _Upload(req.manifest, data, self.clock())
+        return self.next_part(*asked, 0, size)
+
+    def next_part(self, vm: str, index: int, begin: int, size: int) -> pb.FetchPart:
+        """A later part of a chunk; refused if its upload was given up."""
+        upload = self._begun.get((vm, index))
+        if upload is None or not 0 <= begin < len(upload.data):
+            return pb.FetchPart(refused=True)
+        upload.asked_at = self.clock()
+        part = pb.FetchPart(data=upload.data[begin : begin + size])
+        if begin + size >= len(upload.data):
+            self._end_upload((vm, index))
+            part.holdings = self._bitmap(upload.manifest)
+            part.sent = self.sent[upload.manifest]
         return part
 
-    def _end_upload(self, asked: tuple[str, str, int]) -> None:
-        del self._parts_at[asked]
+    def _give_up_uploads(self, now: float) -> None:
+        for asked, upload in list(self._begun.items()):
+            if now - upload.asked_at > ABANDONED_SECONDS:
+                self._end_upload(asked)
+
+    def _end_upload(self, asked: tuple[str, int]) -> None:
+        del self._begun[asked]
         self.uploads -= 1
 
     def _refusal(self, req: pb.FetchRequest) -> pb.FetchPart:
--- a/tests/weights/test_chunk_http.py
+++ b/tests/weights/test_chunk_http.py
@@ -91,11 +91,11 @@
     # Guards against a sender that takes on more than its link carries.
     service = service_of(store_of(0, 1), uploads=1)
     service.clock = lambda: 10.0
-    assert not service.part(request(0, "b"), 0, PART_BYTES).refused
-    assert service.part(request(1, "c"), 0, PART_BYTES).refused
+    assert not service.first_part(request(0, "b"), PART_BYTES).refused
+    assert service.first_part(request(1, "c"), PART_BYTES).refused
     for begin in range(PART_BYTES, SIZE, PART_BYTES):
-        assert not service.part(request(0, "b"), begin, PART_BYTES).refused
-    assert not service.part(request(1, "c"), 0, PART_BYTES).refused
+        assert not service.next_part("b", 0, begin, PART_BYTES).refused
+    assert not service.first_part(request(1, "c"), PART_BYTES).refused
 
 
 def test_an_upload_whose_asker_is_gone_gives_its_place_back():
@@ -103,23 +103,34 @@
     # peers would send to nobody any more.
     service, now = service_of(store_of(0, 1), uploads=1), [10.0]
     service.clock = lambda: now[0]
-    service.part(request(0, "gone"), 0, PART_BYTES)
+    service.first_part(request(0, "gone"), PART_BYTES)
     now[0] += ABANDONED_SECONDS + 0.1
-    assert not service.part(request(1, "c"), 0, PART_BYTES).refused
+    assert not service.first_part(request(1, "c"), PART_BYTES).refused
+    assert service.next_part("gone", 0, PART_BYTES, PART_BYTES).refused
+    assert service.uploads == 1
+
+
+def test_a_chunk_that_is_asked_for_anew_takes_one_place():
+    service = service_of(store_of(0), uploads=2)
+    service.clock = lambda: 10.0
+    for _ in range(5):
+        assert not service.first_part(request(0, "b"), PART_BYTES).refused
     assert service.uploads == 1
 
 
 @pytest.mark.parametrize(
     "question",
     [
-        b"GET /chunk/!!/0 HTTP/1.1\r\n\r\n",
-        b"GET /chunk/%s/x HTTP/1.1\r\n\r\n" % base64.b64encode(b"\xff\xff"),
+        b"GET /chunk/!! HTTP/1.1\r\n\r\n",
+        b"GET /chunk/%s HTTP/1.1\r\n\r\n" % base64.b64encode(b"\xff\xff"),
+        b"GET /more/vm/1/x HTTP/1.1\r\n\r\n",
+        b"GET /more/1 HTTP/1.1\r\n\r\n",
         b"GET /else HTTP/1.1\r\n\r\n",
         b"no http at all\r\n\r\n",
         b"GET /" + b"x" * 2 * MOST_QUESTION_BYTES + b" HTTP/1.1\r\n\r\n",
         b"GET / HTTP/1.1\r\n" + b"X: y\r\n" * MOST_QUESTION_BYTES + b"\r\n",
     ],
-    ids=["base64", "begin", "path", "http", "long-path", "long-head"],
+    ids="base64 message begin parts path http long-path long-head".split(),
 )
 def test_what_is_no_question_is_answered_so_or_not_at_all(question):
     async def run():
