Read the table of members within a budget of bytes

Cause: each process reads the whole table each 15 s: 24 KB a second at 1,810 members, over the aim of 15 KB for all control (docs/CAPACITY.md). Change: the pause grows with the number of members, to 2.5 KB a second at the most; it stays at 15 s up to 187 members.

--- a/packages/wasabideck_base/wasabideck_base/believer.py
+++ b/packages/wasabideck_base/wasabideck_base/believer.py
@@ -32,12 +32,16 @@
 from .told import Ages
 from .version_dates import VersionDates
 
-__all__ = ["Believer"]
+__all__ = ["Believer", "members_pause"]
 
 # The table of members is read again after these pauses: others start at the same
 # time, and later ones are heard of when they ask (seconds).
 MEMBERS_SOON = 1.5
 MEMBERS_LATER = 15.0
+# Reading it may take so many bytes a second of this process's link on average: with
+# thousands of members the pauses get longer.
+MEMBERS_RATE = 2500.0
+MEMBER_BYTES = 200
 # An agent that no entry answers for so long reads the store itself (seconds).
 UNHEARD_SECONDS = 2.0
 # While it reads, it looks so often whether an entry has told it (seconds).
@@ -469,7 +473,8 @@
         await asyncio.sleep(MEMBERS_SOON * self.rng.uniform(0.8, 1.2))
         while True:
             await self.read_members()
-            await asyncio.sleep(MEMBERS_LATER * self.rng.uniform(0.8, 1.2))
+            pause = members_pause(len(self.hearsay.members))
+            await asyncio.sleep(pause * self.rng.uniform(0.8, 1.2))
 
     async def _join(self) -> None:
         """Write this process's row, and read the others'."""
@@ -482,3 +487,8 @@
                 continue
             await self.read_members()
             return
+
+
+def members_pause(members: int) -> float:
+    """Seconds until the table of members is read again."""
+    return max(MEMBERS_LATER, members * MEMBER_BYTES / MEMBERS_RATE)
--- a/tests/beliefs/test_believer.py
+++ b/tests/beliefs/test_believer.py
@@ -7,9 +7,15 @@
 import orjson
 import pytest
 from wasabideck_adapter.deployment import DEPLOYMENT
-from wasabideck_base.believer import Believer
+from wasabideck_base.believer import (
+    MEMBER_BYTES,
+    MEMBERS_RATE,
+    Believer,
+    members_pause,
+)
 from wasabideck_base.channels import Channels
 from wasabideck_base.events import Clock, Events
+from wasabideck_base.member_rows import MEMBERS, member_row
 from wasabideck_base.node import NodeSettings, StoreSettings
 from wasabideck_base.rows import Changes, Row
 from wasabideck_policy.beliefs import Beliefs
@@ -438,3 +444,35 @@
     assert believer._alone()
     believer.operators._failures = 1
     assert believer._alone()
+
+
+@pytest.mark.parametrize("members", [10, 172, 1810, 20_000])
+def test_reads_of_the_members_take_few_bytes_whatever_their_number(members):
+    # Guards against a table of members that fills links at the target size.
+    assert members * MEMBER_BYTES / members_pause(members) <= MEMBERS_RATE
+
+
+def test_entries_near_by_are_counted_apart(believer):
+    # Guards against a herd that is reckoned from entries that send elsewhere.
+    places = ["dc", "dc", "else", "else", "else"]
+    members = [
+        Member(f"e-{n}", ENTRY, f"127.0.0.{n}:1", place, place)
+        for n, place in enumerate(places)
+    ]
+    rows = [Row(MEMBERS, m.vm, member_row(m).value, n) for n, m in enumerate(members)]
+
+    async def read(table):
+        return Changes(tuple(rows), 9)
+
+    believer.store = SimpleNamespace(read=read)
+    believer.me = Member("vm", ENTRY, "127.0.0.1:1", "dc", "dc")
+    asyncio.run(believer.read_members())
+    assert (believer.beliefs.entries, believer.beliefs.near_entries) == (5, 2)
+
+
+def test_changes_of_the_servers_come_together_for_a_part_of_the_drain_time(believer):
+    # Guards against entries that ask the store for each of a hundred servers that are
+    # added one after the other, and against word of one that leaves coming too late.
+    drain = believer.cfg.bounds.drain
+    assert 0.4 <= believer.servers.settle <= drain / 4
+    assert believer.beliefs.backends.mass_seconds < drain - believer.servers.settle
