Have a few processes of a region read first after a start of all

Until 44 s agents of sohar got no answer of the store in the time that they give it, and 5 in 100 requests were served from 34 to 48 s. 27 agents and 8 entries of a region each read the operators' table, with 1,200 routes more, and the members twice, over a link of 15.5 Mbit/s; by a table of 400 KB (worked out, not measured) some 18 MB, nine seconds of it. Ruled out: longer limits on silence (each read still takes the others' bytes); agents that never read (nobody tells them where no entry lives). Change: four agents and the two readers of a region read at once, the others after two seconds, one for entries, 0.3 s apart, unless an entry has told them by then; a process whose row is there already reads the members once and writes nothing.

--- a/packages/wasabideck_base/wasabideck_base/believer.py
+++ b/packages/wasabideck_base/wasabideck_base/believer.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import random
 from collections.abc import Callable, Coroutine
 
@@ -14,10 +15,11 @@
     weights_key,
     weights_model,
 )
-from wasabideck_policy.membership import ENTRY, Member
+from wasabideck_policy.membership import AGENT, ENTRY, Member
 from wasabideck_policy.outcomes import WasabideckError
 from wasabideck_policy.readers import COVERED_SECONDS, Readers
 from wasabideck_policy.rendezvous import rank
+from wasabideck_policy.start_turns import read_delay
 
 from .channels import Channels
 from .deployment import Deployment
@@ -44,6 +46,11 @@
 MEMBER_BYTES = 200
 # An agent that no entry answers for so long reads the store itself (seconds).
 UNHEARD_SECONDS = 2.0
+# So many agents of a region read at once where no entry tells them, the others in turn,
+# and each waits so long for the others' word and for the table of members (seconds).
+READING_AGENTS = 4
+TOLD_WITHIN_SECONDS = 2.0
+JOINING_SECONDS = 1.0
 # While it reads, it looks so often whether an entry has told it (seconds).
 TOLD_SECONDS = 0.1
 # Reads that failed one after the other are further apart each time, up to so long
@@ -90,6 +97,7 @@
     servers: TableWatch = field(init=False)
     readers: RegionReaders = field(init=False)
     dates: VersionDates = field(init=False)
+    _joined: asyncio.Event = field(factory=asyncio.Event)
     _telling: set[asyncio.Task] = field(factory=set)
     _read_operators: bool = False
     _configured_at: float = float("-inf")
@@ -166,13 +174,13 @@
             return [*loops, self.readers.run(), self.servers.run()]
         return [*loops, self._keep_reading()]
 
-    async def read_members(self) -> None:
-        """Read who is there; what cannot be read is passed over with a line."""
+    async def read_members(self) -> bool:
+        """Read who is there, with a line for what cannot be read; whether it was."""
         try:
             changes = await self.store.read(MEMBERS)
         except (PlatformUnavailable, PlatformRefused) as exc:
             self.events.emit("members.unavailable", why=str(exc))
-            return
+            return False
         for row in changes.rows:
             try:
                 member = member_of(row)
@@ -184,6 +192,7 @@
         near = sum(m.data_centre == self.me.data_centre for m in entries)
         self.beliefs.entries = max(1, len(entries))
         self.beliefs.near_entries = max(1, near)
+        return True
 
     def _watch(self, table: str, took: Callable, whole: Callable) -> TableWatch:
         return TableWatch(
@@ -413,7 +422,10 @@
 
     async def _keep_reading(self) -> None:
         """Read what operators declare from the store while no entry tells it."""
-        read_from = float("-inf")
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(JOINING_SECONDS):
+                await self._joined.wait()
+        read_from = self.clock() + self._turn(TOLD_WITHIN_SECONDS)
         failures = 0
         while True:
             now = self.clock()
@@ -424,6 +436,12 @@
             self._want_configuration(now)
             await asyncio.sleep(CALM_SECONDS * self.rng.uniform(0.8, 1.2))
 
+    def _turn(self, patience: float = 0.0) -> float:
+        """Seconds for which this agent leaves reads of the store to others near by."""
+        members = self.hearsay.members.values()
+        near = (m.vm for m in members if m.kind == AGENT and m.region == self.me.region)
+        return read_delay(self.me.region, self.me.vm, near, READING_AGENTS, patience)
+
     def _want_configuration(self, now: float) -> None:
         """Want a newer configuration now and then, until one near by was asked."""
         if now - self._configured_at > CONFIGURED_SECONDS:
@@ -465,19 +483,33 @@
         return self.beliefs.configuration is None or self._unheard(now)
 
     def _unheard(self, now: float) -> bool:
-        since = max(self.beliefs.began, self.hearsay.heard_at)
-        return now - since > UNHEARD_SECONDS
+        silent = now - max(self.beliefs.began, self.hearsay.heard_at)
+        return silent > UNHEARD_SECONDS and silent > UNHEARD_SECONDS + self._turn()
 
     async def _keep_members(self) -> None:
-        await self._join()
-        await asyncio.sleep(MEMBERS_SOON * self.rng.uniform(0.8, 1.2))
-        while True:
+        began_again = await self._join()
+        if not began_again:
+            # Others have started at the same time, and were not there yet.
+            await asyncio.sleep(MEMBERS_SOON * self.rng.uniform(0.8, 1.2))
             await self.read_members()
+        while True:
             pause = members_pause(len(self.hearsay.members))
             await asyncio.sleep(pause * self.rng.uniform(0.8, 1.2))
+            await self.read_members()
 
-    async def _join(self) -> None:
-        """Write this process's row, and read the others'."""
+    async def _join(self) -> bool:
+        """Read who is there, and write this process's row unless it is there.
+
+        Returns
+        -------
+        began_again : bool
+            Whether it was: all that were there before are known then.
+        """
+        while not await self.read_members():
+            await asyncio.sleep(self.rng.uniform(0.5, 1.0))
+        self._joined.set()
+        if self.hearsay.members.get(self.me.vm) == self.me:
+            return True
         while True:
             try:
                 await self.store.write([member_row(self.me)])
@@ -485,8 +517,7 @@
                 self.events.emit("members.unavailable", why=str(exc))
                 await asyncio.sleep(self.rng.uniform(0.5, 1.0))
                 continue
-            await self.read_members()
-            return
+            return False
 
 
 def members_pause(members: int) -> float:
--- a/packages/wasabideck_base/wasabideck_base/region_readers.py
+++ b/packages/wasabideck_base/wasabideck_base/region_readers.py
@@ -8,7 +8,9 @@
 
 from attrs import define, field
 from wasabideck_policy.declarations import Declaration
-from wasabideck_policy.readers import Readers
+from wasabideck_policy.membership import ENTRY
+from wasabideck_policy.readers import LEAST_ENTRIES, READERS, Readers
+from wasabideck_policy.start_turns import read_delay
 
 from .events import Events
 from .hearsay import Hearsay
@@ -27,6 +29,11 @@
 # a call, until a follower whose readers hear nothing any more has read it itself: an
 # answer is overdue, a word runs out, the table is read (seconds).
 NOTICED_SECONDS = 2.0
+# Until the members are read at a start nobody knows who the readers are. The others
+# read the table whole later, one after the other; a peer tells them what it holds
+# before (seconds).
+JOINING_SECONDS = 0.5
+FIRST_READ_SECONDS = 1.0
 # A reader's call waits so long at least (seconds).
 LEAST_WAIT_SECONDS = 0.3
 
@@ -56,6 +63,7 @@
     _reads: bool = False
     _covered: bool = False
     _turn: int = 0
+    _began: float = float("-inf")
 
     @property
     def covered(self) -> bool:
@@ -70,6 +78,7 @@
 
     async def run(self) -> None:
         """Follow or rely on others for ever."""
+        self._began = self.clock()
         try:
             while True:
                 self._look()
@@ -101,13 +110,27 @@
         why = self._uncovered(reads, now)
         self._tell_of(reads, why, now)
         self._set_wait(self.readers.shares(members))
-        if why and self._following is None:
+        if why and self._following is None and not self._leaves_first_read(now):
             self._following = asyncio.create_task(self.watch.run())
         elif not why and self._following is not None:
             self._following.cancel()
             self._following = None
             self.watch.rest()
 
+    def _leaves_first_read(self, now: float) -> bool:
+        """Whether the first read of the table is left to others of the region yet."""
+        if self.watch.version >= 0:
+            return False
+        since = now - self._began
+        members = self.hearsay.members.values()
+        if not members:
+            return since < JOINING_SECONDS
+        vm, region = self.readers.vm, self.readers.region
+        near = {m.vm for m in members if m.kind == ENTRY and m.region == region}
+        if len(near) < LEAST_ENTRIES:
+            return False
+        return since < read_delay(region, vm, near, READERS, FIRST_READ_SECONDS)
+
     def _set_wait(self, shares: bool) -> None:
         """Have the store answer soon where others rely on this entry."""
         soon = max(LEAST_WAIT_SECONDS, self.within - NOTICED_SECONDS)
