--- a/packages/wasabideck_base/wasabideck_base/http.py
+++ b/packages/wasabideck_base/wasabideck_base/http.py
@@ -1,8 +1,11 @@
-"""One HTTP client for all of the platform's services, with typed failures."""
+"""HTTP client of services that speak TLS or tag what they send, with typed failures.
+
+Services of plain HTTP are called by ``http_pool``, which costs a part of it.
+"""
 
 from __future__ import annotations
 
-from collections.abc import Callable, Mapping
+from collections.abc import Mapping
 
 import aiohttp
 import orjson
@@ -49,8 +52,6 @@
         params: Mapping[str, str] | None = None,
         timeout: float | None = None,
         accept: tuple[int, ...] = (200,),
-        silence: float | None = None,
-        received: Callable[[int], None] | None = None,
     ) -> tuple[int, bytes]:
         """Status and body of an answer.
 
@@ -58,10 +59,6 @@
         ----------
         timeout : float or None
             Seconds that the whole call may take; None for the client's own figure.
-        silence : float or None
-            Seconds for which no byte may come; None to bound the whole call only.
-        received : callable or None
-            Told the size of each part of the body as it comes.
 
         Raises
         ------
@@ -71,9 +68,7 @@
             The status is none of the accepted ones.
         """
         url = f"{self.base}{path}"
-        answer, data = await self._ask(
-            method, path, timeout, silence, received, data=body, params=params
-        )
+        answer, data = await self._ask(method, path, timeout, data=body, params=params)
         if answer.status not in accept:
             raise PlatformRefused(url, answer.status, data)
         return answer.status, data
@@ -87,7 +82,7 @@
             As ``call`` does.
         """
         headers = {"If-None-Match": tag} if tag else {}
-        answer, data = await self._ask("GET", path, None, None, None, headers=headers)
+        answer, data = await self._ask("GET", path, None, headers=headers)
         if answer.status == 304:
             return None
         if answer.status != 200:
@@ -100,17 +95,13 @@
         method: str,
         path: str,
         timeout: float | None,
-        silence: float | None,
-        received: Callable[[int], None] | None,
         **kw: object,
     ) -> tuple[aiohttp.ClientResponse, bytes]:
         url = f"{self.base}{path}"
-        limit = aiohttp.ClientTimeout(
-            total=timeout or self.timeout, sock_connect=silence, sock_read=silence
-        )
+        limit = aiohttp.ClientTimeout(total=timeout or self.timeout)
         try:
             async with self.session.request(method, url, timeout=limit, **kw) as answer:
-                data = await _body(answer, received)
+                data = await answer.read()
         except aiohttp.ClientConnectorError as exc:
             # Nothing was sent: a write certainly did not take effect.
             raise PlatformUnavailable(url, str(exc), maybe_applied=False) from exc
@@ -127,16 +118,3 @@
         if not data:
             return None
         return understood(f"{self.base}{path}", data, orjson.loads)
-
-
-async def _body(
-    answer: aiohttp.ClientResponse, received: Callable[[int], None] | None
-) -> bytes:
-    """The whole body; tells the size of each part as it comes."""
-    if received is None:
-        return await answer.read()
-    body = bytearray()
-    async for part in answer.content.iter_any():
-        body += part
-        received(len(part))
-    return bytes(body)
