--- a/packages/wasabideck_base/wasabideck_base/http_pool.py
+++ b/packages/wasabideck_base/wasabideck_base/http_pool.py
@@ -8,11 +8,9 @@
 from __future__ import annotations
 
 import asyncio
-import socket
 from collections.abc import Callable, Mapping
 from urllib.parse import quote, urlencode
 
-import httptools
 import orjson
 from attrs import define, field
 
@@ -23,208 +21,16 @@
     raise_for_failure,
     understood,
 )
+from .http_connection import AnswerLost, HttpConnection, MalformedAnswer
 
 __all__ = ["HttpPool", "PooledClient"]
 
-# A connection to the store that went silent while nothing was due is found by probes
-# of the kernel's, which are no calls: after two seconds, and once a second then.
-PROBE_AFTER_SECONDS = 2
-PROBE_EVERY_SECONDS = 1
-PROBES = 2
-USER_TIMEOUT_MS = 4000
 # Idle connections are kept so long unless a pool says otherwise (seconds).
 IDLE_SECONDS = 15.0
-# A head is a few hundred bytes, and the largest object that a store keeps 8 MB. Bytes
-# that go on beyond that are no answer, and would fill the process's memory.
-MOST_HEAD_BYTES = 64 * 1024
-MOST_BODY_BYTES = 32 * 1024 * 1024
 # Calls that may be sent again on a new connection when a kept one turns out closed.
 IDEMPOTENT = frozenset(["GET", "PUT"])
 
 
-class _Lost(Exception):
-    """A connection ended before its answer was whole."""
-
-    def __init__(self, why: str, answered: bool):
-        super().__init__(why)
-        self.answered = answered
-
-
-class _Malformed(Exception):
-    """What came on a connection is no answer."""
-
-
-class _Connection(asyncio.Protocol):
-    """A connection with one call on it at a time."""
-
-    def __init__(self, idle_seconds: float, ended: Callable[[_Connection], None]):
-        self.idle_seconds = idle_seconds
-        self._ended = ended
-        self.transport: asyncio.Transport | None = None
-        self.status = 0
-        self.whole = False
-        self.kept = True
-        self._parser = httptools.HttpResponseParser(self)
-        self._busy = False
-        self._has_head = False
-        self._head_bytes = 0
-        self._bodyless_end = False
-        self._body = bytearray()
-        self._received: Callable[[int], None] | None = None
-        self._failure: Exception | None = None
-        self._moved: asyncio.Future | None = None
-        self._idle_since = 0.0
-        self._closer: asyncio.TimerHandle | None = None
-
-    @property
-    def usable(self) -> bool:
-        """Whether another call may be sent on it."""
-        return self.kept and not self.transport.is_closing()
-
-    def send(self, data: bytes, received: Callable[[int], None] | None) -> None:
-        """Send a call, whose answer ``moved`` and ``body`` tell of."""
-        self._busy = True
-        self.status, self.whole = 0, False
-        self._has_head, self._head_bytes = False, 0
-        self._body = bytearray()
-        self._received = received
-        self.transport.write(data)
-
-    async def moved(self) -> None:
-        """Wait for more of the answer; raises ``_Lost`` or ``_Malformed``."""
-        if self._failure is not None:
-            raise self._failure
-        if self.whole:
-            return
-        self._moved = asyncio.get_running_loop().create_future()
-        await self._moved
-        if self._failure is not None and not self.whole:
-            raise self._failure
-
-    def body(self) -> bytes:
-        """The body of a whole answer."""
-        return bytes(self._body)
-
-    def idle(self, now: float) -> None:
-        """Note that nothing is due on it; it is closed when that lasts."""
-        self._idle_since = now
-        if self._closer is None:
-            self._close_later(self.idle_seconds)
-
-    def close(self) -> None:
-        """Close it at once."""
-        self.kept = False
-        if self._closer is not None:
-            self._closer.cancel()
-            self._closer = None
-        if self.transport is not None:
-            self.transport.abort()
-
-    def _close_later(self, seconds: float) -> None:
-        loop = asyncio.get_running_loop()
-        self._closer = loop.call_later(seconds, self._close_if_idle)
-
-    def _close_if_idle(self) -> None:
-        self._closer = None
-        loop = asyncio.get_running_loop()
-        left = self._idle_since + self.idle_seconds - loop.time()
-        if self._busy:
-            left = self.idle_seconds
-        if left > 0:
-            self._close_later(left)
-        else:
-            self.close()
-
-    # asyncio.Protocol
-
-    def connection_made(self, transport: asyncio.Transport) -> None:
-        """Keep the transport, and have the kernel notice a silent peer."""
-        self.transport = transport
-        sock = transport.get_extra_info("socket")
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, PROBE_AFTER_SECONDS)
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, PROBE_EVERY_SECONDS)
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, PROBES)
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
-
-    def data_received(self, data: bytes) -> None:
-        """Parse what came; bytes that nothing was asked for end the connection."""
-        if not self._busy:
-            self.close()
-            return
-        if not self._has_head:
-            self._head_bytes += len(data)
-        try:
-            self._parser.feed_data(data)
-        except httptools.HttpParserError as exc:
-            self._fail(_Malformed(f"no HTTP: {exc}"))
-            return
-        if not self._has_head and self._head_bytes > MOST_HEAD_BYTES:
-            self._fail(_Malformed(f"a head of over {MOST_HEAD_BYTES} bytes"))
-        self._wake()
-
-    def eof_received(self) -> bool:
-        """Take the end for the body's where nothing else says where it is."""
-        if self._busy and self._has_head and self._bodyless_end:
-            self._finish()
-        return False
-
-    def connection_lost(self, exc: Exception | None) -> None:
-        """Fail the answer that is still due."""
-        self.kept = False
-        self._ended(self)
-        if self._busy:
-            self._fail(_Lost(f"connection lost: {exc or 'closed'}", self.status > 0))
-
-    # Callbacks of the parser
-
-    def on_message_begin(self) -> None:
-        if self.whole:
-            self.kept = False
-        self._bodyless_end = True
-
-    def on_header(self, name: bytes, value: bytes) -> None:
-        if name.lower() in (b"content-length", b"transfer-encoding"):
-            self._bodyless_end = False
-
-    def on_headers_complete(self) -> None:
-        status = self._parser.get_status_code()
-        if status >= 200 and not self.whole:
-            self.status = status
-            self._has_head = True
-            self._bodyless_end = self._bodyless_end and status not in (204, 304)
-            self.kept = self.kept and self._parser.should_keep_alive()
-
-    def on_body(self, data: bytes) -> None:
-        if self.whole or self._failure is not None:
-            return
-        self._body += data
-        if self._received is not None:
-            self._received(len(data))
-        if len(self._body) > MOST_BODY_BYTES:
-            self._fail(_Malformed(f"a body of over {MOST_BODY_BYTES} bytes"))
-
-    def on_message_complete(self) -> None:
-        if self._has_head and not self.whole:
-            self._finish()
-
-    def _finish(self) -> None:
-        self.whole = True
-        self._busy = False
-        self._wake()
-
-    def _fail(self, failure: Exception) -> None:
-        if self._failure is None:
-            self._failure = failure
-        self._busy = False
-        self.close()
-        self._wake()
-
-    def _wake(self) -> None:
-        if self._moved is not None and not self._moved.done():
-            self._moved.set_result(None)
-
-
 @define(eq=False)
 class HttpPool:
     """Connections by address, the last used first.
@@ -236,8 +42,8 @@
     """
 
     idle_seconds: float = IDLE_SECONDS
-    _idle: dict[str, list[_Connection]] = field(factory=dict)
-    _open: set[_Connection] = field(factory=set)
+    _idle: dict[str, list[HttpConnection]] = field(factory=dict)
+    _open: set[HttpConnection] = field(factory=set)
 
     async def __aenter__(self) -> HttpPool:
         return self
@@ -252,7 +58,7 @@
         self._open.clear()
         self._idle.clear()
 
-    def kept(self, address: str) -> _Connection | None:
+    def kept(self, address: str) -> HttpConnection | None:
         """A connection that was used before, or None."""
         kept = self._idle.get(address, [])
         while kept:
@@ -262,17 +68,17 @@
             self.drop(conn)
         return None
 
-    async def connect(self, address: str) -> _Connection:
+    async def connect(self, address: str) -> HttpConnection:
         """A new connection; raises ``OSError``."""
         host, _, port = address.rpartition(":")
         loop = asyncio.get_running_loop()
         _, conn = await loop.create_connection(
-            lambda: _Connection(self.idle_seconds, self._forget), host, int(port)
+            lambda: HttpConnection(self.idle_seconds, self._forget), host, int(port)
         )
         self._open.add(conn)
         return conn
 
-    def give_back(self, address: str, conn: _Connection, now: float) -> None:
+    def give_back(self, address: str, conn: HttpConnection, now: float) -> None:
         """Keep a connection whose answer is whole, if it is good for another."""
         if conn.usable:
             conn.idle(now)
@@ -285,12 +91,12 @@
         for conn in list(self._idle.pop(address, [])):
             self.drop(conn)
 
-    def drop(self, conn: _Connection) -> None:
+    def drop(self, conn: HttpConnection) -> None:
         """Close a connection."""
         conn.close()
         self._forget(conn)
 
-    def _forget(self, conn: _Connection) -> None:
+    def _forget(self, conn: HttpConnection) -> None:
         self._open.discard(conn)
         for kept in self._idle.values():
             if conn in kept:
@@ -396,21 +202,21 @@
         if conn is not None:
             try:
                 return await self._exchange(conn, data, silence, received)
-            except _Lost as exc:
+            except AnswerLost as exc:
                 # Mostly it was closed while it lay idle.
                 if exc.answered or method not in IDEMPOTENT:
                     raise PlatformUnavailable(url, str(exc), True) from exc
-            except _Malformed as exc:
+            except MalformedAnswer as exc:
                 raise PlatformNonsense(url, str(exc)) from exc
         conn = await self._connect(url, silence)
         try:
             return await self._exchange(conn, data, silence, received)
-        except _Lost as exc:
+        except AnswerLost as exc:
             raise PlatformUnavailable(url, str(exc), maybe_applied=True) from exc
-        except _Malformed as exc:
+        except MalformedAnswer as exc:
             raise PlatformNonsense(url, str(exc)) from exc
 
-    async def _connect(self, url: str, silence: float | None) -> _Connection:
+    async def _connect(self, url: str, silence: float | None) -> HttpConnection:
         try:
             async with asyncio.timeout(silence):
                 return await self.pool.connect(self.address)
@@ -421,7 +227,7 @@
 
     async def _exchange(
         self,
-        conn: _Connection,
+        conn: HttpConnection,
         data: bytes,
         silence: float | None,
         received: Callable[[int], None] | None,
--- a/tests/adapter/test_http_pool.py
+++ b/tests/adapter/test_http_pool.py
@@ -3,7 +3,7 @@
 import asyncio
 
 import pytest
-from wasabideck_base import http_pool
+from wasabideck_base import http_connection
 from wasabideck_base.http_answers import (
     PlatformNonsense,
     PlatformRefused,
@@ -151,8 +151,8 @@
 )
 def test_bytes_without_end_are_no_answer_and_fill_no_memory(monkeypatch, begin, more):
     # Guards against a service in trouble that sends until its caller closes.
-    monkeypatch.setattr(http_pool, "MOST_HEAD_BYTES", 20_000)
-    monkeypatch.setattr(http_pool, "MOST_BODY_BYTES", 20_000)
+    monkeypatch.setattr(http_connection, "MOST_HEAD_BYTES", 20_000)
+    monkeypatch.setattr(http_connection, "MOST_BODY_BYTES", 20_000)
     sent = 0
 
     async def answer(reader, writer):
