Log whether a request ended while its entry shut down, and what cut it

What a request.ended of a stopped entry says: `draining`, the seconds since the stop signal. A request that the end of the process cancels was logged as "left", as if its caller had gone; it is "cut-off" now, told by whether the caller's connection is still open. drain.expired is written once when the time to shut down is over, with the number of open requests.

--- a/packages/wasabideck_base/wasabideck_base/event_kinds.py
+++ b/packages/wasabideck_base/wasabideck_base/event_kinds.py
@@ -55,6 +55,10 @@
         "the end of a claim could not be written yet",
         "check the table service; the write is retried",
     ),
+    "drain.expired": EventKind(
+        "an entry ended its `open` requests when its time to shut down was over",
+        "many `open`: compare the grace period with the time limits of the routes",
+    ),
     "engine.reverted": EventKind(
         "an engine serves an older ticket than it should and is ordered again",
         "find out who else orders this engine, or why it restarted",
--- a/packages/wasabideck_forward/wasabideck_forward/entry_process.py
+++ b/packages/wasabideck_forward/wasabideck_forward/entry_process.py
@@ -131,7 +131,7 @@
             self.process.clock,
             self.process.cfg.limits.shutdown_grace_seconds,
         )
-        started_at = clock()
+        started_at = self.forwarder.drain.started_at = clock()
         self.callers.draining = True
         self.process.events.emit("process.leaving", open=len(self.callers.connections))
         deadline = started_at + grace - SHUTDOWN_RESERVE_SECONDS
@@ -142,6 +142,7 @@
             server.close()
             if not any(conn.busy for conn in self.callers.connections):
                 return
+        self.process.events.emit("drain.expired", open=self.forwarder.in_progress)
 
 
 def _assemble(process: VMProcess, deployment: DeploymentAdapter) -> _Entry:
--- a/packages/wasabideck_forward/wasabideck_forward/forwarder.py
+++ b/packages/wasabideck_forward/wasabideck_forward/forwarder.py
@@ -23,6 +23,7 @@
     write_response,
 )
 from .dispatcher import Dispatcher, max_caller_wait
+from .drain import Drain
 from .exchange import Exchange
 from .hedging import Replaced, wait_or_hedge
 from .http_heads import CallerRequest, HeadCodec, ResponseHead
@@ -74,6 +75,7 @@
     events: Events
     dispatcher: Dispatcher
     in_progress: int = 0
+    drain: Drain = field(factory=Drain)
     attempts: Attempts = field(init=False)
 
     def __attrs_post_init__(self) -> None:
@@ -110,7 +112,9 @@
         except Refusal as exc:
             await self._refuse(req, exchange, exc, caller)
         except asyncio.CancelledError:
-            self._log_end(req, exchange, "left")
+            # The end of the process cancels requests whose callers still wait.
+            outcome = "left" if caller.has_disconnected() else "cut-off"
+            self._log_end(req, exchange, outcome)
             raise
         finally:
             self.in_progress -= 1
@@ -407,12 +411,13 @@
         self, req: CallerRequest, exchange: Exchange | None, outcome: str, **fields: str
     ) -> None:
         """Log how a request ended."""
-        cfg = self.cluster_state.configuration
+        cfg, now = self.cluster_state.configuration, self.clock()
         self.events.emit(
             "request.ended",
             request=req.head.request_id,
             outcome=outcome,
-            seconds=round(self.clock() - req.arrived_at, 4),
+            seconds=round(now - req.arrived_at, 4),
+            draining=_round_or_none(self.drain.seconds(now)),
             servers=exchange.tried_servers if exchange else [],
             route=exchange.route.name if exchange else "",
             first=_round_or_none(exchange.first_event_seconds) if exchange else None,
