Refuse late requests that could outlast a draining entry

Callers saw: a request that was taken long after SIGTERM, passed on to a server, and cut off when the process ended. Cause: while an entry drained, a request that was complete late on an open connection (a slow head or body, a pipelined one) was admitted with its whole time limit, 6 s for a stream, although the drain ends 6.7 s after the signal.

The entry now knows when its drain ends, and admits a request only if its time limit ends before that; otherwise it answers 503 ShuttingDown at once. In the first 2.5 s all are admitted as before: what is cut off at the end of the drain must have been sent within 3 s of the signal, and the process may handle it late.

--- a/packages/wasabideck_forward/wasabideck_forward/drain.py
+++ b/packages/wasabideck_forward/wasabideck_forward/drain.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import math
+
 from attrs import define
 
 __all__ = ["Drain"]
@@ -15,9 +17,33 @@
     ----------
     started_at : float or None
         When it started, in seconds; None while the entry is not shutting down.
+    admits_all_until : float
+        Until when requests are admitted that could outlast the drain, in seconds.
+    ends_at : float
+        When the requests that are still open are given up, in seconds.
     """
 
     started_at: float | None = None
+    admits_all_until: float = math.inf
+    ends_at: float = math.inf
+
+    def start(self, now: float, admission_seconds: float, seconds: float) -> None:
+        """Begin to shut down.
+
+        Parameters
+        ----------
+        admission_seconds : float
+            For how long requests are admitted that could outlast the drain.
+        seconds : float
+            Duration of the drain.
+        """
+        self.started_at = now
+        self.admits_all_until = now + min(admission_seconds, seconds)
+        self.ends_at = now + seconds
+
+    def may_admit(self, expires_at: float, now: float) -> bool:
+        """Whether a request that expires at this time may still be served."""
+        return now < self.admits_all_until or expires_at <= self.ends_at
 
     def seconds(self, now: float) -> float | None:
         """Return for how long the entry has been shutting down; None if it isn't."""
--- a/packages/wasabideck_forward/wasabideck_forward/entry_process.py
+++ b/packages/wasabideck_forward/wasabideck_forward/entry_process.py
@@ -48,6 +48,10 @@
 # After the stop signal, the load balancer needs two checks, one second apart, to notice
 # that the entry is shutting down. New connections are accepted until then.
 BALANCER_NOTICE_SECONDS = 3.0
+# Until this time before the end of that notice, requests are admitted that could
+# outlast the drain: their servers usually respond in time. Later ones must not be cut
+# off, and the process may handle the signal late.
+LATE_SIGNAL_MARGIN_SECONDS = 0.5
 # Part of the time for shutting down that remains once the last connections are closed.
 # On a slow VM, stopping all loops took over 0.5 s, and the process was killed.
 SHUTDOWN_RESERVE_SECONDS = 1.3
@@ -127,15 +131,17 @@
 
     async def _drain(self, server: asyncio.Server) -> None:
         """Answer all requests that were read, within the time for shutting down."""
-        clock, grace = (
-            self.process.clock,
-            self.process.cfg.limits.shutdown_grace_seconds,
+        clock, drain = self.process.clock, self.forwarder.drain
+        grace = self.process.cfg.limits.shutdown_grace_seconds
+        started_at = clock()
+        drain.start(
+            started_at,
+            BALANCER_NOTICE_SECONDS - LATE_SIGNAL_MARGIN_SECONDS,
+            grace - SHUTDOWN_RESERVE_SECONDS,
         )
-        started_at = self.forwarder.drain.started_at = clock()
         self.callers.draining = True
         self.process.events.emit("process.leaving", open=len(self.callers.connections))
-        deadline = started_at + grace - SHUTDOWN_RESERVE_SECONDS
-        while clock() < deadline:
+        while clock() < drain.ends_at:
             await asyncio.sleep(0.05)
             if clock() - started_at < BALANCER_NOTICE_SECONDS:
                 continue
--- a/packages/wasabideck_forward/wasabideck_forward/forwarder.py
+++ b/packages/wasabideck_forward/wasabideck_forward/forwarder.py
@@ -34,6 +34,7 @@
     OutcomeUnknown,
     Refusal,
     ServersRefused,
+    ShuttingDown,
     TimeUp,
 )
 from .server_connection import AnswerBroken
@@ -107,7 +108,10 @@
         exchange = None
         try:
             await self._wait_until_ready()
-            exchange = self.dispatcher.admit(req, self.clock())
+            now = self.clock()
+            exchange = self.dispatcher.admit(req, now)
+            if not self.drain.may_admit(exchange.expires_at, now):
+                raise ShuttingDown(exchange.service)
             await self._serve_until_expiry(exchange, caller)
         except Refusal as exc:
             await self._refuse(req, exchange, exc, caller)
--- a/packages/wasabideck_forward/wasabideck_forward/refusals.py
+++ b/packages/wasabideck_forward/wasabideck_forward/refusals.py
@@ -17,6 +17,7 @@
     "Quarantined",
     "Refusal",
     "ServersRefused",
+    "ShuttingDown",
     "TimeUp",
 ]
 
@@ -92,6 +93,13 @@
     retry_after = 0.5
 
 
+class ShuttingDown(Refusal):
+    """The request could outlast this process, which shuts down; it has not run."""
+
+    # Other entries can take the request immediately.
+    retry_after = 0.1
+
+
 class OutcomeUnknown(Refusal):
     """A server received the request but sent no complete response: it may have run."""
 
--- a/tests/forward/test_shutdown.py
+++ b/tests/forward/test_shutdown.py
@@ -29,6 +29,7 @@
 @pytest.fixture(autouse=True)
 def short_times(monkeypatch):
     monkeypatch.setattr(entry_process, "BALANCER_NOTICE_SECONDS", NOTICE_SECONDS)
+    monkeypatch.setattr(entry_process, "LATE_SIGNAL_MARGIN_SECONDS", 0.05)
     monkeypatch.setattr(entry_process, "SHUTDOWN_RESERVE_SECONDS", 0.5)
 
 
@@ -100,7 +101,8 @@
         await until(lambda: len(server.requests) == 1)
         leaving.writer.close()
         await until(lambda: ended(entry))
-        entry.forwarder.drain.started_at = asyncio.get_running_loop().time() - 5.0
+        now = asyncio.get_running_loop().time()
+        entry.forwarder.drain.start(now - 5.0, 3.0, 100.0)
         await waiting.send(name=b"waiting")
         await until(lambda: len(server.requests) == 2)
         # As at the end of the event loop, which cancels all tasks.
