Answer the requests that are open when a drain ends

Callers saw: a request that waited for a server, or for the head of its response, when a stopped entry's time was over ended with a closed connection. Cause: at the end of the drain nothing ended the requests; the end of the event loop cancelled them, up to 1.3 s later, and a waiting one could still be sent to a server meanwhile. Ruled out: that the answers were written and not flushed, as the tests' entry goes on running.

The end of the drain now is a time limit of each request, also of those that are open when it starts: one that no server has is answered 503 ShuttingDown, one that a server may have run 502, and a stream that has begun is cut off, with that outcome. No attempt, retry or hedge starts later, as they run within the same limit. drain.expired counts what was given up.

The one that waits for a server used cold_seconds, which makes no request wait: its server answered at once, so it failed for the wrong reason.

--- a/packages/wasabideck_forward/wasabideck_forward/entry_process.py
+++ b/packages/wasabideck_forward/wasabideck_forward/entry_process.py
@@ -55,6 +55,8 @@
 # Part of the time for shutting down that remains once the last connections are closed.
 # On a slow VM, stopping all loops took over 0.5 s, and the process was killed.
 SHUTDOWN_RESERVE_SECONDS = 1.3
+# Maximum part of that time in which the last responses are written.
+FLUSH_SECONDS = 0.2
 
 
 async def run_entry(
@@ -147,8 +149,12 @@
                 continue
             server.close()
             if not any(conn.busy for conn in self.callers.connections):
-                return
-        self.process.events.emit("drain.expired", open=self.forwarder.in_progress)
+                break
+        flushed_by = clock() + FLUSH_SECONDS
+        while self.forwarder.in_progress and clock() < flushed_by:
+            await asyncio.sleep(0.01)
+        if drain.given_up_count:
+            self.process.events.emit("drain.expired", open=drain.given_up_count)
 
 
 def _assemble(process: VMProcess, deployment: DeploymentAdapter) -> _Entry:
--- a/packages/wasabideck_forward/wasabideck_forward/forwarder.py
+++ b/packages/wasabideck_forward/wasabideck_forward/forwarder.py
@@ -110,7 +110,8 @@
             await self._wait_until_ready()
             now = self.clock()
             exchange = self.dispatcher.admit(req, now)
-            if not self.drain.may_admit(exchange.expires_at, now):
+            may_admit = self.drain.may_admit(exchange.expires_at, now)
+            if not may_admit:
                 raise ShuttingDown(exchange.service)
             await self._serve_until_expiry(exchange, caller)
         except Refusal as exc:
@@ -131,9 +132,8 @@
         connect by then were refused once already, and would not retry a second time.
         """
         started = self.clock()
-        while (
-            not self.cluster_state.ready
-            and self.clock() - started < STARTUP_WAIT_SECONDS
+        while not self.cluster_state.ready and self.clock() < min(
+            started + STARTUP_WAIT_SECONDS, self.drain.ends_at
         ):
             await asyncio.sleep(STARTUP_POLL_INTERVAL_SECONDS)
 
@@ -141,9 +141,12 @@
         self, exchange: Exchange, caller: CallerConnection
     ) -> None:
         try:
-            async with asyncio.timeout_at(exchange.expires_at):
+            async with self.drain.time_limit(exchange.expires_at):
                 await self._try_servers(exchange, caller)
         except TimeoutError:
+            if exchange.expires_at > self.drain.ends_at:
+                self._give_up(exchange, caller)
+                return
             if caller.head_written:
                 self._abort(exchange, caller, "TimeUp")
                 return
@@ -151,6 +154,16 @@
                 raise TimeUp(exchange.route.name) from None
             raise NeverSent(exchange.service) from None
 
+    def _give_up(self, exchange: Exchange, caller: CallerConnection) -> None:
+        """End a request at the end of the drain; raises ``Refusal`` if possible."""
+        self.drain.given_up_count += 1
+        if caller.head_written:
+            self._abort(exchange, caller, "ShuttingDown", "cut-off")
+            return
+        if exchange.outcome_uncertain:
+            raise OutcomeUnknown("shutting down")
+        raise ShuttingDown(exchange.service)
+
     async def _try_servers(self, exchange: Exchange, caller: CallerConnection) -> None:
         while True:
             backend = await self.dispatcher.choose_server(exchange)
@@ -380,9 +393,15 @@
             unheard=self._seconds_since_data(backend),
         )
 
-    def _abort(self, exchange: Exchange, caller: CallerConnection, why: str) -> None:
+    def _abort(
+        self,
+        exchange: Exchange,
+        caller: CallerConnection,
+        why: str,
+        outcome: str = "broken-off",
+    ) -> None:
         caller.abort_response()
-        self._log_end(exchange.req, exchange, "broken-off", reason=why)
+        self._log_end(exchange.req, exchange, outcome, reason=why)
 
     async def _refuse(
         self,
--- a/tests/forward/test_shutdown.py
+++ b/tests/forward/test_shutdown.py
@@ -8,15 +8,18 @@
 from wasabideck_policy.configuration import Kind
 
 from .conftest import (
+    ENGINE,
     Entry,
     answers,
     configuration,
     event,
     hangs,
+    loaded,
     request_id,
     route,
     streams,
 )
+from .test_weights import declare_ago, send_report
 
 # Seconds after the signal: the load balancer's notice ends, and the drain ends.
 NOTICE_SECONDS = 0.3
@@ -36,8 +39,8 @@
 class StoppableEntry(Entry):
     """The data path of an entry, which can shut down as its process does."""
 
-    def __init__(self, *routes):
-        super().__init__(configuration(*routes))
+    def __init__(self, *routes, engine=None):
+        super().__init__(configuration(*routes, engine=engine))
         loop = asyncio.get_running_loop()
         limits = SimpleNamespace(shutdown_grace_seconds=DRAIN_SECONDS + 0.5)
         process = SimpleNamespace(
@@ -282,17 +285,22 @@
 def test_a_request_that_still_waits_for_a_server_at_the_end_is_refused(play):
     # Guards against requests that were never sent and end without an answer.
     async def scenario():
-        entry = StoppableEntry(LONG)
-        server = await entry.add_server(answers(), cold_seconds=1.15)
+        entry = StoppableEntry(STREAM, engine=ENGINE)
+        server = await entry.add_server(streams(event(1)), loaded=loaded(1))
         caller = await entry.caller()
-        await begin(caller)
+        await begin(caller, b"/stream")
         drain = await entry.stop()
         await entry.wait_after_stop(NOTICE_SECONDS - 0.1)
+        # Version 1 has expired, and the server is about to load version 2.
+        declare_ago(entry, 2, 20.0)
+        send_report(entry, "i-0", 2, serving=False, ready_in=0.95)
         caller.writer.write(caller.rest)
         assert (await response_in_time(caller))[0] == 503
         await drain
         assert not server.requests
-        assert ended(entry)[0]["reason"] == "ShuttingDown"
+        (end,) = ended(entry)
+        assert end["reason"] == "ShuttingDown"
+        assert end["draining"] == pytest.approx(DRAIN_SECONDS, abs=0.2)
 
     play(scenario)
 
