Answer pipelined requests of a draining entry

Callers saw: a request that had been read behind another one ended without an answer once the first was answered, when their entry was being stopped. Cause: each head that a draining entry wrote announced the close, and the connection was closed after that response with the requests that waited there.

The close is now announced by the last response only: not while another request has been read, in part or whole. A request that is read behind a stream whose head announced the close already is answered 503 ShuttingDown. Requests behind a stream that is itself cut off in the middle still end with it: nothing can be answered on that connection.

--- a/packages/wasabideck_forward/wasabideck_forward/caller_connection.py
+++ b/packages/wasabideck_forward/wasabideck_forward/caller_connection.py
@@ -65,6 +65,9 @@
     ----------
     head_written : bool
         Whether the head of the current response has been written.
+    close_announced : bool
+        Whether a response has announced that the connection will be closed because the
+        process shuts down. Requests that were read nevertheless get an error.
     """
 
     def __init__(self, endpoint: CallerEndpoint):
@@ -86,6 +89,7 @@
         self._http10 = False
         self._rejected = False
         self.head_written = False
+        self.close_announced = False
 
     # asyncio.Protocol
 
@@ -227,7 +231,7 @@
     ) -> None:
         """Write the head of the current response, chunked if its length is None."""
         self.head_written = True
-        self._keep_alive = self._keep_alive and not last and not self._endpoint.draining
+        self._keep_alive = self._keep_alive and not last
         lines = [b"HTTP/1.1 %d %s" % (status, _reason_phrase(status))]
         lines += [name + b": " + value for name, value in headers]
         self._chunked = False
@@ -239,6 +243,9 @@
         else:
             self._chunked = True
             lines.append(b"Transfer-Encoding: chunked")
+        if self._keep_alive and self._endpoint.draining and not self._has_next:
+            self._keep_alive = False
+            self.close_announced = True
         if not self._keep_alive:
             lines.append(b"Connection: close")
         self._transport.write(b"\r\n".join(lines) + b"\r\n\r\n")
@@ -301,6 +308,11 @@
         """Whether a request is being read or answered."""
         return self._task is not None or self._reading_since is not None
 
+    @property
+    def _has_next(self) -> bool:
+        """Whether another request has been read, or a part of one."""
+        return bool(self._pipelined) or self._reading_since is not None
+
     def _serve_next(self) -> None:
         req = self._pipelined.popleft()
         self._transport.resume_reading()
@@ -314,10 +326,13 @@
         self._task = None
         self._idle_since = self._endpoint.clock()
         failed = task.cancelled() or task.exception() is not None
-        if failed or not self._keep_alive:
+        may_continue = self._keep_alive or self.close_announced
+        if failed or not may_continue or self._transport.is_closing():
             self._transport.close()
         elif self._pipelined:
             self._serve_next()
+        elif not self._keep_alive:
+            self._transport.close()
         if not task.cancelled() and task.exception() is not None:
             loop = task.get_loop()
             loop.call_exception_handler(
--- a/packages/wasabideck_forward/wasabideck_forward/forwarder.py
+++ b/packages/wasabideck_forward/wasabideck_forward/forwarder.py
@@ -111,7 +111,7 @@
             now = self.clock()
             exchange = self.dispatcher.admit(req, now)
             may_admit = self.drain.may_admit(exchange.expires_at, now)
-            if not may_admit:
+            if caller.close_announced or not may_admit:
                 raise ShuttingDown(exchange.service)
             await self._serve_until_expiry(exchange, caller)
         except Refusal as exc:
