Close callers' connections at the end of a drain, before the process ends

Callers saw: requests on open connections were read and passed on while a stopped entry closed its channels and the store's connections, and went down with it. Cause: after the drain nothing closed the connections or stopped reading; only the end of the event loop did. Ruled out: the listening socket, which is closed at 3 s.

At the end of the drain the listening socket is closed, each connection is read no more, and closes after the response to the last request that was read from it; the drain returns once they are closed, within 0.2 s. While draining, a connection closes as soon as it falls idle: a request that crosses this close has not been read.

--- a/packages/wasabideck_forward/wasabideck_forward/caller_connection.py
+++ b/packages/wasabideck_forward/wasabideck_forward/caller_connection.py
@@ -40,6 +40,8 @@
         Whether connections are closed after their current request.
     early_callers : EarlyCallers or None
         Callers that connected while this process was starting.
+    closed : bool
+        Whether nothing more is read on any connection.
     """
 
     head_codec: HeadCodec
@@ -49,6 +51,13 @@
     connections: set[CallerConnection]
     draining: bool = False
     early_callers: EarlyCallers | None = None
+    closed: bool = False
+
+    def close(self) -> None:
+        """Read no more; close each connection once it has its last response."""
+        self.draining = self.closed = True
+        for conn in list(self.connections):
+            conn.close_when_served()
 
     def sweep(self) -> None:
         """Close connections that are idle, or sending a request head, for too long."""
@@ -96,6 +105,9 @@
     def connection_made(self, transport: asyncio.Transport) -> None:  # noqa: D102
         self._transport = transport
         self._endpoint.connections.add(self)
+        if self._endpoint.closed:
+            transport.close()
+            return
         early_callers = self._endpoint.early_callers
         if early_callers is not None:
             self._early_position = early_callers.assign_position(self._endpoint.clock())
@@ -270,6 +282,15 @@
         self._keep_alive = False
         self._transport.close()
 
+    def close_when_served(self) -> None:
+        """Read no more, and close after the response to the last request read."""
+        if self._task is None:
+            self._transport.close()
+            return
+        self._reading_since = None
+        if not self._transport.is_closing():
+            self._transport.pause_reading()
+
     def check_timeouts(self, now: float, limits: CallerLimits) -> None:
         """Close the connection if it is idle, or its head incomplete, too long."""
         if self._task is not None:
@@ -315,7 +336,8 @@
 
     def _serve_next(self) -> None:
         req = self._pipelined.popleft()
-        self._transport.resume_reading()
+        if not self._endpoint.closed:
+            self._transport.resume_reading()
         self.head_written = False
         self._keep_alive = req.keep_alive
         self._http10 = req.http10
@@ -331,7 +353,7 @@
             self._transport.close()
         elif self._pipelined:
             self._serve_next()
-        elif not self._keep_alive:
+        elif not self._keep_alive or (self._endpoint.draining and not self._has_next):
             self._transport.close()
         if not task.cancelled() and task.exception() is not None:
             loop = task.get_loop()
--- a/packages/wasabideck_forward/wasabideck_forward/entry_process.py
+++ b/packages/wasabideck_forward/wasabideck_forward/entry_process.py
@@ -150,12 +150,19 @@
             server.close()
             if not any(conn.busy for conn in self.callers.connections):
                 break
-        flushed_by = clock() + FLUSH_SECONDS
-        while self.forwarder.in_progress and clock() < flushed_by:
-            await asyncio.sleep(0.01)
+        server.close()
+        await self._close_callers()
         if drain.given_up_count:
             self.process.events.emit("drain.expired", open=drain.given_up_count)
 
+    async def _close_callers(self) -> None:
+        """Close all connections of callers, after the last responses are written."""
+        clock = self.process.clock
+        self.callers.close()
+        flushed_by = clock() + FLUSH_SECONDS
+        while self.callers.connections and clock() < flushed_by:
+            await asyncio.sleep(0.01)
+
 
 def _assemble(process: VMProcess, deployment: DeploymentAdapter) -> _Entry:
     cfg, cluster_state = process.cfg, process.state_sync.cluster_state
