Wait until the last responses of a stopped entry are sent

Callers would see a part of a response, if a congested link or a slow reader still had the rest to come when nothing else was open: the drain counted a request as done once its response was in the connection's buffer, and the process ended within half a second of that, at 3 s of its 6.7.

Once nothing is read any more the drain lasts until all connections are closed, which is when their buffers are empty, but no longer than its own end and the 0.2 s after it in which the last answers are sent.

test_a_drain_lasts_until_the_last_response_is_received failed before: the drain was done with 250 KB minus the socket's buffers still to send.

--- a/packages/wasabideck_forward/wasabideck_forward/entry_process.py
+++ b/packages/wasabideck_forward/wasabideck_forward/entry_process.py
@@ -55,7 +55,7 @@
 # Part of the time for shutting down that remains once the last connections are closed.
 # On a slow VM, stopping all loops took over 0.5 s, and the process was killed.
 SHUTDOWN_RESERVE_SECONDS = 1.3
-# Maximum part of that time in which the last responses are written.
+# Maximum part of that time in which the last responses are sent.
 FLUSH_SECONDS = 0.2
 
 
@@ -157,9 +157,9 @@
 
     async def _close_callers(self) -> None:
         """Close all connections of callers, after the last responses are written."""
-        clock = self.process.clock
+        clock, drain = self.process.clock, self.forwarder.drain
         self.callers.close()
-        flushed_by = clock() + FLUSH_SECONDS
+        flushed_by = max(clock(), drain.ends_at) + FLUSH_SECONDS
         while self.callers.connections and clock() < flushed_by:
             await asyncio.sleep(0.01)
 
--- a/tests/forward/test_shutdown.py
+++ b/tests/forward/test_shutdown.py
@@ -1,6 +1,7 @@
 """Requests of an entry that is shutting down."""
 
 import asyncio
+import socket
 from types import SimpleNamespace
 
 import pytest
@@ -345,6 +346,33 @@
     play(scenario)
 
 
+def test_a_drain_lasts_until_the_last_response_is_received(play):
+    # Guards against responses that a slow caller has only a part of when the process
+    # ends, because they were still in its buffer.
+    async def scenario():
+        entry, body = StoppableEntry(LONG), b"x" * 250_000
+        await entry.add_server(answers(body))
+        caller = await entry.caller()
+        await until(lambda: entry.caller_endpoint.connections)
+        (conn,) = entry.caller_endpoint.connections
+        # The rest of the response stays in the transport's buffer.
+        conn._transport.set_write_buffer_limits(high=1 << 20)
+        sock = conn._transport.get_extra_info("socket")
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 1 << 14)
+        caller.writer.transport.pause_reading()
+        await caller.send(path=b"/long")
+        await until(lambda: ended(entry))
+        drain = await entry.stop()
+        await entry.wait_after_stop(NOTICE_SECONDS + 0.3)
+        assert not drain.done()
+        caller.writer.transport.resume_reading()
+        assert (await response_in_time(caller))[::2] == (200, body)
+        await drain
+        assert not entry.caller_endpoint.connections
+
+    play(scenario)
+
+
 @pytest.mark.parametrize("is_busy", [False, True])
 def test_no_request_is_read_after_the_drain(play, is_busy):
     # Guards against requests that are served while the process ends.
