--- a/packages/wasabideck_forward/wasabideck_forward/entry_process.py
+++ b/packages/wasabideck_forward/wasabideck_forward/entry_process.py
@@ -52,8 +52,8 @@
 # outlast the drain: their servers usually respond in time. Later ones must not be cut
 # off, and the process may handle the signal late.
 LATE_SIGNAL_MARGIN_SECONDS = 0.5
-# Part of the time for shutting down that remains once the last connections are closed.
-# On a slow VM, stopping all loops took over 0.5 s, and the process was killed.
+# Part of the time for shutting down that remains after the end of the drain. On a slow
+# VM, stopping all loops took over 0.5 s, and the process was killed.
 SHUTDOWN_RESERVE_SECONDS = 1.3
 # Maximum part of that time in which the last responses are sent.
 FLUSH_SECONDS = 0.2
