A test of a late call to a stopping entry of the product, known to fail

A call that is taken after the stop signal with a deadline after the end of the drain gets no answer. wasabideck_entry admits calls on open connections without a look at the end of its drain, and serve_entry returns with their connections open. Calls with the default deadline of 30 s end in time; callers may set up to an hour with X-Deadline-Ms.

--- a/tests/product/test_entry_drain.py
+++ b/tests/product/test_entry_drain.py
@@ -4,6 +4,7 @@
 
 import pytest
 from wasabideck_entry import entry as entry_module
+from wasabideck_entry.call_runner import CallRunner
 
 CALLER = "sample-caller-token"
 
@@ -48,3 +49,17 @@
     # Guards against requests that were read, and dropped after the first response.
     received = sent_while_stopping(request("first") + request("second"))
     assert received.count(b"HTTP/1.1 ") == 2
+
+
+def test_a_late_call_that_outlasts_the_drain_is_answered(
+    sent_while_stopping, monkeypatch
+):
+    # Guards against calls that are taken after the stop signal and end without an
+    # answer, as their deadlines are later than the end of the drain.
+    async def run(self, call):
+        await asyncio.Event().wait()
+        yield
+
+    monkeypatch.setattr(CallRunner, "run", run)
+    monkeypatch.setattr(entry_module, "DRAIN_TIMEOUT_SECONDS", 0.5)
+    assert sent_while_stopping(request("brief")).startswith(b"HTTP/1.1 50")
