--- /dev/null
+++ b/packages/wasabideck_policy/wasabideck_policy/part_quarantine.py
@@ -0,0 +1,260 @@
+"""Quarantine of prompt parts that crash the servers which begin to answer them.
+
+Requests that share such a part are otherwise all different. A crash makes a suspect of
+each part that was in progress there, and most of these parts are harmless. Three things
+tell them apart:
+
+- An answer that is completed after a crash refutes it for all parts of its prompt.
+- Crashes that are explained by one part are no evidence against the others.
+- Crashes at the same moment, as after a power failure, count once: a further crash only
+  counts for a part if its request was sent when the crash before was known.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Mapping, Sequence
+
+from attrs import define, evolve, field, frozen
+
+__all__ = ["PartCrash", "PartQuarantine", "SuspectPart"]
+
+# Rounds of unexplained crashes after which a part is quarantined. Two occur by chance
+# while servers crash several times a second.
+MIN_ROUNDS = 3
+# Different requests that must have been in progress in these crashes: a single request
+# that crashes servers says nothing about its parts.
+MIN_REQUESTS = 2
+# Time for which evidence counts, and for which a quarantined part is refused after its
+# last crash, in seconds.
+EVIDENCE_SECONDS = 30.0
+QUARANTINE_SECONDS = 600.0
+MAX_PARTS = 256
+MAX_CRASHES_PER_PART = 16
+
+
+@frozen
+class PartCrash:
+    """Evidence that a part crashed a server: a request with it was in progress there.
+
+    Attributes
+    ----------
+    round : int
+        One more than the latest round known to the entry that sent the request.
+    request : str
+        Id that differs between requests that share the part.
+    refuted : bool
+        Whether an answer to a prompt with the part was completed afterwards.
+    """
+
+    round: int
+    request: str
+    refuted: bool = False
+
+    def merged_with(self, other: PartCrash) -> PartCrash:
+        """Return the evidence of two processes combined."""
+        round, request = max((self.round, self.request), (other.round, other.request))
+        return PartCrash(round, request, self.refuted or other.refuted)
+
+
+@define
+class SuspectPart:
+    """A part with the crashes during which requests with it were in progress.
+
+    Attributes
+    ----------
+    depth : int
+        Position in the prompt; deeper parts are shared by fewer requests.
+    until : float
+        Wall time until which the evidence counts.
+    crashes : dict of str to PartCrash
+        Evidence by crash.
+    """
+
+    depth: int
+    until: float
+    crashes: dict[str, PartCrash] = field(factory=dict)
+
+    @property
+    def last_round(self) -> int:
+        """The latest round of its crashes."""
+        return max((c.round for c in self.crashes.values()), default=0)
+
+    def add(self, crash: str, evidence: PartCrash) -> bool:
+        """Add evidence, and return whether it is new."""
+        known = self.crashes.get(crash)
+        merged = evidence if known is None else known.merged_with(evidence)
+        if merged == known:
+            return False
+        self.crashes[crash] = merged
+        if len(self.crashes) > MAX_CRASHES_PER_PART:
+            del self.crashes[min(self.crashes, key=self._retention_rank)]
+        return crash in self.crashes
+
+    def refute(self) -> bool:
+        """Refute all known crashes, and return whether any counted until now."""
+        open_crashes = {k: c for k, c in self.crashes.items() if not c.refuted}
+        for crash, evidence in open_crashes.items():
+            self.crashes[crash] = evolve(evidence, refuted=True)
+        return bool(open_crashes)
+
+    def _retention_rank(self, crash: str) -> tuple:
+        evidence = self.crashes[crash]
+        return not evidence.refuted, evidence.round, crash
+
+
+@frozen
+class _Strength:
+    """How much of the unexplained evidence is against one part."""
+
+    rounds: int
+    crashes: int
+    requests: int
+
+    @property
+    def suffices(self) -> bool:
+        return self.rounds >= MIN_ROUNDS and self.requests >= MIN_REQUESTS
+
+
+@define
+class PartQuarantine:
+    """Evidence against prompt parts; merging is a union, so gossip may repeat it."""
+
+    suspects: dict[str, SuspectPart] = field(factory=dict)
+    _quarantined: frozenset[str] = frozenset()
+    _recheck_at: float = float("inf")
+    _changed: bool = False
+
+    def is_quarantined(self, parts: Iterable[str], now: float) -> bool:
+        """Whether a prompt with these parts must not be sent to any server."""
+        return bool(self.suspects) and not self.quarantined(now).isdisjoint(parts)
+
+    def quarantined(self, now: float) -> frozenset[str]:
+        """Return the quarantined parts."""
+        if self._changed or now >= self._recheck_at:
+            self._update(now)
+        return self._quarantined
+
+    def explained_crashes(self, now: float) -> set[str]:
+        """Return the crashes that quarantined parts explain."""
+        parts = self.quarantined(now)
+        return {crash for part in parts for crash in self.suspects[part].crashes}
+
+    def known_rounds(self, parts: Iterable[str]) -> dict[str, int]:
+        """Return the latest known rounds of the parts of a prompt that is sent now."""
+        if not self.suspects:
+            return {}
+        return {p: self.suspects[p].last_round for p in parts if p in self.suspects}
+
+    def record_crash(
+        self,
+        crash: str,
+        parts: Sequence[str],
+        request: str,
+        known_rounds: Mapping[str, int],
+        now: float,
+    ) -> None:
+        """Record that a request with these parts was in progress at a crash.
+
+        Parameters
+        ----------
+        known_rounds : mapping of str to int
+            Result of ``known_rounds`` when the request was sent.
+        """
+        for depth, part in enumerate(parts):
+            evidence = PartCrash(known_rounds.get(part, 0) + 1, request)
+            found = SuspectPart(depth, now + EVIDENCE_SECONDS, {crash: evidence})
+            self.merge(part, found, now)
+
+    def record_sound(self, parts: Iterable[str]) -> bool:
+        """Record a completed answer; return whether that refutes any evidence."""
+        if not self.suspects:
+            return False
+        refuted = [p for p in parts if p in self.suspects and self.suspects[p].refute()]
+        self._changed = self._changed or bool(refuted)
+        return bool(refuted)
+
+    def merge(self, part: str, found: SuspectPart, now: float) -> bool:
+        """Merge evidence, and return whether any of it is new."""
+        # A sender whose clock is ahead must not extend the quarantine.
+        until = min(found.until, now + QUARANTINE_SECONDS)
+        if until <= now:
+            return False
+        suspect = self.suspects.setdefault(part, SuspectPart(found.depth, until))
+        suspect.depth = max(suspect.depth, found.depth)
+        suspect.until = max(suspect.until, until)
+        added = [suspect.add(crash, c) for crash, c in found.crashes.items()]
+        self._changed = self._changed or any(added)
+        self._recheck_at = min(self._recheck_at, suspect.until)
+        if len(self.suspects) > MAX_PARTS:
+            self._drop_weakest()
+        return any(added)
+
+    def _update(self, now: float) -> None:
+        """Forget expired evidence, and choose the parts to quarantine again."""
+        self.suspects = {p: s for p, s in self.suspects.items() if s.until > now}
+        chosen = _smallest_explanation(self.suspects)
+        for part in chosen - self._quarantined:
+            suspect = self.suspects[part]
+            suspect.until = max(suspect.until, now + QUARANTINE_SECONDS)
+        self._quarantined = frozenset(chosen)
+        expiries = (suspect.until for suspect in self.suspects.values())
+        self._recheck_at = min(expiries, default=float("inf"))
+        self._changed = False
+
+    def _drop_weakest(self) -> None:
+        def rank(part: str) -> tuple:
+            suspect = self.suspects[part]
+            strength = _strength(suspect, frozenset())
+            return strength.rounds, strength.crashes, suspect.until, part
+
+        del self.suspects[min(self.suspects, key=rank)]
+
+
+def _smallest_explanation(suspects: Mapping[str, SuspectPart]) -> set[str]:
+    """Return parts that explain the crashes, each with enough evidence of its own.
+
+    The part with the most evidence is chosen first, and its crashes are no evidence
+    against the others.
+    """
+    chosen: set[str] = set()
+    explained: set[str] = set()
+    while True:
+        strengths = {
+            part: _strength(suspect, explained)
+            for part, suspect in suspects.items()
+            if part not in chosen
+        }
+        sufficient = [part for part, s in strengths.items() if s.suffices]
+        if not sufficient:
+            return chosen
+        best = max(sufficient, key=lambda p: _choice_rank(p, strengths, suspects))
+        chosen.add(best)
+        explained |= suspects[best].crashes.keys()
+
+
+def _choice_rank(
+    part: str, strengths: Mapping[str, _Strength], suspects: Mapping[str, SuspectPart]
+) -> tuple:
+    # Of parts that are always sent together, the deepest one is shared by the fewest
+    # requests.
+    strength = strengths[part]
+    return (
+        strength.crashes,
+        strength.rounds,
+        strength.requests,
+        suspects[part].depth,
+        part,
+    )
+
+
+def _strength(suspect: SuspectPart, explained: Iterable[str]) -> _Strength:
+    counted = [
+        evidence
+        for crash, evidence in suspect.crashes.items()
+        if not evidence.refuted and crash not in explained
+    ]
+    return _Strength(
+        rounds=len({evidence.round for evidence in counted}),
+        crashes=len(counted),
+        requests=len({evidence.request for evidence in counted}),
+    )
