--- a/packages/wasabideck_forward/wasabideck_forward/dispatcher.py
+++ b/packages/wasabideck_forward/wasabideck_forward/dispatcher.py
@@ -188,6 +188,7 @@
         """Record that a server sent the first event of a stream."""
         if exchange.first_event_seconds is None:
             exchange.first_event_seconds = now - exchange.req.arrived_at
+        exchange.first_event_at[backend.server] = now
         backend.unread_prompts.discard(exchange)
         self._late_limiter.record_started(exchange)
 
--- a/packages/wasabideck_forward/wasabideck_forward/exchange.py
+++ b/packages/wasabideck_forward/wasabideck_forward/exchange.py
@@ -55,6 +55,8 @@
         Urgency class at the engine.
     first_event_seconds : float or None
         Time from the request's arrival to the first event of its stream.
+    first_event_at : dict of str to float
+        When a server sent its first event of the stream, by server, in seconds.
     weights_version : int
         Version that the server was known to hold when the request was last sent; 0 for
         none.
@@ -81,10 +83,16 @@
     waited: bool = False
     urgency: int | None = None
     first_event_seconds: float | None = None
+    first_event_at: dict[str, float] = field(factory=dict)
     weights_version: int = 0
     weights_expire_in: float | None = None
     delivered: DeliveryProgress = field(factory=DeliveryProgress)
 
+    def answering_for(self, server: str, now: float) -> float | None:
+        """Return the seconds since a server's first event; None before it."""
+        first_event_at = self.first_event_at.get(server)
+        return None if first_event_at is None else now - first_event_at
+
     @property
     def sent_count(self) -> int:
         """Number of servers that it was sent to, including the present one."""
--- a/packages/wasabideck_forward/wasabideck_forward/forwarder.py
+++ b/packages/wasabideck_forward/wasabideck_forward/forwarder.py
@@ -328,7 +328,9 @@
         elif not refused and not isinstance(exc, Recalled):
             self.dispatcher.outliers.record_failure(backend.server, self.clock())
         if isinstance(exc, AnswerBroken):
-            self.dispatcher.crash_detector.connection_failed(exchange, backend)
+            self.dispatcher.crash_detector.connection_failed(
+                exchange, backend, self.clock()
+            )
         self.events.emit(
             "attempt.failed",
             request=exchange.req.head.request_id,
@@ -363,7 +365,9 @@
             self._record_failure(exchange, backend, by.failure)
         elif unresponsive:
             self.dispatcher.outliers.record_failure(backend.server, self.clock())
-            self.dispatcher.crash_detector.connection_failed(exchange, backend)
+            self.dispatcher.crash_detector.connection_failed(
+                exchange, backend, self.clock()
+            )
         self.events.emit(
             "attempt.replaced",
             request=exchange.req.head.request_id,
--- a/packages/wasabideck_forward/wasabideck_forward/http_heads.py
+++ b/packages/wasabideck_forward/wasabideck_forward/http_heads.py
@@ -70,6 +70,8 @@
         The requested model; empty for plain services.
     prompt_tokens, max_response_tokens : int
         Tokens of the prompt, and the maximum tokens of the response.
+    prompt_parts : tuple of str
+        Ids of the prompt's parts in order. Other requests may share all but the last.
     last_event_id : bytes
         Id of the last event that the caller received of an aborted stream.
     """
@@ -81,8 +83,14 @@
     model: str = ""
     prompt_tokens: int = 0
     max_response_tokens: int = 0
+    prompt_parts: tuple[str, ...] = ()
     last_event_id: bytes = b""
 
+    @property
+    def shared_parts(self) -> tuple[str, ...]:
+        """Ids of the parts that other requests may share."""
+        return self.prompt_parts[:-1]
+
 
 @define(eq=False)
 class CallerRequest:
