--- a/packages/wasabideck_lab/wasabideck_lab/__main__.py
+++ b/packages/wasabideck_lab/wasabideck_lab/__main__.py
@@ -15,6 +15,7 @@
 from .burst_loads import bursts
 from .capacity import MEASUREMENTS, measure_all
 from .claim_batching import run_claims
+from .crash_series import crash_series
 from .demo import DemoFailed, run_demo
 from .distribute_command import decisions, distribute
 from .fault_scenarios import SCENARIOS, run_scenario
@@ -122,6 +123,7 @@
 
     ablation = staticmethod(ablation)
     bursts = staticmethod(bursts)
+    crash_series = staticmethod(crash_series)
     distribute = staticmethod(distribute)
     decisions = staticmethod(decisions)
     load = staticmethod(load)
