Choose the more specific of the parts that explain the same crashes

Callers saw all requests of an organisation refused for good after an outage that two bad parts of two organisations had caused: the first part of one was in progress in more crashes than either bad part, was chosen first, and nothing that contains it could refute it any more.

A deeper part with at least 0.4 of the crashes is now chosen instead, and a chosen part whose crashes the others explain is dropped.

--- a/packages/wasabideck_policy/wasabideck_policy/part_quarantine.py
+++ b/packages/wasabideck_policy/wasabideck_policy/part_quarantine.py
@@ -24,6 +24,8 @@
 # Different requests that must have been in progress in these crashes: a single request
 # that crashes servers says nothing about its parts.
 MIN_REQUESTS = 2
+# Share of the crashes of a part above which a deeper part is chosen instead.
+MIN_DEEPER_RATIO = 0.4
 # Time for which evidence counts, and for which a quarantined part is refused after its
 # last crash, in seconds.
 EVIDENCE_SECONDS = 30.0
@@ -216,7 +218,7 @@
     The part with the most evidence is chosen first, and its crashes are no evidence
     against the others.
     """
-    chosen: set[str] = set()
+    chosen: list[str] = []
     explained: set[str] = set()
     while True:
         strengths = {
@@ -224,14 +226,46 @@
             for part, suspect in suspects.items()
             if part not in chosen
         }
-        sufficient = [part for part, s in strengths.items() if s.suffices]
+        sufficient = {part: s for part, s in strengths.items() if s.suffices}
         if not sufficient:
-            return chosen
-        best = max(sufficient, key=lambda p: _choice_rank(p, strengths, suspects))
-        chosen.add(best)
+            return _without_redundant(chosen, suspects)
+        best = _most_specific(sufficient, suspects)
+        chosen.append(best)
         explained |= suspects[best].crashes.keys()
 
 
+def _most_specific(
+    strengths: Mapping[str, _Strength], suspects: Mapping[str, SuspectPart]
+) -> str:
+    """Return the part with the most evidence, or a deeper one with much of it.
+
+    A part that many requests share is also in progress in most crashes by others.
+    """
+    best = max(strengths, key=lambda p: _choice_rank(p, strengths, suspects))
+    while True:
+        deeper = [
+            part
+            for part, strength in strengths.items()
+            if suspects[part].depth > suspects[best].depth
+            and strength.crashes >= strengths[best].crashes * MIN_DEEPER_RATIO
+        ]
+        if not deeper:
+            return best
+        best = max(deeper, key=lambda p: _choice_rank(p, strengths, suspects))
+
+
+def _without_redundant(
+    chosen: Iterable[str], suspects: Mapping[str, SuspectPart]
+) -> set[str]:
+    """Return the chosen parts without those whose crashes the others explain."""
+    kept = set(chosen)
+    for part in sorted(kept, key=lambda p: (len(suspects[p].crashes), p)):
+        others = (suspects[p].crashes.keys() for p in kept - {part})
+        if not _strength(suspects[part], set().union(*others)).suffices:
+            kept.discard(part)
+    return kept
+
+
 def _choice_rank(
     part: str, strengths: Mapping[str, _Strength], suspects: Mapping[str, SuspectPart]
 ) -> tuple:
