Let single requests probe quarantined parts, and count five crashes as strong

Callers saw sound parts refused for 10 minutes after outages: no request with a quarantined part was sent, so nothing could refute it; and bad parts sent late, as crashes within 0.3 s are one round however many they are.

claim_probe lets one request through: at the process that recorded the newest crash first, the others later, after 1.5 s if the part had been refuted before and 20 s otherwise, 16 times as long for each further round. Five crashes in two rounds suffice. Parts that were never refuted are chosen first.

--- a/packages/wasabideck_policy/wasabideck_policy/part_quarantine.py
+++ b/packages/wasabideck_policy/wasabideck_policy/part_quarantine.py
@@ -30,6 +30,11 @@
 # last crash, in seconds.
 EVIDENCE_SECONDS = 30.0
 QUARANTINE_SECONDS = 600.0
+# Delay before a request with a quarantined part is sent as a probe, and the factor by
+# which it grows with each failed one.
+PROBE_SECONDS = 1.5
+LATE_PROBE_SECONDS = 20.0
+PROBE_BACKOFF = 16
 MAX_PARTS = 256
 MAX_CRASHES_PER_PART = 16
 
@@ -81,6 +86,11 @@
         """The latest round of its crashes."""
         return max((c.round for c in self.crashes.values()), default=0)
 
+    @property
+    def was_refuted(self) -> bool:
+        """Whether an answer with the part was completed after one of its crashes."""
+        return any(evidence.refuted for evidence in self.crashes.values())
+
     def add(self, crash: str, evidence: PartCrash) -> bool:
         """Add evidence, and return whether it is new."""
         known = self.crashes.get(crash)
@@ -99,6 +109,11 @@
             self.crashes[crash] = evolve(evidence, refuted=True)
         return bool(open_crashes)
 
+    def recency(self, crash: str) -> tuple:
+        """Sort key by which all processes agree on the latest crash."""
+        evidence = self.crashes[crash]
+        return evidence.round, evidence.request, crash
+
     def _retention_rank(self, crash: str) -> tuple:
         evidence = self.crashes[crash]
         return not evidence.refuted, evidence.round, crash
@@ -114,7 +129,24 @@
 
     @property
     def suffices(self) -> bool:
-        return self.rounds >= MIN_ROUNDS and self.requests >= MIN_REQUESTS
+        min_rounds = 2 if self.crashes >= 5 else 3
+        return self.rounds >= min_rounds and self.requests >= MIN_REQUESTS
+
+
+@define
+class _ProbeTurn:
+    """When this process may next send a request with a quarantined part.
+
+    Attributes
+    ----------
+    waits_since : float
+        Time of the last new evidence or of the last probe.
+    recorded : set of str
+        Crashes that this process recorded itself; the others have theirs.
+    """
+
+    waits_since: float
+    recorded: set[str] = field(factory=set)
 
 
 @define
@@ -122,6 +154,7 @@
     """Evidence against prompt parts; merging is a union, so gossip may repeat it."""
 
     suspects: dict[str, SuspectPart] = field(factory=dict)
+    _probes: dict[str, _ProbeTurn] = field(factory=dict)
     _quarantined: frozenset[str] = frozenset()
     _recheck_at: float = float("inf")
     _changed: bool = False
@@ -136,6 +169,22 @@
             self._update(now)
         return self._quarantined
 
+    def claim_probe(self, parts: Sequence[str], now: float) -> bool:
+        """Whether a prompt may be sent although one of its parts is quarantined.
+
+        Without such requests, nothing could refute evidence against a sound part. Call
+        this only when the request can be sent at once.
+        """
+        quarantined = self.quarantined(now).intersection(parts)
+        if len(quarantined) != 1:
+            return False
+        (part,) = quarantined
+        turn = self._probes.get(part)
+        if turn is None or now < turn.waits_since + self._probe_delay(part, turn):
+            return False
+        turn.waits_since = now
+        return True
+
     def explained_crashes(self, now: float) -> set[str]:
         """Return the crashes that quarantined parts explain."""
         parts = self.quarantined(now)
@@ -166,6 +215,9 @@
             evidence = PartCrash(known_rounds.get(part, 0) + 1, request)
             found = SuspectPart(depth, now + EVIDENCE_SECONDS, {crash: evidence})
             self.merge(part, found, now)
+            if part in self.suspects:
+                turn = self._probes.setdefault(part, _ProbeTurn(now))
+                turn.recorded.add(crash)
 
     def record_sound(self, parts: Iterable[str]) -> bool:
         """Record a completed answer; return whether that refutes any evidence."""
@@ -186,6 +238,8 @@
         suspect.until = max(suspect.until, until)
         added = [suspect.add(crash, c) for crash, c in found.crashes.items()]
         self._changed = self._changed or any(added)
+        if any(added) and part in self._probes:
+            self._probes[part].waits_since = now
         self._recheck_at = min(self._recheck_at, suspect.until)
         if len(self.suspects) > MAX_PARTS:
             self._drop_weakest()
@@ -194,6 +248,7 @@
     def _update(self, now: float) -> None:
         """Forget expired evidence, and choose the parts to quarantine again."""
         self.suspects = {p: s for p, s in self.suspects.items() if s.until > now}
+        self._probes = {p: t for p, t in self._probes.items() if p in self.suspects}
         chosen = _smallest_explanation(self.suspects)
         for part in chosen - self._quarantined:
             suspect = self.suspects[part]
@@ -203,6 +258,20 @@
         self._recheck_at = min(expiries, default=float("inf"))
         self._changed = False
 
+    def _probe_delay(self, part: str, turn: _ProbeTurn) -> float:
+        """Return how long after the last new evidence a probe may be sent.
+
+        Each failed probe is a further round, and its evidence spreads before it is the
+        turn of the next entry.
+        """
+        suspect = self.suspects[part]
+        rounds = _strength(suspect, frozenset()).rounds
+        delay = PROBE_SECONDS if suspect.was_refuted else LATE_PROBE_SECONDS
+        delay *= PROBE_BACKOFF ** max(rounds - MIN_ROUNDS, 0)
+        newest_first = sorted(suspect.crashes, key=suspect.recency, reverse=True)
+        ranks = (n for n, c in enumerate(newest_first) if c in turn.recorded)
+        return delay * (1 + 2 * next(ranks, MAX_CRASHES_PER_PART))
+
     def _drop_weakest(self) -> None:
         def rank(part: str) -> tuple:
             suspect = self.suspects[part]
@@ -229,7 +298,13 @@
         sufficient = {part: s for part, s in strengths.items() if s.suffices}
         if not sufficient:
             return _without_redundant(chosen, suspects)
-        best = _most_specific(sufficient, suspects)
+        # A part that was refuted before is more likely to be sound again.
+        never_refuted = {
+            part: strength
+            for part, strength in sufficient.items()
+            if not suspects[part].was_refuted
+        }
+        best = _most_specific(never_refuted or sufficient, suspects)
         chosen.append(best)
         explained |= suspects[best].crashes.keys()
 
