--- a/packages/wasabideck_base/wasabideck_base/event_kinds.py
+++ b/packages/wasabideck_base/wasabideck_base/event_kinds.py
@@ -89,6 +89,13 @@
         "an agent ordered its engine to unload expired weights"
     ),
     "weights.over": EventKind("remaining work of an engine on expired weights"),
+    "part.quarantined": EventKind(
+        "requests whose prompts have a part that crashes servers are refused from now",
+        "find out who sends the part, and which engines' software fails on it",
+    ),
+    "part.released": EventKind(
+        "a part of prompts is no longer quarantined: refuted, explained or expired"
+    ),
     "process.leaving": EventKind(
         "a process shuts down gracefully and accepts no new work"
     ),
--- a/packages/wasabideck_base/wasabideck_base/gossip.py
+++ b/packages/wasabideck_base/wasabideck_base/gossip.py
@@ -35,6 +35,7 @@
     row_entry,
     rows_of,
 )
+from .part_gossip import PartGossip
 from .table_watch import TablePosition, TableWatch
 
 __all__ = ["Gossip", "GossipService"]
@@ -86,6 +87,8 @@
         Known ages of declarations.
     quarantine : Quarantine
         Requests that crashed servers, as seen by this process and its peers.
+    part_gossip : PartGossip
+        Prompt parts that may crash servers, and how the entries learn of them.
     position : callable
         How far this process itself follows a table; None if it does not.
     last_local_reply_at : float
@@ -113,8 +116,19 @@
     region_may_lag: Callable[[], bool] = lambda: False
     last_reply_at: float = float("-inf")
     last_local_reply_at: float = float("-inf")
+    part_gossip: PartGossip = field(init=False)
     _peer_retry_at: dict[str, float] = field(factory=dict)
 
+    def __attrs_post_init__(self) -> None:
+        """Create the exchange of evidence against prompt parts."""
+        self.part_gossip = PartGossip(
+            self.events,
+            self.rng,
+            self._other_entries,
+            self.push_suspects,
+            relays=self.me.kind == ENTRY,
+        )
+
     def merge(self, received: Iterable[Declaration], source: str) -> list[Declaration]:
         """Merge declarations, and return those that are newer than the known ones."""
         newer = self.declarations.merge(received)
@@ -145,7 +159,7 @@
         if reply is None:
             return
         self._apply_entries(reply.entries, address)
-        self._merge_crashes(reply.quarantined)
+        self._merge_crashes(reply)
         for entry in reply.entries:
             if entry.slot == TABLE and entry.scope in self.tables:
                 self.tables[entry.scope].note_newer_row(entry.ticket)
@@ -163,6 +177,7 @@
         req = self._sync_request([table])
         req.entries.append(pb.Entry(scope=table, slot=FOLLOWS))
         req.ClearField("quarantined")
+        req.ClearField("suspect_parts")
         reply = await self._sync(address, req, SYNC_TIMEOUT_SECONDS)
         if reply is None:
             return None
@@ -218,9 +233,18 @@
     ) -> None:
         """Send declarations to peers without requesting any in return."""
         unsent = self.declarations.numbers().keys() - {d.key for d in declarations}
-        entries = self._declaration_entries(declarations)
-        entries += [pb.Entry(scope=k, slot=DECLARED, ticket=SEND_NONE) for k in unsent]
-        req = pb.SyncRequest(vm=self.me.vm, entries=entries)
+        entries = self._declaration_entries(declarations) + _request_none(unsent)
+        await self._sync_all(pb.SyncRequest(vm=self.me.vm, entries=entries), addresses)
+
+    async def push_suspects(
+        self, suspects: list[pb.SuspectPart], addresses: Iterable[str]
+    ) -> None:
+        """Send evidence against prompt parts to peers."""
+        entries = _request_none(self.declarations.numbers())
+        req = pb.SyncRequest(vm=self.me.vm, entries=entries, suspect_parts=suspects)
+        await self._sync_all(req, addresses)
+
+    async def _sync_all(self, req: pb.SyncRequest, addresses: Iterable[str]) -> None:
         calls = (
             self._sync(address, req, SYNC_TIMEOUT_SECONDS) for address in addresses
         )
@@ -232,7 +256,7 @@
             e.scope: e.ticket for e in req.entries if e.slot in (DECLARED, COMPRESSED)
         }
         self._apply_entries(req.entries, req.vm)
-        self._merge_crashes(req.quarantined)
+        self._merge_crashes(req)
         newer = self.declarations.newer_than(peer_numbers)
         entries = self._declaration_entries(newer)
         sent_keys = {declaration.key for declaration in newer}
@@ -265,6 +289,7 @@
             heard=len(self.declarations) > 0,
             # Peers that poll a region reader do so several times a second.
             quarantined=[] if polled_tables else self._recent_crashes(),
+            suspect_parts=[] if polled_tables else self.part_gossip.poll_messages(),
         )
 
     def _apply_entries(self, entries: Iterable[pb.Entry], source: str) -> bool:
@@ -293,8 +318,9 @@
         crashes = crashes_to_messages(self.quarantine, self.events.wall())
         return sorted(crashes, key=lambda crash: crash.until)[-MAX_CRASHES_SENT:]
 
-    def _merge_crashes(self, crashes: Iterable[pb.Quarantined]) -> None:
-        merge_crashes(self.quarantine, crashes, self.events.wall())
+    def _merge_crashes(self, message: pb.SyncRequest | pb.SyncReply) -> None:
+        merge_crashes(self.quarantine, message.quarantined, self.events.wall())
+        self.part_gossip.merge(message.suspect_parts, "peer")
 
     def _sync_request(self, tables: Iterable[str] | None = None) -> pb.SyncRequest:
         numbers = self.declarations.numbers()
@@ -312,7 +338,10 @@
             for table in (self.tables if tables is None else tables)
         ]
         return pb.SyncRequest(
-            vm=self.me.vm, entries=entries, quarantined=self._recent_crashes()
+            vm=self.me.vm,
+            entries=entries,
+            quarantined=self._recent_crashes(),
+            suspect_parts=self.part_gossip.poll_messages(),
         )
 
     def _known_number(self, key: str, number: int) -> int:
@@ -342,6 +371,13 @@
         """
         return [e for key in keys for e in age_entries(key, self.ages.unexpired(key))]
 
+    def _other_entries(self) -> list[str]:
+        return [
+            m.address
+            for m in self.members.values()
+            if m.kind == ENTRY and m.vm != self.me.vm
+        ]
+
     def _choose_peer(self, now: float) -> str | None:
         others = [
             m
@@ -361,6 +397,11 @@
         return self.rng.choice(sorted(available))
 
 
+def _request_none(keys: Iterable[str]) -> list[pb.Entry]:
+    """Return entries upon which a peer sends no declarations of these keys."""
+    return [pb.Entry(scope=key, slot=DECLARED, ticket=SEND_NONE) for key in keys]
+
+
 @define
 class GossipService(PeersBase):
     """Serves peers that request newer declarations."""
--- a/packages/wasabideck_base/wasabideck_base/state_sync.py
+++ b/packages/wasabideck_base/wasabideck_base/state_sync.py
@@ -193,6 +193,7 @@
         ]
         if self._is_entry:
             loops.append(self.declaration_times.run_publishing())
+            loops.append(self.gossip.part_gossip.run_pushes())
             return [*loops, self.readers.run(), self.server_watch.run()]
         return [*loops, self._run_fallback_reads()]
 
--- a/packages/wasabideck_forward/wasabideck_forward/attempts.py
+++ b/packages/wasabideck_forward/wasabideck_forward/attempts.py
@@ -104,6 +104,7 @@
             response, backend, exchange.engine, may_resume_elsewhere
         )
         self._record_weights(exchange, backend)
+        self.dispatcher.crash_detector.record_sent(exchange, backend)
         message = self._message(exchange, backend)
         exchange.possibly_executed_by.add(backend.server)
         conn.send(message, response)
--- a/packages/wasabideck_forward/wasabideck_forward/crash_detector.py
+++ b/packages/wasabideck_forward/wasabideck_forward/crash_detector.py
@@ -1,4 +1,4 @@
-"""Detects requests that crash the servers that run them, and has them refused."""
+"""Detects requests and prompt parts that crash servers, and has them refused."""
 
 from __future__ import annotations
 
@@ -8,15 +8,20 @@
 from attrs import define, field, frozen
 from wasabideck_base.events import Events
 from wasabideck_policy.backends import Backend
+from wasabideck_policy.part_quarantine import PartQuarantine
 from wasabideck_policy.quarantine import Quarantine, fingerprint
 
 from .exchange import Exchange
+from .http_heads import ResponseHead, ends_with_connection
 
 __all__ = ["CrashDetector"]
 
 # A running server accepts a connection within two round trips, 12 ms between regions.
 # The machine of a crashed one refuses it as quickly.
 PROBE_TIMEOUT_SECONDS = 0.3
+# A part that crashes servers does so as soon as the answer begins: requests that a
+# server has answered for longer are no evidence against their parts.
+MAX_ANSWERING_SECONDS = 0.5
 # Maximum requests and parts that are named in the log line of a crash.
 MAX_LOGGED = 16
 
@@ -34,13 +39,35 @@
     exchange: Exchange
     answering_for: float | None
 
+    @property
+    def may_be_cause(self) -> bool:
+        """Whether one of its prompt's parts may have crashed the server."""
+        return self.answering_for is None or self.answering_for < MAX_ANSWERING_SECONDS
+
+
+@define
+class _Probe:
+    """A server that is being probed, and the requests that wait for the outcome.
+
+    Attributes
+    ----------
+    failed : list of _Victim
+        Requests whose connections failed.
+    completed : list of _Victim
+        Requests whose streams ended with their connections.
+    """
+
+    failed: list[_Victim] = field(factory=list)
+    completed: list[_Victim] = field(factory=list)
+
 
 @define
 class CrashDetector:
     """Detects servers that crashed during a request, and counts the crashes.
 
     A request that crashes any server that runs it is retried through any entry, and
-    each time makes a server unavailable for seconds, with everything that runs there. A
+    each time makes a server unavailable for seconds, with everything that runs there.
+    So is any request that shares a part of its prompt, if that part is the cause. A
     broken connection alone proves nothing: responses get lost and links fail. A server
     whose port is closed immediately afterwards has terminated. All other requests that
     ran there are counted too, which is why a single crash has no consequence.
@@ -49,6 +76,10 @@
     ----------
     quarantine : Quarantine
         Crashes by request; the entries share them by gossip.
+    parts : PartQuarantine
+        Crashes by part of the prompts, shared in the same way.
+    on_evidence : callable
+        Called with the parts of which there is new evidence.
     wall_clock : callable
         Returns the wall time. The clocks of the entries agree to within seconds, and
         crashes count for minutes.
@@ -57,38 +88,105 @@
     quarantine: Quarantine
     events: Events
     wall_clock: Callable[[], float]
-    _probing: dict[str, list[_Victim]] = field(factory=dict)
+    parts: PartQuarantine = field(factory=PartQuarantine)
+    on_evidence: Callable[[Iterable[str]], None] = lambda parts: None
+    _probing: dict[str, _Probe] = field(factory=dict)
     _tasks: set[asyncio.Task] = field(factory=set)
 
     def is_quarantined(self, exchange: Exchange) -> bool:
         """Whether a request has crashed too many servers to be run again."""
-        return self.quarantine.is_quarantined(_fingerprint(exchange), self.wall_clock())
+        now = self.wall_clock()
+        if self.parts.is_quarantined(exchange.req.head.shared_parts, now):
+            return True
+        return self.quarantine.is_quarantined(_fingerprint(exchange), now)
+
+    def record_sent(self, exchange: Exchange, backend: Backend) -> None:
+        """Record which crashes precede the sending of a request to a server.
+
+        Besides those that are known, these are the ones that this very request met: it
+        is sent on before a probe has confirmed them.
+        """
+        shared_parts = exchange.req.head.shared_parts
+        rounds = self.parts.known_rounds(shared_parts)
+        for met in exchange.rounds_met:
+            for part in shared_parts:
+                rounds[part] = max(rounds.get(part, 0), met.get(part, 0) + 1)
+        exchange.known_rounds[backend.server] = rounds
+
+    def record_answered(
+        self, exchange: Exchange, backend: Backend, head: ResponseHead, now: float
+    ) -> None:
+        """Record that a server's stream was complete: the prompt's parts are harmless.
+
+        A stream that ends with its connection also looks complete if the server crashed
+        just after it had begun to answer. Such a server is probed.
+        """
+        shared_parts = exchange.req.head.shared_parts
+        answering_for = exchange.answering_for(backend.server, now)
+        if answering_for is None or not self.parts.suspects.keys() & shared_parts:
+            return
+        if ends_with_connection(head.headers) and answering_for < MAX_ANSWERING_SECONDS:
+            completed = self._probe_once(backend).completed
+            completed.append(_Victim(exchange, answering_for))
+            return
+        self._record_sound(exchange)
 
     def connection_failed(
         self, exchange: Exchange, backend: Backend, now: float
     ) -> None:
         """Probe a server whose connection failed during a request."""
         victim = _Victim(exchange, exchange.answering_for(backend.server, now))
-        if backend.server in self._probing:
-            self._probing[backend.server].append(victim)
-            return
-        self._probing[backend.server] = [victim]
-        task = asyncio.create_task(self._probe(backend))
+        exchange.rounds_met.append(exchange.known_rounds.get(backend.server, {}))
+        self._probe_once(backend).failed.append(victim)
+
+    def _probe_once(self, backend: Backend) -> _Probe:
+        """Return the probe of a server, started now if there is none in progress."""
+        probe = self._probing.get(backend.server)
+        if probe is not None:
+            return probe
+        probe = self._probing[backend.server] = _Probe()
+        task = asyncio.create_task(self._run_probe(backend, probe))
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
+        return probe
 
-    async def _probe(self, backend: Backend) -> None:
+    async def _run_probe(self, backend: Backend, probe: _Probe) -> None:
         try:
             crashed = await _refuses_connections(backend.listed.address)
         finally:
-            victims = self._probing.pop(backend.server)
-        if not crashed:
+            del self._probing[backend.server]
+        if crashed:
+            self._record_crash(backend, probe.failed + probe.completed)
             return
+        for completed in probe.completed:
+            self._record_sound(completed.exchange)
+
+    def _record_sound(self, exchange: Exchange) -> None:
+        shared_parts = exchange.req.head.shared_parts
+        if self.parts.record_sound(shared_parts):
+            self.on_evidence(shared_parts)
+
+    def _record_crash(self, backend: Backend, victims: list[_Victim]) -> None:
         self._log_crash(backend, victims)
         now = self.wall_clock()
         crash = f"{backend.server}/{backend.listed.started_at_ms}"
         for name in {_fingerprint(victim.exchange) for victim in victims}:
             self.quarantine.record_crash(name, crash, now)
+        suspects = [victim for victim in victims if victim.may_be_cause]
+        for victim in suspects:
+            self._record_suspect(victim.exchange, backend, crash, now)
+        self.on_evidence(_shared_parts(suspects))
+
+    def _record_suspect(
+        self, exchange: Exchange, backend: Backend, crash: str, now: float
+    ) -> None:
+        head = exchange.req.head
+        if not head.shared_parts:
+            return
+        known_rounds = exchange.known_rounds.get(backend.server, {})
+        self.parts.record_crash(
+            crash, head.shared_parts, head.prompt_parts[-1], known_rounds, now
+        )
 
     def _log_crash(self, backend: Backend, victims: list[_Victim]) -> None:
         answering = [victim.answering_for for victim in victims]
--- a/packages/wasabideck_forward/wasabideck_forward/entry_process.py
+++ b/packages/wasabideck_forward/wasabideck_forward/entry_process.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from functools import partial
 
 from attrs import define
 from wasabideck_base.deployment import DeploymentAdapter
@@ -146,14 +147,20 @@
 
 def _assemble(process: VMProcess, deployment: DeploymentAdapter) -> _Entry:
     cfg, cluster_state = process.cfg, process.state_sync.cluster_state
-    quarantine = process.state_sync.gossip.quarantine
+    gossip = process.state_sync.gossip
     dispatcher = Dispatcher(
         cluster_state,
         _dispatch_limits(cfg),
         cfg.data_centre,
         process.clock,
         process.rng,
-        CrashDetector(quarantine, process.events, process.events.wall),
+        CrashDetector(
+            gossip.quarantine,
+            process.events,
+            process.events.wall,
+            gossip.part_gossip.parts,
+            partial(gossip.part_gossip.note_evidence, source="own"),
+        ),
     )
     pool = ServerPool(deployment.head_codec, process.clock)
     dispatcher.idle_servers = pool.idle_servers
--- a/packages/wasabideck_forward/wasabideck_forward/exchange.py
+++ b/packages/wasabideck_forward/wasabideck_forward/exchange.py
@@ -57,6 +57,11 @@
         Time from the request's arrival to the first event of its stream.
     first_event_at : dict of str to float
         When a server sent its first event of the stream, by server, in seconds.
+    known_rounds : dict of str to dict
+        Rounds of crashes that were known for its prompt's parts when it was sent to a
+        server, by server.
+    rounds_met : list of dict
+        The same for the servers whose connections failed meanwhile.
     weights_version : int
         Version that the server was known to hold when the request was last sent; 0 for
         none.
@@ -84,6 +89,8 @@
     urgency: int | None = None
     first_event_seconds: float | None = None
     first_event_at: dict[str, float] = field(factory=dict)
+    known_rounds: dict[str, dict[str, int]] = field(factory=dict)
+    rounds_met: list[dict[str, int]] = field(factory=list)
     weights_version: int = 0
     weights_expire_in: float | None = None
     delivered: DeliveryProgress = field(factory=DeliveryProgress)
--- a/packages/wasabideck_forward/wasabideck_forward/forwarder.py
+++ b/packages/wasabideck_forward/wasabideck_forward/forwarder.py
@@ -196,7 +196,9 @@
                 await deliver(exchange, head, response, monitor, caller, on_first_event)
             answered = True
             self._log_end(exchange.req, exchange, "answered")
-            self.dispatcher.record_completed(exchange, self.clock())
+            now = self.clock()
+            self.dispatcher.record_completed(exchange, now)
+            self.dispatcher.crash_detector.record_answered(exchange, backend, head, now)
             self.dispatcher.outliers.record_success(backend.server)
         finally:
             self.attempts.end(attempt, answered)
--- a/packages/wasabideck_forward/wasabideck_forward/http_heads.py
+++ b/packages/wasabideck_forward/wasabideck_forward/http_heads.py
@@ -19,6 +19,7 @@
     "RequestParameters",
     "HeadCodec",
     "announces_close",
+    "ends_with_connection",
     "first_header",
     "keep_alive_seconds",
     "end_to_end_headers",
@@ -214,6 +215,12 @@
     return b"close" in first_header(headers, b"connection").lower()
 
 
+def ends_with_connection(headers: Headers) -> bool:
+    """Whether only the end of its connection ends the body of a response."""
+    names = {name.lower() for name, _ in headers}
+    return b"content-length" not in names and b"transfer-encoding" not in names
+
+
 def keep_alive_seconds(headers: Headers) -> float | None:
     """Return how long the sender keeps an idle connection; None if it does not say."""
     for part in first_header(headers, b"keep-alive").split(b","):
--- a/packages/wasabideck_forward/wasabideck_forward/server_connection.py
+++ b/packages/wasabideck_forward/wasabideck_forward/server_connection.py
@@ -10,7 +10,13 @@
 import httptools
 from wasabideck_policy.outcomes import WasabideckError
 
-from .http_heads import HeadCodec, ResponseHead, announces_close, keep_alive_seconds
+from .http_heads import (
+    HeadCodec,
+    ResponseHead,
+    announces_close,
+    ends_with_connection,
+    keep_alive_seconds,
+)
 
 __all__ = ["ServerResponse", "AnswerBroken", "FailoverRequested", "ServerConnection"]
 
@@ -287,7 +293,7 @@
         if announces_close(self._headers):
             self._not_reusable = True
         response.head = head
-        self._body_ends_at_close = _ends_with_connection(self._headers)
+        self._body_ends_at_close = ends_with_connection(self._headers)
         self._not_reusable = self._not_reusable or self._body_ends_at_close
         response.wake()
         if response.bodyless:
@@ -338,8 +344,3 @@
     def _resume_reading(self) -> None:
         if self._transport is not None and not self._transport.is_closing():
             self._transport.resume_reading()
-
-
-def _ends_with_connection(headers: list[tuple[bytes, bytes]]) -> bool:
-    names = {name.lower() for name, _ in headers}
-    return b"content-length" not in names and b"transfer-encoding" not in names
--- a/packages/wasabideck_policy/wasabideck_policy/part_quarantine.py
+++ b/packages/wasabideck_policy/wasabideck_policy/part_quarantine.py
@@ -4,7 +4,8 @@
 each part that was in progress there, and most of these parts are harmless. Three things
 tell them apart:
 
-- An answer that is completed after a crash refutes it for all parts of its prompt.
+- An answer that is completed when a crash is known refutes it, and the earlier ones,
+  for all parts of its prompt.
 - Crashes that are explained by one part are no evidence against the others.
 - Crashes at the same moment, as after a power failure, count once: a further crash only
   counts for a part if its request was sent when the crash before was known.
@@ -12,22 +13,26 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable, Mapping, Sequence
+from collections.abc import Container, Iterable, Mapping, Sequence
 
-from attrs import define, evolve, field, frozen
+from attrs import define, field, frozen
 
 __all__ = ["PartCrash", "PartQuarantine", "SuspectPart"]
 
 # Rounds of unexplained crashes after which a part is quarantined. Two occur by chance
 # while servers crash several times a second.
 MIN_ROUNDS = 3
+# Rounds that suffice for many crashes: several requests with a crashing part are often
+# in progress at the same time.
+MIN_ROUNDS_OF_MANY = 2
+MANY_CRASHES = 5
 # Different requests that must have been in progress in these crashes: a single request
 # that crashes servers says nothing about its parts.
 MIN_REQUESTS = 2
 # Share of the crashes of a part above which a deeper part is chosen instead.
 MIN_DEEPER_RATIO = 0.4
-# Time for which evidence counts, and for which a quarantined part is refused after its
-# last crash, in seconds.
+# Time after the last crash for which evidence against a part counts, and for which a
+# quarantined part is refused, in seconds.
 EVIDENCE_SECONDS = 30.0
 QUARANTINE_SECONDS = 600.0
 # Delay before a request with a quarantined part is sent as a probe, and the factor by
@@ -36,6 +41,7 @@
 LATE_PROBE_SECONDS = 20.0
 PROBE_BACKOFF = 16
 MAX_PARTS = 256
+MAX_QUARANTINED = 16
 MAX_CRASHES_PER_PART = 16
 
 
@@ -49,18 +55,10 @@
         One more than the latest round known to the entry that sent the request.
     request : str
         Id that differs between requests that share the part.
-    refuted : bool
-        Whether an answer to a prompt with the part was completed afterwards.
     """
 
     round: int
     request: str
-    refuted: bool = False
-
-    def merged_with(self, other: PartCrash) -> PartCrash:
-        """Return the evidence of two processes combined."""
-        round, request = max((self.round, self.request), (other.round, other.request))
-        return PartCrash(round, request, self.refuted or other.refuted)
 
 
 @define
@@ -72,51 +70,62 @@
     depth : int
         Position in the prompt; deeper parts are shared by fewer requests.
     until : float
-        Wall time until which the evidence counts.
+        Wall time until which it is refused, if it is quarantined.
     crashes : dict of str to PartCrash
-        Evidence by crash.
+        Evidence by crash, without what is refuted.
+    refuted_round : int
+        Round up to which all evidence is refuted; 0 for none.
     """
 
     depth: int
     until: float
     crashes: dict[str, PartCrash] = field(factory=dict)
+    refuted_round: int = 0
 
     @property
     def last_round(self) -> int:
         """The latest round of its crashes."""
-        return max((c.round for c in self.crashes.values()), default=0)
+        rounds = (evidence.round for evidence in self.crashes.values())
+        return max(rounds, default=self.refuted_round)
 
     @property
     def was_refuted(self) -> bool:
         """Whether an answer with the part was completed after one of its crashes."""
-        return any(evidence.refuted for evidence in self.crashes.values())
+        return self.refuted_round > 0
 
-    def add(self, crash: str, evidence: PartCrash) -> bool:
-        """Add evidence, and return whether it is new."""
-        known = self.crashes.get(crash)
-        merged = evidence if known is None else known.merged_with(evidence)
-        if merged == known:
-            return False
-        self.crashes[crash] = merged
-        if len(self.crashes) > MAX_CRASHES_PER_PART:
-            del self.crashes[min(self.crashes, key=self._retention_rank)]
-        return crash in self.crashes
+    def merge(self, other: SuspectPart) -> bool:
+        """Merge the evidence of another process, and return whether any is new."""
+        added = [self._add(crash, c) for crash, c in other.crashes.items()]
+        refuted = self._refute(other.refuted_round)
+        return any(added) or refuted
 
     def refute(self) -> bool:
         """Refute all known crashes, and return whether any counted until now."""
-        open_crashes = {k: c for k, c in self.crashes.items() if not c.refuted}
-        for crash, evidence in open_crashes.items():
-            self.crashes[crash] = evolve(evidence, refuted=True)
-        return bool(open_crashes)
+        return self._refute(self.last_round)
 
     def recency(self, crash: str) -> tuple:
         """Sort key by which all processes agree on the latest crash."""
         evidence = self.crashes[crash]
         return evidence.round, evidence.request, crash
 
-    def _retention_rank(self, crash: str) -> tuple:
-        evidence = self.crashes[crash]
-        return not evidence.refuted, evidence.round, crash
+    def _add(self, crash: str, evidence: PartCrash) -> bool:
+        known = self.crashes.get(crash)
+        if evidence.round <= self.refuted_round or (
+            known is not None
+            and (known.round, known.request) >= (evidence.round, evidence.request)
+        ):
+            return False
+        self.crashes[crash] = evidence
+        if len(self.crashes) > MAX_CRASHES_PER_PART:
+            del self.crashes[min(self.crashes, key=self.recency)]
+        return crash in self.crashes
+
+    def _refute(self, round: int) -> bool:
+        if round <= self.refuted_round:
+            return False
+        self.refuted_round = round
+        self.crashes = {k: c for k, c in self.crashes.items() if c.round > round}
+        return True
 
 
 @frozen
@@ -129,7 +138,7 @@
 
     @property
     def suffices(self) -> bool:
-        min_rounds = 2 if self.crashes >= 5 else 3
+        min_rounds = MIN_ROUNDS if self.crashes < MANY_CRASHES else MIN_ROUNDS_OF_MANY
         return self.rounds >= min_rounds and self.requests >= MIN_REQUESTS
 
 
@@ -185,6 +194,16 @@
         turn.waits_since = now
         return True
 
+    def strongest(self, count: int, now: float) -> list[str]:
+        """Return the parts with the most evidence, quarantined ones first."""
+        quarantined = self.quarantined(now)
+
+        def rank(part: str) -> tuple:
+            strength = _strength(self.suspects[part], ())
+            return part not in quarantined, -strength.rounds, -strength.crashes, part
+
+        return sorted(self.suspects, key=rank)[:count]
+
     def explained_crashes(self, now: float) -> set[str]:
         """Return the crashes that quarantined parts explain."""
         parts = self.quarantined(now)
@@ -213,7 +232,7 @@
         """
         for depth, part in enumerate(parts):
             evidence = PartCrash(known_rounds.get(part, 0) + 1, request)
-            found = SuspectPart(depth, now + EVIDENCE_SECONDS, {crash: evidence})
+            found = SuspectPart(depth, now + QUARANTINE_SECONDS, {crash: evidence})
             self.merge(part, found, now)
             if part in self.suspects:
                 turn = self._probes.setdefault(part, _ProbeTurn(now))
@@ -231,30 +250,32 @@
         """Merge evidence, and return whether any of it is new."""
         # A sender whose clock is ahead must not extend the quarantine.
         until = min(found.until, now + QUARANTINE_SECONDS)
-        if until <= now:
+        if until <= now or not (found.crashes or found.refuted_round):
             return False
         suspect = self.suspects.setdefault(part, SuspectPart(found.depth, until))
         suspect.depth = max(suspect.depth, found.depth)
+        if not suspect.merge(found):
+            return False
         suspect.until = max(suspect.until, until)
-        added = [suspect.add(crash, c) for crash, c in found.crashes.items()]
-        self._changed = self._changed or any(added)
-        if any(added) and part in self._probes:
+        self._changed = True
+        if part in self._probes:
             self._probes[part].waits_since = now
-        self._recheck_at = min(self._recheck_at, suspect.until)
         if len(self.suspects) > MAX_PARTS:
             self._drop_weakest()
-        return any(added)
+        return part in self.suspects
 
     def _update(self, now: float) -> None:
-        """Forget expired evidence, and choose the parts to quarantine again."""
-        self.suspects = {p: s for p, s in self.suspects.items() if s.until > now}
+        """Choose the parts to quarantine, and forget what has expired."""
+        unexpired = {p: s for p, s in self.suspects.items() if s.until > now}
+        chosen = _smallest_explanation(unexpired)
+        self.suspects = {
+            part: suspect
+            for part, suspect in unexpired.items()
+            if part in chosen or _expiry(suspect, False) > now
+        }
         self._probes = {p: t for p, t in self._probes.items() if p in self.suspects}
-        chosen = _smallest_explanation(self.suspects)
-        for part in chosen - self._quarantined:
-            suspect = self.suspects[part]
-            suspect.until = max(suspect.until, now + QUARANTINE_SECONDS)
         self._quarantined = frozenset(chosen)
-        expiries = (suspect.until for suspect in self.suspects.values())
+        expiries = (_expiry(s, p in chosen) for p, s in self.suspects.items())
         self._recheck_at = min(expiries, default=float("inf"))
         self._changed = False
 
@@ -265,7 +286,7 @@
         turn of the next entry.
         """
         suspect = self.suspects[part]
-        rounds = _strength(suspect, frozenset()).rounds
+        rounds = _strength(suspect, ()).rounds
         delay = PROBE_SECONDS if suspect.was_refuted else LATE_PROBE_SECONDS
         delay *= PROBE_BACKOFF ** max(rounds - MIN_ROUNDS, 0)
         newest_first = sorted(suspect.crashes, key=suspect.recency, reverse=True)
@@ -273,12 +294,20 @@
         return delay * (1 + 2 * next(ranks, MAX_CRASHES_PER_PART))
 
     def _drop_weakest(self) -> None:
+        """Forget the oldest of the parts with the fewest rounds."""
+
         def rank(part: str) -> tuple:
             suspect = self.suspects[part]
-            strength = _strength(suspect, frozenset())
-            return strength.rounds, strength.crashes, suspect.until, part
+            return suspect.last_round, suspect.until, part
 
-        del self.suspects[min(self.suspects, key=rank)]
+        del self.suspects[min(self.suspects.keys() - self._quarantined, key=rank)]
+
+
+def _expiry(suspect: SuspectPart, quarantined: bool) -> float:
+    """Return the wall time at which the evidence against a part expires."""
+    if quarantined:
+        return suspect.until
+    return suspect.until - QUARANTINE_SECONDS + EVIDENCE_SECONDS
 
 
 def _smallest_explanation(suspects: Mapping[str, SuspectPart]) -> set[str]:
@@ -289,14 +318,15 @@
     """
     chosen: list[str] = []
     explained: set[str] = set()
+    sufficient = {part: _strength(suspect, ()) for part, suspect in suspects.items()}
     while True:
-        strengths = {
-            part: _strength(suspect, explained)
-            for part, suspect in suspects.items()
+        sufficient = {
+            part: strength
+            for part in sufficient
             if part not in chosen
+            and (strength := _strength(suspects[part], explained)).suffices
         }
-        sufficient = {part: s for part, s in strengths.items() if s.suffices}
-        if not sufficient:
+        if not sufficient or len(chosen) == MAX_QUARANTINED:
             return _without_redundant(chosen, suspects)
         # A part that was refuted before is more likely to be sound again.
         never_refuted = {
@@ -356,12 +386,8 @@
     )
 
 
-def _strength(suspect: SuspectPart, explained: Iterable[str]) -> _Strength:
-    counted = [
-        evidence
-        for crash, evidence in suspect.crashes.items()
-        if not evidence.refuted and crash not in explained
-    ]
+def _strength(suspect: SuspectPart, explained: Container[str]) -> _Strength:
+    counted = [c for crash, c in suspect.crashes.items() if crash not in explained]
     return _Strength(
         rounds=len({evidence.round for evidence in counted}),
         crashes=len(counted),
