--- a/packages/wasabideck_forward/wasabideck_forward/crash_detector.py
+++ b/packages/wasabideck_forward/wasabideck_forward/crash_detector.py
@@ -98,7 +98,10 @@
         now = self.wall_clock()
         if self.parts.is_quarantined(exchange.req.head.shared_parts, now):
             return True
-        return self.quarantine.is_quarantined(_fingerprint(exchange), now)
+        if not self.quarantine.crashes:
+            return False
+        explained = self.parts.explained_crashes(now)
+        return self.quarantine.is_quarantined(_fingerprint(exchange), now, explained)
 
     def record_sent(self, exchange: Exchange, backend: Backend) -> None:
         """Record which crashes precede the sending of a request to a server.
--- a/packages/wasabideck_policy/wasabideck_policy/quarantine.py
+++ b/packages/wasabideck_policy/wasabideck_policy/quarantine.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import hashlib
+from collections.abc import Container
 
 from attrs import define, field
 
@@ -47,13 +48,26 @@
         crashes = self.crashes.get(name, {})
         return {crash.partition("/")[0] for crash, t in crashes.items() if t > now}
 
-    def count_crashes(self, name: str, now: float) -> int:
-        """Return the number of the request's crashes that still count."""
-        return sum(1 for until in self.crashes.get(name, {}).values() if until > now)
+    def count_crashes(
+        self, name: str, now: float, explained: Container[str] = ()
+    ) -> int:
+        """Return the number of the request's crashes that still count.
 
-    def is_quarantined(self, name: str, now: float) -> bool:
+        Parameters
+        ----------
+        explained : container of str
+            Crashes that something else has caused.
+        """
+        crashes = self.crashes.get(name, {})
+        return sum(
+            until > now and crash not in explained for crash, until in crashes.items()
+        )
+
+    def is_quarantined(
+        self, name: str, now: float, explained: Container[str] = ()
+    ) -> bool:
         """Whether the request is quarantined: it must be refused, and not retried."""
-        return self.count_crashes(name, now) >= MAX_CRASHES
+        return self.count_crashes(name, now, explained) >= MAX_CRASHES
 
     def must_run_alone(self, name: str, now: float) -> bool:
         """Whether the request may run only on a server without other requests."""
