Crash tests: hexadecimal ids of parts in the test of what is kept

Ids of parts are hexadecimal on the wire, and code that decodes them would drop others. The check also finds ids that are kept as numbers.

--- a/tests/forward/test_crash_evidence_limits.py
+++ b/tests/forward/test_crash_evidence_limits.py
@@ -15,8 +15,8 @@
 MAX_KEPT_PARTS = 2000
 
 
-def _kept_texts(root):
-    """Return all texts reachable from an object through data, without the log."""
+def _kept_ids(root):
+    """Return all texts and numbers reachable from an object, without the log."""
     found, seen, pending = set(), set(), [root]
     while pending:
         value = pending.pop()
@@ -27,6 +27,8 @@
             found.add(value)
         elif isinstance(value, bytes):
             found.add(value.decode("latin-1"))
+        elif isinstance(value, int):
+            found.add(f"{value:x}")
         elif isinstance(value, dict):
             pending += [*value.keys(), *value.values()]
         elif isinstance(value, list | tuple | set | frozenset) or hasattr(
@@ -42,7 +44,7 @@
 async def _crash_under_many_parts(cluster, crash):
     """Crash a server that runs many requests with parts of their own; return these."""
     prompts = [
-        (FIRST_PART, *(f"p{crash}-{n}-{i}" for i in range(PARTS_PER_REQUEST)))
+        (FIRST_PART, *(f"a{crash:04x}{n:04x}{i:x}" for i in range(PARTS_PER_REQUEST)))
         for n in range(REQUESTS_PER_CRASH)
     ]
     server, arrived = cluster.servers[0], len(cluster.reached)
@@ -72,7 +74,7 @@
         for entry in cluster.entries:
             assert max(entry.message_bytes) <= MAX_MESSAGE_BYTES
             detector = entry.entry.forwarder.dispatcher.crash_detector
-            assert len(parts & _kept_texts(detector)) <= MAX_KEPT_PARTS
+            assert len(parts & _kept_ids(detector)) <= MAX_KEPT_PARTS
 
     run_cluster(
         scenario, entries=2, servers=1, slots=400, down_seconds=0.02, max_attempts=1
