Keep parts quarantined that outages seem to explain

Of 16 crashes that are kept of a part, refuted ones went first, so that it was forgotten that the first part had been refuted.

One refuted crash is always kept, and a part of five crashes that was never refuted is not explained by one that was. Tests of the rule.

--- a/packages/wasabideck_lab/wasabideck_lab/crash_series.py
+++ b/packages/wasabideck_lab/wasabideck_lab/crash_series.py
@@ -123,7 +123,9 @@
 RULES: Mapping[str, Mapping[str, object]] = {
     "product": {},
     "rounds-2": {"MIN_ROUNDS": 2},
-    "rounds-4": {"MIN_ROUNDS": 4},
+    "rounds-3": {"MIN_ROUNDS_OF_MANY": 3},
+    "rounds-4": {"MIN_ROUNDS": 4, "MIN_ROUNDS_OF_MANY": 4},
+    "no-probes": {"PROBE_SECONDS": 1e9, "LATE_PROBE_SECONDS": 1e9},
     **{f"count-{n}": _replace_choice(_by_count(n, False)) for n in (2, 3, 5)},
     **{f"refuted-{n}": _replace_choice(_by_count(n, True)) for n in (2, 3, 5)},
     **{f"unexplained-{n}": _replace_choice(_by_unexplained(n)) for n in (3, 5)},
--- a/packages/wasabideck_policy/wasabideck_policy/part_quarantine.py
+++ b/packages/wasabideck_policy/wasabideck_policy/part_quarantine.py
@@ -18,9 +18,12 @@
 
 __all__ = ["PartCrash", "PartQuarantine", "SuspectPart"]
 
-# Rounds of unexplained crashes after which a part is quarantined. Two occur by chance
-# while servers crash several times a second.
+# Rounds of unexplained crashes after which a part is quarantined, and of that many
+# crashes or more. Two rounds of few crashes occur by chance while servers crash several
+# times a second.
 MIN_ROUNDS = 3
+MIN_ROUNDS_OF_MANY = 2
+MANY_CRASHES = 5
 # Different requests that must have been in progress in these crashes: a single request
 # that crashes servers says nothing about its parts.
 MIN_REQUESTS = 2
@@ -99,7 +102,7 @@
             return False
         self.crashes[crash] = merged
         if len(self.crashes) > MAX_CRASHES_PER_PART:
-            del self.crashes[min(self.crashes, key=self._retention_rank)]
+            self._drop_least_useful()
         return crash in self.crashes
 
     def refute(self) -> bool:
@@ -114,9 +117,11 @@
         evidence = self.crashes[crash]
         return evidence.round, evidence.request, crash
 
-    def _retention_rank(self, crash: str) -> tuple:
-        evidence = self.crashes[crash]
-        return not evidence.refuted, evidence.round, crash
+    def _drop_least_useful(self) -> None:
+        # One refuted crash is kept as a sign that the part was sound.
+        refuted = [crash for crash, c in self.crashes.items() if c.refuted]
+        droppable = refuted if len(refuted) > 1 else self.crashes.keys() - refuted
+        del self.crashes[min(droppable, key=self.recency)]
 
 
 @frozen
@@ -129,7 +134,8 @@
 
     @property
     def suffices(self) -> bool:
-        min_rounds = 2 if self.crashes >= 5 else 3
+        few = self.crashes < MANY_CRASHES
+        min_rounds = MIN_ROUNDS if few else MIN_ROUNDS_OF_MANY
         return self.rounds >= min_rounds and self.requests >= MIN_REQUESTS
 
 
@@ -335,8 +341,15 @@
     """Return the chosen parts without those whose crashes the others explain."""
     kept = set(chosen)
     for part in sorted(kept, key=lambda p: (len(suspects[p].crashes), p)):
-        others = (suspects[p].crashes.keys() for p in kept - {part})
-        if not _strength(suspects[part], set().union(*others)).suffices:
+        suspect = suspects[part]
+        # Outages seem to explain the crashes of a bad part by parts that were sound.
+        is_firm = not suspect.was_refuted and len(suspect.crashes) >= MANY_CRASHES
+        others = (
+            suspects[other].crashes.keys()
+            for other in kept - {part}
+            if not (is_firm and suspects[other].was_refuted)
+        )
+        if not _strength(suspect, set().union(*others)).suffices:
             kept.discard(part)
     return kept
 
