Do not relay evidence that a full table drops at once

merge called evidence new that it did not keep, so that an entry with a full table would have relayed it with each message. Its test fails without the change.

--- a/packages/wasabideck_policy/wasabideck_policy/part_quarantine.py
+++ b/packages/wasabideck_policy/wasabideck_policy/part_quarantine.py
@@ -249,7 +249,7 @@
         self._recheck_at = min(self._recheck_at, suspect.until)
         if len(self.suspects) > MAX_PARTS:
             self._drop_weakest()
-        return any(added)
+        return any(added) and part in self.suspects
 
     def _update(self, now: float) -> None:
         """Forget expired evidence, and choose the parts to quarantine again."""
--- a/tests/cluster_state/test_part_quarantine.py
+++ b/tests/cluster_state/test_part_quarantine.py
@@ -199,6 +199,16 @@
     assert len(crashes) <= MAX_CRASHES_PER_PART
 
 
+def test_evidence_that_is_dropped_at_once_is_not_new():
+    # A process with a full table relayed what it did not keep, with every message.
+    source, rule = PartQuarantine(), PartQuarantine()
+    for number in range(MAX_PARTS):
+        crash_repeatedly(rule, [f"part-{number}"], count=2, name=f"crash-{number}")
+    crash(source, "other", ["weak"])
+    assert not rule.merge("weak", source.suspects["weak"], 0.0)
+    assert "weak" not in rule.suspects
+
+
 def test_a_part_that_was_refuted_is_known_as_such_after_many_crashes():
     rule = PartQuarantine()
     crash(rule, "first", ["org"])
