--- a/packages/wasabideck_policy/wasabideck_policy/part_quarantine.py
+++ b/packages/wasabideck_policy/wasabideck_policy/part_quarantine.py
@@ -19,11 +19,10 @@
 
 __all__ = ["PartCrash", "PartQuarantine", "SuspectPart"]
 
-# Rounds of unexplained crashes after which a part is quarantined. Two occur by chance
-# while servers crash several times a second.
+# Rounds of unexplained crashes after which a part is quarantined, and of that many
+# crashes or more. Two rounds of few crashes occur by chance while servers crash several
+# times a second.
 MIN_ROUNDS = 3
-# Rounds that suffice for many crashes: several requests with a crashing part are often
-# in progress at the same time.
 MIN_ROUNDS_OF_MANY = 2
 MANY_CRASHES = 5
 # Different requests that must have been in progress in these crashes: a single request
@@ -365,8 +364,15 @@
     """Return the chosen parts without those whose crashes the others explain."""
     kept = set(chosen)
     for part in sorted(kept, key=lambda p: (len(suspects[p].crashes), p)):
-        others = (suspects[p].crashes.keys() for p in kept - {part})
-        if not _strength(suspects[part], set().union(*others)).suffices:
+        suspect = suspects[part]
+        # Outages seem to explain the crashes of a bad part by parts that were sound.
+        is_firm = not suspect.was_refuted and len(suspect.crashes) >= MANY_CRASHES
+        others = (
+            suspects[other].crashes.keys()
+            for other in kept - {part}
+            if not (is_firm and suspects[other].was_refuted)
+        )
+        if not _strength(suspect, set().union(*others)).suffices:
             kept.discard(part)
     return kept
 
