--- a/packages/wasabideck_forward/wasabideck_forward/caller_connection.py
+++ b/packages/wasabideck_forward/wasabideck_forward/caller_connection.py
@@ -40,6 +40,8 @@
         Whether connections are closed after their current request.
     early_callers : EarlyCallers or None
         Callers that connected while this process was starting.
+    closed : bool
+        Whether nothing more is read on any connection.
     """
 
     head_codec: HeadCodec
@@ -49,6 +51,13 @@
     connections: set[CallerConnection]
     draining: bool = False
     early_callers: EarlyCallers | None = None
+    closed: bool = False
+
+    def close(self) -> None:
+        """Read no more; close each connection once it has its last response."""
+        self.draining = self.closed = True
+        for conn in list(self.connections):
+            conn.close_when_served()
 
     def sweep(self) -> None:
         """Close connections that are idle, or sending a request head, for too long."""
@@ -65,6 +74,9 @@
     ----------
     head_written : bool
         Whether the head of the current response has been written.
+    close_announced : bool
+        Whether a response has announced that the connection will be closed because the
+        process shuts down. Requests that were read nevertheless get an error.
     """
 
     def __init__(self, endpoint: CallerEndpoint):
@@ -86,12 +98,16 @@
         self._http10 = False
         self._rejected = False
         self.head_written = False
+        self.close_announced = False
 
     # asyncio.Protocol
 
     def connection_made(self, transport: asyncio.Transport) -> None:  # noqa: D102
         self._transport = transport
         self._endpoint.connections.add(self)
+        if self._endpoint.closed:
+            transport.close()
+            return
         early_callers = self._endpoint.early_callers
         if early_callers is not None:
             self._early_position = early_callers.assign_position(self._endpoint.clock())
@@ -227,7 +243,7 @@
     ) -> None:
         """Write the head of the current response, chunked if its length is None."""
         self.head_written = True
-        self._keep_alive = self._keep_alive and not last and not self._endpoint.draining
+        self._keep_alive = self._keep_alive and not last
         lines = [b"HTTP/1.1 %d %s" % (status, _reason_phrase(status))]
         lines += [name + b": " + value for name, value in headers]
         self._chunked = False
@@ -239,6 +255,9 @@
         else:
             self._chunked = True
             lines.append(b"Transfer-Encoding: chunked")
+        if self._keep_alive and self._endpoint.draining and not self._has_next:
+            self._keep_alive = False
+            self.close_announced = True
         if not self._keep_alive:
             lines.append(b"Connection: close")
         self._transport.write(b"\r\n".join(lines) + b"\r\n\r\n")
@@ -263,6 +282,15 @@
         self._keep_alive = False
         self._transport.close()
 
+    def close_when_served(self) -> None:
+        """Read no more, and close after the response to the last request read."""
+        if self._task is None:
+            self._transport.close()
+            return
+        self._reading_since = None
+        if not self._transport.is_closing():
+            self._transport.pause_reading()
+
     def check_timeouts(self, now: float, limits: CallerLimits) -> None:
         """Close the connection if it is idle, or its head incomplete, too long."""
         if self._task is not None:
@@ -301,9 +329,15 @@
         """Whether a request is being read or answered."""
         return self._task is not None or self._reading_since is not None
 
+    @property
+    def _has_next(self) -> bool:
+        """Whether another request has been read, or a part of one."""
+        return bool(self._pipelined) or self._reading_since is not None
+
     def _serve_next(self) -> None:
         req = self._pipelined.popleft()
-        self._transport.resume_reading()
+        if not self._endpoint.closed:
+            self._transport.resume_reading()
         self.head_written = False
         self._keep_alive = req.keep_alive
         self._http10 = req.http10
@@ -314,10 +348,13 @@
         self._task = None
         self._idle_since = self._endpoint.clock()
         failed = task.cancelled() or task.exception() is not None
-        if failed or not self._keep_alive:
+        may_continue = self._keep_alive or self.close_announced
+        if failed or not may_continue or self._transport.is_closing():
             self._transport.close()
         elif self._pipelined:
             self._serve_next()
+        elif not self._keep_alive or (self._endpoint.draining and not self._has_next):
+            self._transport.close()
         if not task.cancelled() and task.exception() is not None:
             loop = task.get_loop()
             loop.call_exception_handler(
--- a/packages/wasabideck_forward/wasabideck_forward/forwarder.py
+++ b/packages/wasabideck_forward/wasabideck_forward/forwarder.py
@@ -23,6 +23,7 @@
     write_response,
 )
 from .dispatcher import Dispatcher, max_caller_wait
+from .drain import Drain
 from .exchange import Exchange
 from .hedging import Replaced, wait_or_hedge
 from .http_heads import CallerRequest, HeadCodec, ResponseHead
@@ -33,6 +34,7 @@
     OutcomeUnknown,
     Refusal,
     ServersRefused,
+    ShuttingDown,
     TimeUp,
 )
 from .server_connection import AnswerBroken
@@ -74,6 +76,7 @@
     events: Events
     dispatcher: Dispatcher
     in_progress: int = 0
+    drain: Drain = field(factory=Drain)
     attempts: Attempts = field(init=False)
 
     def __attrs_post_init__(self) -> None:
@@ -105,12 +108,18 @@
         exchange = None
         try:
             await self._wait_until_ready()
-            exchange = self.dispatcher.admit(req, self.clock())
+            now = self.clock()
+            exchange = self.dispatcher.admit(req, now)
+            may_admit = self.drain.may_admit(exchange.expires_at, now)
+            if caller.close_announced or not may_admit:
+                raise ShuttingDown(exchange.service)
             await self._serve_until_expiry(exchange, caller)
         except Refusal as exc:
             await self._refuse(req, exchange, exc, caller)
         except asyncio.CancelledError:
-            self._log_end(req, exchange, "left")
+            # The end of the process cancels requests whose callers still wait.
+            outcome = "left" if caller.has_disconnected() else "cut-off"
+            self._log_end(req, exchange, outcome)
             raise
         finally:
             self.in_progress -= 1
@@ -123,9 +132,8 @@
         connect by then were refused once already, and would not retry a second time.
         """
         started = self.clock()
-        while (
-            not self.cluster_state.ready
-            and self.clock() - started < STARTUP_WAIT_SECONDS
+        while not self.cluster_state.ready and self.clock() < min(
+            started + STARTUP_WAIT_SECONDS, self.drain.ends_at
         ):
             await asyncio.sleep(STARTUP_POLL_INTERVAL_SECONDS)
 
@@ -133,9 +141,12 @@
         self, exchange: Exchange, caller: CallerConnection
     ) -> None:
         try:
-            async with asyncio.timeout_at(exchange.expires_at):
+            async with self.drain.time_limit(exchange.expires_at):
                 await self._try_servers(exchange, caller)
         except TimeoutError:
+            if exchange.expires_at > self.drain.ends_at:
+                self._give_up(exchange, caller)
+                return
             if caller.head_written:
                 self._abort(exchange, caller, "TimeUp")
                 return
@@ -143,6 +154,16 @@
                 raise TimeUp(exchange.route.name) from None
             raise NeverSent(exchange.service) from None
 
+    def _give_up(self, exchange: Exchange, caller: CallerConnection) -> None:
+        """End a request at the end of the drain; raises ``Refusal`` if possible."""
+        self.drain.given_up_count += 1
+        if caller.head_written:
+            self._abort(exchange, caller, "ShuttingDown", "cut-off")
+            return
+        if exchange.outcome_uncertain:
+            raise OutcomeUnknown("shutting down")
+        raise ShuttingDown(exchange.service)
+
     async def _try_servers(self, exchange: Exchange, caller: CallerConnection) -> None:
         while True:
             backend = await self.dispatcher.choose_server(exchange)
@@ -378,9 +399,15 @@
             unheard=self._seconds_since_data(backend),
         )
 
-    def _abort(self, exchange: Exchange, caller: CallerConnection, why: str) -> None:
+    def _abort(
+        self,
+        exchange: Exchange,
+        caller: CallerConnection,
+        why: str,
+        outcome: str = "broken-off",
+    ) -> None:
         caller.abort_response()
-        self._log_end(exchange.req, exchange, "broken-off", reason=why)
+        self._log_end(exchange.req, exchange, outcome, reason=why)
 
     async def _refuse(
         self,
@@ -413,12 +440,13 @@
         self, req: CallerRequest, exchange: Exchange | None, outcome: str, **fields: str
     ) -> None:
         """Log how a request ended."""
-        cfg = self.cluster_state.configuration
+        cfg, now = self.cluster_state.configuration, self.clock()
         self.events.emit(
             "request.ended",
             request=req.head.request_id,
             outcome=outcome,
-            seconds=round(self.clock() - req.arrived_at, 4),
+            seconds=round(now - req.arrived_at, 4),
+            draining=_round_or_none(self.drain.seconds(now)),
             servers=exchange.tried_servers if exchange else [],
             route=exchange.route.name if exchange else "",
             first=_round_or_none(exchange.first_event_seconds) if exchange else None,
