BUDGET: in a burst of crashes, blame no part that has been answered before

Callers of sound requests found none of them begun: in a burst without an answer in between, the first part of all prompts had the same evidence as the crashing one, was quarantined with it, and nothing of it was sent that could have refuted the evidence. Parts of completed answers are remembered now (the last 1,024), and a part that was never answered is chosen first.

--- a/packages/wasabideck_lab/wasabideck_lab/crash_series.py
+++ b/packages/wasabideck_lab/wasabideck_lab/crash_series.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterator, Mapping
+from collections.abc import Callable, Container, Iterator, Mapping
 from contextlib import contextmanager
 from statistics import mean
 
@@ -71,13 +71,15 @@
     "unreachable-entry": CrashSeries(bad=[_DEEP], unreachable=(7.0, 25.0)),
 }
 
-Chooser = Callable[[Mapping[str, SuspectPart]], set[str]]
+Chooser = Callable[[Mapping[str, SuspectPart], Container[str]], set[str]]
 
 
 def _by_rounds(limit: int) -> Chooser:
     """Choose parts by their rounds of crashes alone, refuted ones as well."""
 
-    def choose(suspects: Mapping[str, SuspectPart]) -> set[str]:
+    def choose(
+        suspects: Mapping[str, SuspectPart], answered: Container[str]
+    ) -> set[str]:
         return {part for part, s in suspects.items() if s.last_round >= limit}
 
     return choose
@@ -86,7 +88,9 @@
 def _by_count(limit: int) -> Chooser:
     """Choose parts by their crashes that are not refuted."""
 
-    def choose(suspects: Mapping[str, SuspectPart]) -> set[str]:
+    def choose(
+        suspects: Mapping[str, SuspectPart], answered: Container[str]
+    ) -> set[str]:
         return {part for part, s in suspects.items() if len(s.crashes) >= limit}
 
     return choose
@@ -95,7 +99,9 @@
 def _by_unexplained(limit: int) -> Chooser:
     """Choose the part with the most crashes, and ignore what it explains."""
 
-    def choose(suspects: Mapping[str, SuspectPart]) -> set[str]:
+    def choose(
+        suspects: Mapping[str, SuspectPart], answered: Container[str]
+    ) -> set[str]:
         chosen: set[str] = set()
         explained: set[str] = set()
         while True:
--- a/packages/wasabideck_policy/wasabideck_policy/part_quarantine.py
+++ b/packages/wasabideck_policy/wasabideck_policy/part_quarantine.py
@@ -41,6 +41,8 @@
 PROBE_BACKOFF = 16
 MAX_PARTS = 256
 MAX_QUARANTINED = 16
+# Parts of completed answers that are remembered.
+MAX_ANSWERED = 1024
 MAX_CRASHES_PER_PART = 16
 
 
@@ -162,6 +164,7 @@
     """Evidence against prompt parts; merging is a union, so gossip may repeat it."""
 
     suspects: dict[str, SuspectPart] = field(factory=dict)
+    _answered: dict[str, None] = field(factory=dict)
     _probes: dict[str, _ProbeTurn] = field(factory=dict)
     _quarantined: frozenset[str] = frozenset()
     _recheck_at: float = float("inf")
@@ -239,6 +242,11 @@
 
     def record_sound(self, parts: Iterable[str]) -> bool:
         """Record a completed answer; return whether that refutes any evidence."""
+        for part in parts:
+            self._answered.pop(part, None)
+            self._answered[part] = None
+        while len(self._answered) > MAX_ANSWERED:
+            del self._answered[next(iter(self._answered))]
         if not self.suspects:
             return False
         refuted = [p for p in parts if p in self.suspects and self.suspects[p].refute()]
@@ -266,7 +274,7 @@
     def _update(self, now: float) -> None:
         """Choose the parts to quarantine, and forget what has expired."""
         unexpired = {p: s for p, s in self.suspects.items() if s.until > now}
-        chosen = _smallest_explanation(unexpired)
+        chosen = _smallest_explanation(unexpired, self._answered.keys())
         self.suspects = {
             part: suspect
             for part, suspect in unexpired.items()
@@ -286,7 +294,8 @@
         """
         suspect = self.suspects[part]
         rounds = _strength(suspect, ()).rounds
-        delay = PROBE_SECONDS if suspect.was_refuted else LATE_PROBE_SECONDS
+        was_sound = suspect.was_refuted or part in self._answered
+        delay = PROBE_SECONDS if was_sound else LATE_PROBE_SECONDS
         delay *= PROBE_BACKOFF ** max(rounds - MIN_ROUNDS, 0)
         newest_first = sorted(suspect.crashes, key=suspect.recency, reverse=True)
         ranks = (n for n, c in enumerate(newest_first) if c in turn.recorded)
@@ -309,7 +318,9 @@
     return suspect.until - QUARANTINE_SECONDS + EVIDENCE_SECONDS
 
 
-def _smallest_explanation(suspects: Mapping[str, SuspectPart]) -> set[str]:
+def _smallest_explanation(
+    suspects: Mapping[str, SuspectPart], answered: Container[str]
+) -> set[str]:
     """Return parts that explain the crashes, each with enough evidence of its own.
 
     The part with the most evidence is chosen first, and its crashes are no evidence
@@ -327,13 +338,13 @@
         }
         if not sufficient or len(chosen) == MAX_QUARANTINED:
             return _without_redundant(chosen, suspects)
-        # A part that was refuted before is more likely to be sound again.
-        never_refuted = {
+        # A part that was answered before is more likely to be sound again.
+        never_answered = {
             part: strength
             for part, strength in sufficient.items()
-            if not suspects[part].was_refuted
+            if not suspects[part].was_refuted and part not in answered
         }
-        best = _most_specific(never_refuted or sufficient, suspects)
+        best = _most_specific(never_answered or sufficient, suspects)
         chosen.append(best)
         explained |= suspects[best].crashes.keys()
 
