BUDGET: send single requests with a quarantined part, to find out whether it is harmless

A sound part that was quarantined by chance, as after outages of all servers, was refused for ten minutes, as nothing of it was sent that could refute the evidence. The policy's claim_probe lets one request through, at the entry that recorded the newest crash; it is asked only when a server can take the request, and the request gets a single attempt.

--- a/packages/wasabideck_forward/wasabideck_forward/crash_detector.py
+++ b/packages/wasabideck_forward/wasabideck_forward/crash_detector.py
@@ -94,14 +94,19 @@
     _tasks: set[asyncio.Task] = field(factory=set)
 
     def is_quarantined(self, exchange: Exchange) -> bool:
-        """Whether a request has crashed too many servers to be run again."""
+        """Whether a request, or a part of its prompt, has crashed too many servers."""
         now = self.wall_clock()
-        if self.parts.is_quarantined(exchange.req.head.shared_parts, now):
-            return True
-        if not self.quarantine.crashes:
+        shared_parts = exchange.req.head.shared_parts
+        return self.parts.is_quarantined(
+            shared_parts, now
+        ) or self._request_is_quarantined(exchange, now)
+
+    def claim_probe(self, exchange: Exchange) -> bool:
+        """Whether a request with a quarantined part may be sent to one server."""
+        now = self.wall_clock()
+        if self._request_is_quarantined(exchange, now):
             return False
-        explained = self.parts.explained_crashes(now)
-        return self.quarantine.is_quarantined(_fingerprint(exchange), now, explained)
+        return self.parts.claim_probe(exchange.req.head.shared_parts, now)
 
     def record_sent(self, exchange: Exchange, backend: Backend) -> None:
         """Record which crashes precede the sending of a request to a server.
@@ -124,15 +129,17 @@
         A stream that ends with its connection also looks complete if the server crashed
         just after it had begun to answer. Such a server is probed.
         """
-        shared_parts = exchange.req.head.shared_parts
         answering_for = exchange.answering_for(backend.server, now)
-        if answering_for is None or not self.parts.suspects.keys() & shared_parts:
+        if answering_for is None:
             return
-        if ends_with_connection(head.headers) and answering_for < MAX_ANSWERING_SECONDS:
+        if answering_for >= MAX_ANSWERING_SECONDS or not ends_with_connection(
+            head.headers
+        ):
+            self._record_sound(exchange)
+            return
+        if self.parts.suspects.keys() & exchange.req.head.shared_parts:
             completed = self._probe_once(backend).completed
             completed.append(_Victim(exchange, answering_for))
-            return
-        self._record_sound(exchange)
 
     def connection_failed(
         self, exchange: Exchange, backend: Backend, now: float
@@ -142,6 +149,12 @@
         exchange.rounds_met.append(exchange.known_rounds.get(backend.server, {}))
         self._probe_once(backend).failed.append(victim)
 
+    def _request_is_quarantined(self, exchange: Exchange, now: float) -> bool:
+        if not self.quarantine.crashes:
+            return False
+        explained = self.parts.explained_crashes(now)
+        return self.quarantine.is_quarantined(_fingerprint(exchange), now, explained)
+
     def _probe_once(self, backend: Backend) -> _Probe:
         """Return the probe of a server, started now if there is none in progress."""
         probe = self._probing.get(backend.server)
--- a/packages/wasabideck_forward/wasabideck_forward/dispatcher.py
+++ b/packages/wasabideck_forward/wasabideck_forward/dispatcher.py
@@ -173,7 +173,9 @@
         exchange = Exchange(
             req, route, service, expires_at, deadline, organisation, priority, engine
         )
-        if self.crash_detector.is_quarantined(exchange):
+        if self.crash_detector.is_quarantined(exchange) and not self._may_probe(
+            exchange, now
+        ):
             raise Quarantined(service)
         if engine is not None:
             share = self._in_time_share(service)
@@ -390,6 +392,14 @@
     def _in_time_share(self, service: str) -> InTimeShare:
         return self._in_time_shares.setdefault(service, InTimeShare())
 
+    def _may_probe(self, exchange: Exchange, now: float) -> bool:
+        """Whether a quarantined request is sent, to find out whether it still crashes.
+
+        It gets a single attempt.
+        """
+        is_sent_now = self._choose(exchange, now).backend is not None
+        return is_sent_now and self.crash_detector.claim_probe(exchange)
+
     def _retry_limit(self, service: str) -> RetryLimit:
         if service not in self._retry_limits:
             limits = self.limits
