--- a/packages/wasabideck_base/wasabideck_base/event_kinds.py
+++ b/packages/wasabideck_base/wasabideck_base/event_kinds.py
@@ -131,6 +131,17 @@
         "the declaration time of a version cannot be read or written",
         "check the store; versions older than that one are not served meanwhile",
     ),
+    "parts.loaded": EventKind(
+        "an entry read the quarantined prompt parts after its start; `ignored`: rows "
+        "that have expired or are unreadable"
+    ),
+    "parts.published": EventKind(
+        "an entry wrote quarantined prompt parts to the store"
+    ),
+    "parts.unavailable": EventKind(
+        "quarantined prompt parts cannot be read from or written to the store",
+        "check the store; a restart of all processes loses what is not written",
+    ),
     "version.in-force": EventKind("an engine serves the version of its ticket"),
     "attempt.failed": EventKind(
         "a server rejected a request or sent no complete response",
--- a/packages/wasabideck_base/wasabideck_base/rows.py
+++ b/packages/wasabideck_base/wasabideck_base/rows.py
@@ -83,6 +83,9 @@
         """Return the number of response bytes received so far for a table."""
 
     async def write(
-        self, writes: Iterable[RowWrite], expected: Iterable[Row] = ()
+        self,
+        writes: Iterable[RowWrite],
+        expected: Iterable[Row] = (),
+        removed: Iterable[Row] = (),
     ) -> None:
-        """Write all rows or none; raises ``WriteConflict``."""
+        """Write and remove all rows or none; raises ``WriteConflict``."""
--- a/tests/cluster_state/region_of_entries.py
+++ b/tests/cluster_state/region_of_entries.py
@@ -75,8 +75,10 @@
                 async with asyncio.timeout(remaining):
                     await written.wait()
 
-    async def write(self, writes, expected=()):
+    async def write(self, writes, expected=(), removed=()):
         await self._reach()
+        for row in removed:
+            self.store.rows.pop((row.table, row.key), None)
         for row in writes:
             self.store.put(row.table, row.key, row.value)
 
