--- a/packages/wasabideck_base/wasabideck_base/event_kinds.py
+++ b/packages/wasabideck_base/wasabideck_base/event_kinds.py
@@ -93,6 +93,13 @@
         "an agent ordered its engine to unload expired weights"
     ),
     "weights.over": EventKind("remaining work of an engine on expired weights"),
+    "part.quarantined": EventKind(
+        "requests whose prompts have a part that crashes servers are refused from now",
+        "find out who sends the part, and which engines' software fails on it",
+    ),
+    "part.released": EventKind(
+        "a part of prompts is no longer quarantined: refuted, explained or expired"
+    ),
     "process.leaving": EventKind(
         "a process shuts down gracefully and accepts no new work"
     ),
@@ -135,6 +142,17 @@
         "the declaration time of a version cannot be read or written",
         "check the store; versions older than that one are not served meanwhile",
     ),
+    "parts.loaded": EventKind(
+        "an entry read the quarantined prompt parts after its start; `ignored`: rows "
+        "that have expired or are unreadable"
+    ),
+    "parts.published": EventKind(
+        "an entry wrote quarantined prompt parts to the store"
+    ),
+    "parts.unavailable": EventKind(
+        "quarantined prompt parts cannot be read from or written to the store",
+        "check the store; a restart of all processes loses what is not written",
+    ),
     "version.in-force": EventKind("an engine serves the version of its ticket"),
     "attempt.failed": EventKind(
         "a server rejected a request or sent no complete response",
--- a/packages/wasabideck_base/wasabideck_base/state_sync.py
+++ b/packages/wasabideck_base/wasabideck_base/state_sync.py
@@ -37,6 +37,7 @@
 from .gossip_messages import DeclarationAges
 from .http_responses import PlatformRefused, PlatformUnavailable
 from .member_rows import MEMBERS_TABLE, MalformedMember, member_row, parse_member
+from .part_quarantine_store import PARTS_TABLE, PartQuarantineStore
 from .region_readers import RegionReaders
 from .rows import Row, RowStore
 from .table_watch import MAX_BACKDATING_SECONDS, STALLED_CALL_SECONDS, TableWatch
@@ -108,6 +109,7 @@
     server_watch: TableWatch = field(init=False)
     readers: RegionReaders = field(init=False)
     declaration_times: DeclarationTimes = field(init=False)
+    part_store: PartQuarantineStore = field(init=False)
     _members_known: asyncio.Event = field(factory=asyncio.Event)
     _notifications: set[asyncio.Task] = field(factory=set)
     _operators_read: bool = False
@@ -177,6 +179,17 @@
             self.events,
             self.rng,
         )
+        part_gossip = self.gossip.part_gossip
+        self.part_store = PartQuarantineStore(
+            self.store,
+            part_gossip.parts,
+            self._parts_publishing_rank,
+            self.events.wall,
+            self.events,
+            self.rng,
+            lambda parts: part_gossip.note_evidence(parts, STORE),
+        )
+        part_gossip.on_quarantined = self.part_store.request_publishing
         self.gossip.position = self.readers.position
         self.gossip.region_may_lag = self._region_may_lag
 
@@ -193,9 +206,18 @@
         ]
         if self._is_entry:
             loops.append(self.declaration_times.run_publishing())
+            loops.append(self.gossip.part_gossip.run_pushes())
+            loops.append(self.part_store.run_loading())
+            loops.append(self.part_store.run_publishing())
             return [*loops, self.readers.run(), self.server_watch.run()]
         return [*loops, self._run_fallback_reads()]
 
+    def _parts_publishing_rank(self) -> int:
+        """Return the rank of this entry among all that publish quarantined parts."""
+        members = self.gossip.members.values()
+        entries = {m.vm for m in members if m.kind == ENTRY} | {self.me.vm}
+        return rank_vms(PARTS_TABLE, entries).index(self.me.vm)
+
     async def read_members(self) -> bool:
         """Read the members table, log unreadable rows; return whether it was read."""
         try:
--- a/packages/wasabideck_forward/wasabideck_forward/forwarder.py
+++ b/packages/wasabideck_forward/wasabideck_forward/forwarder.py
@@ -217,7 +217,9 @@
                 await deliver(exchange, head, response, monitor, caller, on_first_event)
             answered = True
             self._log_end(exchange.req, exchange, "answered")
-            self.dispatcher.record_completed(exchange, self.clock())
+            now = self.clock()
+            self.dispatcher.record_completed(exchange, now)
+            self.dispatcher.crash_detector.record_answered(exchange, backend, head, now)
             self.dispatcher.outliers.record_success(backend.server)
         finally:
             self.attempts.end(attempt, answered)
@@ -349,7 +351,9 @@
         elif not refused and not isinstance(exc, Recalled):
             self.dispatcher.outliers.record_failure(backend.server, self.clock())
         if isinstance(exc, AnswerBroken):
-            self.dispatcher.crash_detector.connection_failed(exchange, backend)
+            self.dispatcher.crash_detector.connection_failed(
+                exchange, backend, self.clock()
+            )
         self.events.emit(
             "attempt.failed",
             request=exchange.req.head.request_id,
@@ -384,7 +388,9 @@
             self._record_failure(exchange, backend, by.failure)
         elif unresponsive:
             self.dispatcher.outliers.record_failure(backend.server, self.clock())
-            self.dispatcher.crash_detector.connection_failed(exchange, backend)
+            self.dispatcher.crash_detector.connection_failed(
+                exchange, backend, self.clock()
+            )
         self.events.emit(
             "attempt.replaced",
             request=exchange.req.head.request_id,
--- a/packages/wasabideck_forward/wasabideck_forward/http_heads.py
+++ b/packages/wasabideck_forward/wasabideck_forward/http_heads.py
@@ -19,6 +19,7 @@
     "RequestParameters",
     "HeadCodec",
     "announces_close",
+    "ends_with_connection",
     "first_header",
     "keep_alive_seconds",
     "end_to_end_headers",
@@ -70,6 +71,8 @@
         The requested model; empty for plain services.
     prompt_tokens, max_response_tokens : int
         Tokens of the prompt, and the maximum tokens of the response.
+    prompt_parts : tuple of str
+        Ids of the prompt's parts in order. Other requests may share all but the last.
     last_event_id : bytes
         Id of the last event that the caller received of an aborted stream.
     """
@@ -81,8 +84,14 @@
     model: str = ""
     prompt_tokens: int = 0
     max_response_tokens: int = 0
+    prompt_parts: tuple[str, ...] = ()
     last_event_id: bytes = b""
 
+    @property
+    def shared_parts(self) -> tuple[str, ...]:
+        """Ids of the parts that other requests may share."""
+        return self.prompt_parts[:-1]
+
 
 @define(eq=False)
 class CallerRequest:
@@ -206,6 +215,12 @@
     return b"close" in first_header(headers, b"connection").lower()
 
 
+def ends_with_connection(headers: Headers) -> bool:
+    """Whether only the end of its connection ends the body of a response."""
+    names = {name.lower() for name, _ in headers}
+    return b"content-length" not in names and b"transfer-encoding" not in names
+
+
 def keep_alive_seconds(headers: Headers) -> float | None:
     """Return how long the sender keeps an idle connection; None if it does not say."""
     for part in first_header(headers, b"keep-alive").split(b","):
--- /dev/null
+++ b/packages/wasabideck_policy/wasabideck_policy/part_quarantine.py
@@ -0,0 +1,412 @@
+"""Quarantine of prompt parts that crash the servers which begin to answer them.
+
+Requests that share such a part are otherwise all different. A crash makes a suspect of
+each part that was in progress there, and most of these parts are harmless. Three things
+tell them apart:
+
+- An answer that is completed when a crash is known refutes it, and the earlier ones,
+  for all parts of its prompt.
+- Crashes that are explained by one part are no evidence against the others.
+- Crashes at the same moment, as after a power failure, count once: a further crash only
+  counts for a part if its request was sent when the crash before was known.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Container, Iterable, Mapping, Sequence
+
+from attrs import define, field, frozen
+
+__all__ = ["PartCrash", "PartQuarantine", "SuspectPart"]
+
+# Rounds of unexplained crashes after which a part is quarantined, and of that many
+# crashes or more. Two rounds of few crashes occur by chance while servers crash several
+# times a second.
+MIN_ROUNDS = 3
+MIN_ROUNDS_OF_MANY = 2
+MANY_CRASHES = 5
+# Different requests that must have been in progress in these crashes: a single request
+# that crashes servers says nothing about its parts.
+MIN_REQUESTS = 2
+# Share of the crashes of a part above which a deeper part is chosen instead.
+MIN_DEEPER_RATIO = 0.4
+# Time after the last crash for which evidence against a part counts, and for which a
+# quarantined part is refused, in seconds.
+EVIDENCE_SECONDS = 30.0
+QUARANTINE_SECONDS = 600.0
+# Delay before a request with a quarantined part is sent as a probe, and the factor by
+# which it grows with each failed one.
+PROBE_SECONDS = 1.5
+LATE_PROBE_SECONDS = 20.0
+PROBE_BACKOFF = 16
+MAX_PARTS = 256
+MAX_QUARANTINED = 16
+# Parts of completed answers that are remembered.
+MAX_ANSWERED = 1024
+MAX_CRASHES_PER_PART = 16
+
+
+@frozen
+class PartCrash:
+    """Evidence that a part crashed a server: a request with it was in progress there.
+
+    Attributes
+    ----------
+    round : int
+        One more than the latest round known to the entry that sent the request.
+    request : str
+        Id that differs between requests that share the part.
+    """
+
+    round: int
+    request: str
+
+
+@define
+class SuspectPart:
+    """A part with the crashes during which requests with it were in progress.
+
+    Attributes
+    ----------
+    depth : int
+        Position in the prompt; deeper parts are shared by fewer requests.
+    until : float
+        Wall time until which it is refused, if it is quarantined.
+    crashes : dict of str to PartCrash
+        Evidence by crash, without what is refuted.
+    refuted_round : int
+        Round up to which all evidence is refuted; 0 for none.
+    """
+
+    depth: int
+    until: float
+    crashes: dict[str, PartCrash] = field(factory=dict)
+    refuted_round: int = 0
+
+    @property
+    def last_round(self) -> int:
+        """The latest round of its crashes."""
+        rounds = (evidence.round for evidence in self.crashes.values())
+        return max(rounds, default=self.refuted_round)
+
+    @property
+    def was_refuted(self) -> bool:
+        """Whether an answer with the part was completed after one of its crashes."""
+        return self.refuted_round > 0
+
+    def merge(self, other: SuspectPart) -> bool:
+        """Merge the evidence of another process, and return whether any is new."""
+        added = [self._add(crash, c) for crash, c in other.crashes.items()]
+        refuted = self._refute(other.refuted_round)
+        return any(added) or refuted
+
+    def refute(self) -> bool:
+        """Refute all known crashes, and return whether any counted until now."""
+        return self._refute(self.last_round)
+
+    def recency(self, crash: str) -> tuple:
+        """Sort key by which all processes agree on the latest crash."""
+        evidence = self.crashes[crash]
+        return evidence.round, evidence.request, crash
+
+    def _add(self, crash: str, evidence: PartCrash) -> bool:
+        known = self.crashes.get(crash)
+        if evidence.round <= self.refuted_round or (
+            known is not None
+            and (known.round, known.request) >= (evidence.round, evidence.request)
+        ):
+            return False
+        self.crashes[crash] = evidence
+        if len(self.crashes) > MAX_CRASHES_PER_PART:
+            del self.crashes[min(self.crashes, key=self.recency)]
+        return crash in self.crashes
+
+    def _refute(self, round: int) -> bool:
+        if round <= self.refuted_round:
+            return False
+        self.refuted_round = round
+        self.crashes = {k: c for k, c in self.crashes.items() if c.round > round}
+        return True
+
+
+@frozen
+class _Strength:
+    """How much of the unexplained evidence is against one part."""
+
+    rounds: int
+    crashes: int
+    requests: int
+
+    @property
+    def suffices(self) -> bool:
+        min_rounds = MIN_ROUNDS if self.crashes < MANY_CRASHES else MIN_ROUNDS_OF_MANY
+        return self.rounds >= min_rounds and self.requests >= MIN_REQUESTS
+
+
+@define
+class _ProbeTurn:
+    """When this process may next send a request with a quarantined part.
+
+    Attributes
+    ----------
+    waits_since : float
+        Time of the last new evidence or of the last probe.
+    recorded : set of str
+        Crashes that this process recorded itself; the others have theirs.
+    """
+
+    waits_since: float
+    recorded: set[str] = field(factory=set)
+
+
+@define
+class PartQuarantine:
+    """Evidence against prompt parts; merging is a union, so gossip may repeat it."""
+
+    suspects: dict[str, SuspectPart] = field(factory=dict)
+    _answered: dict[str, None] = field(factory=dict)
+    _probes: dict[str, _ProbeTurn] = field(factory=dict)
+    _quarantined: frozenset[str] = frozenset()
+    _recheck_at: float = float("inf")
+    _changed: bool = False
+
+    def is_quarantined(self, parts: Iterable[str], now: float) -> bool:
+        """Whether a prompt with these parts must not be sent to any server."""
+        return bool(self.suspects) and not self.quarantined(now).isdisjoint(parts)
+
+    def quarantined(self, now: float) -> frozenset[str]:
+        """Return the quarantined parts."""
+        if self._changed or now >= self._recheck_at:
+            self._update(now)
+        return self._quarantined
+
+    def claim_probe(self, parts: Sequence[str], now: float) -> bool:
+        """Whether a prompt may be sent although one of its parts is quarantined.
+
+        Without such requests, nothing could refute evidence against a sound part. Call
+        this only when the request can be sent at once.
+        """
+        quarantined = self.quarantined(now).intersection(parts)
+        if len(quarantined) != 1:
+            return False
+        (part,) = quarantined
+        turn = self._probes.get(part)
+        if turn is None or now < turn.waits_since + self._probe_delay(part, turn):
+            return False
+        turn.waits_since = now
+        return True
+
+    def strongest(self, count: int, now: float) -> list[str]:
+        """Return the parts with the most evidence, quarantined ones first."""
+        quarantined = self.quarantined(now)
+
+        def rank(part: str) -> tuple:
+            strength = _strength(self.suspects[part], ())
+            return part not in quarantined, -strength.rounds, -strength.crashes, part
+
+        return sorted(self.suspects, key=rank)[:count]
+
+    def explained_crashes(self, now: float) -> set[str]:
+        """Return the crashes that quarantined parts explain."""
+        parts = self.quarantined(now)
+        return {crash for part in parts for crash in self.suspects[part].crashes}
+
+    def known_rounds(self, parts: Iterable[str]) -> dict[str, int]:
+        """Return the latest known rounds of the parts of a prompt that is sent now."""
+        if not self.suspects:
+            return {}
+        return {p: self.suspects[p].last_round for p in parts if p in self.suspects}
+
+    def record_crash(
+        self,
+        crash: str,
+        parts: Sequence[str],
+        request: str,
+        known_rounds: Mapping[str, int],
+        now: float,
+    ) -> None:
+        """Record that a request with these parts was in progress at a crash.
+
+        Parameters
+        ----------
+        known_rounds : mapping of str to int
+            Result of ``known_rounds`` when the request was sent.
+        """
+        for depth, part in enumerate(parts):
+            evidence = PartCrash(known_rounds.get(part, 0) + 1, request)
+            found = SuspectPart(depth, now + QUARANTINE_SECONDS, {crash: evidence})
+            self.merge(part, found, now)
+            if part in self.suspects:
+                turn = self._probes.setdefault(part, _ProbeTurn(now))
+                turn.recorded.add(crash)
+
+    def record_sound(self, parts: Iterable[str]) -> bool:
+        """Record a completed answer; return whether that refutes any evidence."""
+        for part in parts:
+            self._answered.pop(part, None)
+            self._answered[part] = None
+        while len(self._answered) > MAX_ANSWERED:
+            del self._answered[next(iter(self._answered))]
+        if not self.suspects:
+            return False
+        refuted = [p for p in parts if p in self.suspects and self.suspects[p].refute()]
+        self._changed = self._changed or bool(refuted)
+        return bool(refuted)
+
+    def merge(self, part: str, found: SuspectPart, now: float) -> bool:
+        """Merge evidence, and return whether any of it is new."""
+        # A sender whose clock is ahead must not extend the quarantine.
+        until = min(found.until, now + QUARANTINE_SECONDS)
+        if until <= now or not (found.crashes or found.refuted_round):
+            return False
+        suspect = self.suspects.setdefault(part, SuspectPart(found.depth, until))
+        suspect.depth = max(suspect.depth, found.depth)
+        if not suspect.merge(found):
+            return False
+        suspect.until = max(suspect.until, until)
+        self._changed = True
+        if part in self._probes:
+            self._probes[part].waits_since = now
+        if len(self.suspects) > MAX_PARTS:
+            self._drop_weakest()
+        return part in self.suspects
+
+    def _update(self, now: float) -> None:
+        """Choose the parts to quarantine, and forget what has expired."""
+        unexpired = {p: s for p, s in self.suspects.items() if s.until > now}
+        chosen = _smallest_explanation(unexpired, self._answered.keys())
+        self.suspects = {
+            part: suspect
+            for part, suspect in unexpired.items()
+            if part in chosen or _expiry(suspect, False) > now
+        }
+        self._probes = {p: t for p, t in self._probes.items() if p in self.suspects}
+        self._quarantined = frozenset(chosen)
+        expiries = (_expiry(s, p in chosen) for p, s in self.suspects.items())
+        self._recheck_at = min(expiries, default=float("inf"))
+        self._changed = False
+
+    def _probe_delay(self, part: str, turn: _ProbeTurn) -> float:
+        """Return how long after the last new evidence a probe may be sent.
+
+        Each failed probe is a further round, and its evidence spreads before it is the
+        turn of the next entry.
+        """
+        suspect = self.suspects[part]
+        rounds = _strength(suspect, ()).rounds
+        was_sound = suspect.was_refuted or part in self._answered
+        delay = PROBE_SECONDS if was_sound else LATE_PROBE_SECONDS
+        delay *= PROBE_BACKOFF ** max(rounds - MIN_ROUNDS, 0)
+        newest_first = sorted(suspect.crashes, key=suspect.recency, reverse=True)
+        ranks = (n for n, c in enumerate(newest_first) if c in turn.recorded)
+        return delay * (1 + 2 * next(ranks, MAX_CRASHES_PER_PART))
+
+    def _drop_weakest(self) -> None:
+        """Forget the oldest of the parts with the fewest rounds."""
+
+        def rank(part: str) -> tuple:
+            suspect = self.suspects[part]
+            return suspect.last_round, suspect.until, part
+
+        del self.suspects[min(self.suspects.keys() - self._quarantined, key=rank)]
+
+
+def _expiry(suspect: SuspectPart, quarantined: bool) -> float:
+    """Return the wall time at which the evidence against a part expires."""
+    if quarantined:
+        return suspect.until
+    return suspect.until - QUARANTINE_SECONDS + EVIDENCE_SECONDS
+
+
+def _smallest_explanation(
+    suspects: Mapping[str, SuspectPart], answered: Container[str]
+) -> set[str]:
+    """Return parts that explain the crashes, each with enough evidence of its own.
+
+    The part with the most evidence is chosen first, and its crashes are no evidence
+    against the others.
+    """
+    chosen: list[str] = []
+    explained: set[str] = set()
+    sufficient = {part: _strength(suspect, ()) for part, suspect in suspects.items()}
+    while True:
+        sufficient = {
+            part: strength
+            for part in sufficient
+            if part not in chosen
+            and (strength := _strength(suspects[part], explained)).suffices
+        }
+        if not sufficient or len(chosen) == MAX_QUARANTINED:
+            return _without_redundant(chosen, suspects)
+        # A part that was answered before is more likely to be sound again.
+        never_answered = {
+            part: strength
+            for part, strength in sufficient.items()
+            if not suspects[part].was_refuted and part not in answered
+        }
+        best = _most_specific(never_answered or sufficient, suspects)
+        chosen.append(best)
+        explained |= suspects[best].crashes.keys()
+
+
+def _most_specific(
+    strengths: Mapping[str, _Strength], suspects: Mapping[str, SuspectPart]
+) -> str:
+    """Return the part with the most evidence, or a deeper one with much of it.
+
+    A part that many requests share is also in progress in most crashes by others.
+    """
+    best = max(strengths, key=lambda p: _choice_rank(p, strengths, suspects))
+    while True:
+        deeper = [
+            part
+            for part, strength in strengths.items()
+            if suspects[part].depth > suspects[best].depth
+            and strength.crashes >= strengths[best].crashes * MIN_DEEPER_RATIO
+        ]
+        if not deeper:
+            return best
+        best = max(deeper, key=lambda p: _choice_rank(p, strengths, suspects))
+
+
+def _without_redundant(
+    chosen: Iterable[str], suspects: Mapping[str, SuspectPart]
+) -> set[str]:
+    """Return the chosen parts without those whose crashes the others explain."""
+    kept = set(chosen)
+    for part in sorted(kept, key=lambda p: (len(suspects[p].crashes), p)):
+        suspect = suspects[part]
+        # Outages seem to explain the crashes of a bad part by parts that were sound.
+        is_firm = not suspect.was_refuted and len(suspect.crashes) >= MANY_CRASHES
+        others = (
+            suspects[other].crashes.keys()
+            for other in kept - {part}
+            if not (is_firm and suspects[other].was_refuted)
+        )
+        if not _strength(suspect, set().union(*others)).suffices:
+            kept.discard(part)
+    return kept
+
+
+def _choice_rank(
+    part: str, strengths: Mapping[str, _Strength], suspects: Mapping[str, SuspectPart]
+) -> tuple:
+    # Of parts that are always sent together, the deepest one is shared by the fewest
+    # requests.
+    strength = strengths[part]
+    return (
+        strength.crashes,
+        strength.rounds,
+        strength.requests,
+        suspects[part].depth,
+        part,
+    )
+
+
+def _strength(suspect: SuspectPart, explained: Container[str]) -> _Strength:
+    counted = [c for crash, c in suspect.crashes.items() if crash not in explained]
+    return _Strength(
+        rounds=len({evidence.round for evidence in counted}),
+        crashes=len(counted),
+        requests=len({evidence.request for evidence in counted}),
+    )
