LOST: an empty line after a request is not the beginning of another

During a drain such a connection was not told of its close and stayed open until the header timeout.

--- a/packages/wasabideck_forward/wasabideck_forward/caller_connection.py
+++ b/packages/wasabideck_forward/wasabideck_forward/caller_connection.py
@@ -140,6 +140,10 @@
         if self._rejected:
             return
         if self._reading_since is None:
+            # Empty lines between requests belong to none (RFC 9112, section 2.2).
+            data = data.lstrip(b"\r\n")
+            if not data:
+                return
             self._reading_since = self._endpoint.clock()
             self._in_headers = True
         if self._in_headers:
--- a/tests/forward/test_shutdown.py
+++ b/tests/forward/test_shutdown.py
@@ -283,6 +283,25 @@
     play(scenario)
 
 
+def test_an_empty_line_after_a_request_keeps_no_connection_open(play):
+    # Guards against an empty line that is taken for the beginning of another request.
+    async def scenario():
+        entry, released = StoppableEntry(LONG), asyncio.Event()
+        server = await entry.add_server(answers_when(released))
+        caller = await entry.caller()
+        await caller.send(path=b"/long")
+        await until(lambda: server.requests)
+        caller.writer.write(b"\r\n")
+        await asyncio.sleep(0.05)
+        await entry.stop()
+        released.set()
+        status, headers, _ = await response_in_time(caller)
+        assert (status, headers[b"connection"]) == (200, b"close")
+        assert not await closed_in_time(caller)
+
+    play(scenario)
+
+
 def test_a_request_that_still_waits_for_a_server_at_the_end_is_refused(play):
     # Guards against requests that were never sent and end without an answer.
     async def scenario():
