LOST: do not send a pipelined request whose time limit has passed

Callers got 504 for a request that reached its server after its own time limit: it had waited behind another one on its connection, in a stop or without one. It is refused as not run now. The test failed before.

--- a/packages/wasabideck_forward/wasabideck_forward/forwarder.py
+++ b/packages/wasabideck_forward/wasabideck_forward/forwarder.py
@@ -113,6 +113,9 @@
             may_admit = self.drain.may_admit(exchange.expires_at, now)
             if caller.close_announced or not may_admit:
                 raise ShuttingDown(exchange.service)
+            # A pipelined request may have waited for longer than its time limit.
+            if now >= exchange.expires_at:
+                raise NeverSent(exchange.service)
             await self._serve_until_expiry(exchange, caller)
         except Refusal as exc:
             await self._refuse(req, exchange, exc, caller)
--- a/tests/forward/test_late_requests.py
+++ b/tests/forward/test_late_requests.py
@@ -35,6 +35,36 @@
     backend.apply_report(message, asyncio.get_running_loop().time())
 
 
+def test_a_pipelined_request_whose_time_is_up_is_not_sent(play):
+    # Guards against requests that reach a server after their time limit, because they
+    # waited behind another one on their connection.
+    async def scenario():
+        entry = Entry(
+            configuration(
+                route("/slow", timeout_seconds=2.0, max_attempts=1),
+                route("/short", timeout_seconds=0.1, max_attempts=1),
+            )
+        )
+        released = asyncio.Event()
+
+        async def answer_when_released(head, writer):
+            await released.wait()
+            await answers(b"slow")(head, writer)
+
+        server = await entry.add_server(answer_when_released, answers(b"short"))
+        caller = await entry.caller()
+        await caller.send(path=b"/slow")
+        await caller.send(path=b"/short", name=b"behind")
+        await asyncio.sleep(0.15)
+        released.set()
+        assert (await caller.read_response())[0] == 200
+        status, _, body = await caller.read_response()
+        assert (status, body) == (503, b'{"error":"NeverSent"}')
+        assert len(server.requests) == 1
+
+    play(scenario)
+
+
 def test_a_long_stream_of_a_draining_server_is_resumed_elsewhere(play):
     # A server drains to load newer weights. It finished all its requests first, and its
     # longest stream kept all its other slots idle for two seconds.
