--- a/packages/wasabideck_base/wasabideck_base/part_quarantine_store.py
+++ b/packages/wasabideck_base/wasabideck_base/part_quarantine_store.py
@@ -16,14 +16,10 @@
 
 import orjson
 from attrs import define, evolve, field, frozen
+from wasabideck_policy.crash_explanation import MAX_QUARANTINED
 from wasabideck_policy.outcomes import WasabideckError
-from wasabideck_policy.part_quarantine import (
-    MAX_QUARANTINED,
-    QUARANTINE_SECONDS,
-    PartCrash,
-    PartQuarantine,
-    SuspectPart,
-)
+from wasabideck_policy.part_quarantine import QUARANTINE_SECONDS, PartQuarantine
+from wasabideck_policy.suspect_parts import PartCrash, SuspectPart
 
 from .events import Events
 from .http_responses import PlatformRefused, PlatformUnavailable
--- a/packages/wasabideck_lab/wasabideck_lab/crash_model.py
+++ b/packages/wasabideck_lab/wasabideck_lab/crash_model.py
@@ -14,7 +14,8 @@
 from itertools import count
 
 from attrs import define, evolve, field, frozen
-from wasabideck_policy.part_quarantine import PartQuarantine, SuspectPart
+from wasabideck_policy.part_quarantine import PartQuarantine
+from wasabideck_policy.suspect_parts import SuspectPart
 
 __all__ = ["BadPart", "CrashResult", "CrashSeries", "Outage", "simulate_crashes"]
 
--- a/packages/wasabideck_lab/wasabideck_lab/crash_series.py
+++ b/packages/wasabideck_lab/wasabideck_lab/crash_series.py
@@ -7,8 +7,8 @@
 from statistics import mean
 
 from attrs import evolve
-from wasabideck_policy import part_quarantine
-from wasabideck_policy.part_quarantine import SuspectPart
+from wasabideck_policy import crash_explanation, part_quarantine
+from wasabideck_policy.suspect_parts import SuspectPart
 
 from .crash_model import BadPart, CrashSeries, Outage, simulate_crashes
 
@@ -123,7 +123,7 @@
 
 
 def _replace_choice(choose: Chooser) -> dict[str, Chooser]:
-    return {"_smallest_explanation": choose}
+    return {"smallest_explanation": choose}
 
 
 # Attributes of the policy that are replaced. The keys are printed.
@@ -142,15 +142,20 @@
 @contextmanager
 def rule_in_force(name: str) -> Iterator[None]:
     """Replace the product's rule by another."""
-    changes = RULES[name]
-    originals = {key: getattr(part_quarantine, key) for key in changes}
-    for key, value in changes.items():
-        setattr(part_quarantine, key, value)
+    modules = (part_quarantine, crash_explanation)
+    changes = [
+        (module, key, value, getattr(module, key))
+        for key, value in RULES[name].items()
+        for module in modules
+        if hasattr(module, key)
+    ]
+    for module, key, value, _ in changes:
+        setattr(module, key, value)
     try:
         yield
     finally:
-        for key, value in originals.items():
-            setattr(part_quarantine, key, value)
+        for module, key, _, original in changes:
+            setattr(module, key, original)
 
 
 def crash_series(
--- a/packages/wasabideck_policy/wasabideck_policy/part_quarantine.py
+++ b/packages/wasabideck_policy/wasabideck_policy/part_quarantine.py
@@ -13,23 +13,15 @@
 
 from __future__ import annotations
 
-from collections.abc import Container, Iterable, Mapping, Sequence
-
-from attrs import define, field, frozen
-
-__all__ = ["PartCrash", "PartQuarantine", "SuspectPart"]
-
-# Rounds of unexplained crashes after which a part is quarantined, and of that many
-# crashes or more. Two rounds of few crashes occur by chance while servers crash several
-# times a second.
-MIN_ROUNDS = 3
-MIN_ROUNDS_OF_MANY = 2
-MANY_CRASHES = 5
-# Different requests that must have been in progress in these crashes: a single request
-# that crashes servers says nothing about its parts.
-MIN_REQUESTS = 2
-# Share of the crashes of a part above which a deeper part is chosen instead.
-MIN_DEEPER_RATIO = 0.4
+from collections.abc import Iterable, Mapping, Sequence
+
+from attrs import define, field
+
+from .crash_explanation import MIN_ROUNDS, smallest_explanation, strength_of
+from .suspect_parts import MAX_CRASHES_PER_PART, PartCrash, SuspectPart
+
+__all__ = ["EVIDENCE_SECONDS", "QUARANTINE_SECONDS", "PartQuarantine"]
+
 # Time after the last crash for which evidence against a part counts, and for which a
 # quarantined part is refused, in seconds.
 EVIDENCE_SECONDS = 30.0
@@ -40,114 +32,8 @@
 LATE_PROBE_SECONDS = 20.0
 PROBE_BACKOFF = 16
 MAX_PARTS = 256
-MAX_QUARANTINED = 16
 # Parts of completed answers that are remembered.
 MAX_ANSWERED = 1024
-MAX_CRASHES_PER_PART = 16
-
-
-@frozen
-class PartCrash:
-    """Evidence that a part crashed a server: a request with it was in progress there.
-
-    Attributes
-    ----------
-    round : int
-        One more than the latest round known to the entry that sent the request.
-    request : str
-        Id that differs between requests that share the part.
-    """
-
-    round: int
-    request: str
-
-
-@define
-class SuspectPart:
-    """A part with the crashes during which requests with it were in progress.
-
-    Attributes
-    ----------
-    depth : int
-        Position in the prompt; deeper parts are shared by fewer requests.
-    until : float
-        Wall time until which it is refused, if it is quarantined.
-    crashes : dict of str to PartCrash
-        Evidence by crash, without what is refuted.
-    refuted_round : int
-        Round up to which all evidence is refuted; 0 for none.
-    """
-
-    depth: int
-    until: float
-    crashes: dict[str, PartCrash] = field(factory=dict)
-    refuted_round: int = 0
-
-    @property
-    def last_round(self) -> int:
-        """The latest round of its crashes."""
-        rounds = (evidence.round for evidence in self.crashes.values())
-        return max(rounds, default=self.refuted_round)
-
-    @property
-    def was_refuted(self) -> bool:
-        """Whether an answer with the part was completed after one of its crashes."""
-        return self.refuted_round > 0
-
-    def merge(self, other: SuspectPart) -> bool:
-        """Merge the evidence of another process, and return whether any is new."""
-        added = [self._add(crash, c) for crash, c in other.crashes.items()]
-        refuted = self._refute(other.refuted_round)
-        return any(added) or refuted
-
-    def knows_more_than(self, other: SuspectPart) -> bool:
-        """Whether the other process lacks any of this evidence."""
-        return (
-            self.refuted_round > other.refuted_round
-            or not self.crashes.items() <= other.crashes.items()
-        )
-
-    def refute(self) -> bool:
-        """Refute all known crashes, and return whether any counted until now."""
-        return self._refute(self.last_round)
-
-    def recency(self, crash: str) -> tuple:
-        """Sort key by which all processes agree on the latest crash."""
-        evidence = self.crashes[crash]
-        return evidence.round, evidence.request, crash
-
-    def _add(self, crash: str, evidence: PartCrash) -> bool:
-        known = self.crashes.get(crash)
-        if evidence.round <= self.refuted_round or (
-            known is not None
-            and (known.round, known.request) >= (evidence.round, evidence.request)
-        ):
-            return False
-        self.crashes[crash] = evidence
-        if len(self.crashes) > MAX_CRASHES_PER_PART:
-            del self.crashes[min(self.crashes, key=self.recency)]
-        return crash in self.crashes
-
-    def _refute(self, round: int) -> bool:
-        if round <= self.refuted_round:
-            return False
-        self.refuted_round = round
-        self.crashes = {k: c for k, c in self.crashes.items() if c.round > round}
-        return True
-
-
-@frozen
-class _Strength:
-    """How much of the unexplained evidence is against one part."""
-
-    rounds: int
-    crashes: int
-    requests: int
-
-    @property
-    def suffices(self) -> bool:
-        min_rounds = MIN_ROUNDS if self.crashes < MANY_CRASHES else MIN_ROUNDS_OF_MANY
-        return self.rounds >= min_rounds and self.requests >= MIN_REQUESTS
 
 
 @define
@@ -206,7 +92,7 @@
     def strongest(self, count: int, now: float) -> list[str]:
         """Return parts with crashes in succession, the quarantined ones first."""
         quarantined = self.quarantined(now)
-        strengths = {part: _strength(s, ()) for part, s in self.suspects.items()}
+        strengths = {part: strength_of(s) for part, s in self.suspects.items()}
 
         def rank(part: str) -> tuple:
             strength = strengths[part]
@@ -283,7 +169,7 @@
     def _update(self, now: float) -> None:
         """Choose the parts to quarantine, and forget what has expired."""
         unexpired = {p: s for p, s in self.suspects.items() if s.until > now}
-        chosen = _smallest_explanation(unexpired, self._answered.keys())
+        chosen = smallest_explanation(unexpired, self._answered.keys())
         self.suspects = {
             part: suspect
             for part, suspect in unexpired.items()
@@ -302,7 +188,7 @@
         turn of the next entry.
         """
         suspect = self.suspects[part]
-        rounds = _strength(suspect, ()).rounds
+        rounds = strength_of(suspect).rounds
         was_sound = suspect.was_refuted or part in self._answered
         delay = PROBE_SECONDS if was_sound else LATE_PROBE_SECONDS
         delay *= PROBE_BACKOFF ** max(rounds - MIN_ROUNDS, 0)
@@ -325,97 +211,3 @@
     if quarantined:
         return suspect.until
     return suspect.until - QUARANTINE_SECONDS + EVIDENCE_SECONDS
-
-
-def _smallest_explanation(
-    suspects: Mapping[str, SuspectPart], answered: Container[str]
-) -> set[str]:
-    """Return parts that explain the crashes, each with enough evidence of its own.
-
-    The part with the most evidence is chosen first, and its crashes are no evidence
-    against the others.
-    """
-    chosen: list[str] = []
-    explained: set[str] = set()
-    sufficient = {part: _strength(suspect, ()) for part, suspect in suspects.items()}
-    while True:
-        sufficient = {
-            part: strength
-            for part in sufficient
-            if part not in chosen
-            and (strength := _strength(suspects[part], explained)).suffices
-        }
-        if not sufficient or len(chosen) == MAX_QUARANTINED:
-            return _without_redundant(chosen, suspects)
-        # A part that was answered before is more likely to be sound again.
-        never_answered = {
-            part: strength
-            for part, strength in sufficient.items()
-            if not suspects[part].was_refuted and part not in answered
-        }
-        best = _most_specific(never_answered or sufficient, suspects)
-        chosen.append(best)
-        explained |= suspects[best].crashes.keys()
-
-
-def _most_specific(
-    strengths: Mapping[str, _Strength], suspects: Mapping[str, SuspectPart]
-) -> str:
-    """Return the part with the most evidence, or a deeper one with much of it.
-
-    A part that many requests share is also in progress in most crashes by others.
-    """
-    best = max(strengths, key=lambda p: _choice_rank(p, strengths, suspects))
-    while True:
-        deeper = [
-            part
-            for part, strength in strengths.items()
-            if suspects[part].depth > suspects[best].depth
-            and strength.crashes >= strengths[best].crashes * MIN_DEEPER_RATIO
-        ]
-        if not deeper:
-            return best
-        best = max(deeper, key=lambda p: _choice_rank(p, strengths, suspects))
-
-
-def _without_redundant(
-    chosen: Iterable[str], suspects: Mapping[str, SuspectPart]
-) -> set[str]:
-    """Return the chosen parts without those whose crashes the others explain."""
-    kept = set(chosen)
-    for part in sorted(kept, key=lambda p: (len(suspects[p].crashes), p)):
-        suspect = suspects[part]
-        # Outages seem to explain the crashes of a bad part by parts that were sound.
-        is_firm = not suspect.was_refuted and len(suspect.crashes) >= MANY_CRASHES
-        others = (
-            suspects[other].crashes.keys()
-            for other in kept - {part}
-            if not (is_firm and suspects[other].was_refuted)
-        )
-        if not _strength(suspect, set().union(*others)).suffices:
-            kept.discard(part)
-    return kept
-
-
-def _choice_rank(
-    part: str, strengths: Mapping[str, _Strength], suspects: Mapping[str, SuspectPart]
-) -> tuple:
-    # Of parts that are always sent together, the deepest one is shared by the fewest
-    # requests.
-    strength = strengths[part]
-    return (
-        strength.crashes,
-        strength.rounds,
-        strength.requests,
-        suspects[part].depth,
-        part,
-    )
-
-
-def _strength(suspect: SuspectPart, explained: Container[str]) -> _Strength:
-    counted = [c for crash, c in suspect.crashes.items() if crash not in explained]
-    return _Strength(
-        rounds=len({evidence.round for evidence in counted}),
-        crashes=len(counted),
-        requests=len({evidence.request for evidence in counted}),
-    )
--- a/packages/wasabideck_wire/wasabideck_wire/crashes.py
+++ b/packages/wasabideck_wire/wasabideck_wire/crashes.py
@@ -4,8 +4,9 @@
 
 from collections.abc import Iterable
 
-from wasabideck_policy.part_quarantine import PartCrash, PartQuarantine, SuspectPart
+from wasabideck_policy.part_quarantine import PartQuarantine
 from wasabideck_policy.quarantine import Quarantine
+from wasabideck_policy.suspect_parts import PartCrash, SuspectPart
 
 from . import inner_pb2 as pb
 
--- a/tests/cluster_state/test_part_quarantine.py
+++ b/tests/cluster_state/test_part_quarantine.py
@@ -7,12 +7,12 @@
 from wasabideck_policy.part_quarantine import (
     EVIDENCE_SECONDS,
     LATE_PROBE_SECONDS,
-    MAX_CRASHES_PER_PART,
     MAX_PARTS,
     PROBE_SECONDS,
     QUARANTINE_SECONDS,
     PartQuarantine,
 )
+from wasabideck_policy.suspect_parts import MAX_CRASHES_PER_PART
 
 
 def crash(rule, name, *prompts, now=0.0):
--- a/tests/cluster_state/test_part_quarantine_store.py
+++ b/tests/cluster_state/test_part_quarantine_store.py
@@ -25,11 +25,10 @@
     part_row,
 )
 from wasabideck_base.rows import Row, RowChanges, WriteConflict
-from wasabideck_policy.part_quarantine import (
+from wasabideck_policy.part_quarantine import QUARANTINE_SECONDS, PartQuarantine
+from wasabideck_policy.suspect_parts import (
     MAX_CRASHES_PER_PART,
-    QUARANTINE_SECONDS,
     PartCrash,
-    PartQuarantine,
     SuspectPart,
 )
 
