Log how stale a process's knowledge of the operators' declarations is

No line said as of when what a process knew was the newest, so that a request handled by an older configuration looked like any other, and a watch on a silent connection wrote nothing for up to 17 s.

request.ended and declaration.seen have staleness, the maximum age of declarations that the process may lack, as responses have shown; state.behind and state.current bound the time in which that is longer than a change may take. No decision uses it yet.

--- a/packages/wasabideck_base/wasabideck_base/event_kinds.py
+++ b/packages/wasabideck_base/wasabideck_base/event_kinds.py
@@ -221,6 +221,11 @@
     "staging.taken-up": EventKind(
         "chunks that were already staged are offered to peers"
     ),
+    "state.behind": EventKind(
+        "an entry may lack a configuration that is due; `staleness`: since when",
+        "nothing for one; many: check the store and the paths to it",
+    ),
+    "state.current": EventKind("an entry knows all declarations again"),
     "store.back": EventKind("the store responds to this process again"),
     "store.lost": EventKind(
         "the store does not respond; the process continues with its known state",
--- a/packages/wasabideck_base/wasabideck_base/events.py
+++ b/packages/wasabideck_base/wasabideck_base/events.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import os
 import re
 import sys
@@ -20,6 +21,7 @@
     "EventsUnwritable",
     "Timestamp",
     "open_events",
+    "round_finite",
 ]
 
 MAX_COUNTER = 1 << 20
@@ -162,3 +164,8 @@
     file = EventFile(descriptor)
     eliot.add_destinations(file)
     return Events(vm, HybridClock(wall_clock=wall), wall), file
+
+
+def round_finite(seconds: float) -> float | None:
+    """Return seconds rounded for an event, or None if they are infinite."""
+    return round(seconds, 3) if math.isfinite(seconds) else None
--- a/packages/wasabideck_base/wasabideck_base/gossip.py
+++ b/packages/wasabideck_base/wasabideck_base/gossip.py
@@ -18,7 +18,7 @@
 
 from .channels import CALL_FAILURES, Channels
 from .compression import MalformedContent
-from .events import Events
+from .events import Events, round_finite
 from .gossip_messages import (
     AGE,
     COMPRESSED,
@@ -91,6 +91,8 @@
         Prompt parts that may crash servers, and how the entries learn of them.
     position : callable
         How far this process itself follows a table; None if it does not.
+    staleness : callable
+        Maximum age in seconds of declarations that are missing here.
     last_local_reply_at : float
         When a peer of the region last replied, seconds.
     region_may_lag : callable
@@ -114,6 +116,7 @@
     quarantine: Quarantine = field(factory=Quarantine)
     position: Callable[[str], TablePosition | None] = lambda table: None
     region_may_lag: Callable[[], bool] = lambda: False
+    staleness: Callable[[float], float] = lambda now: float("inf")
     last_reply_at: float = float("-inf")
     last_local_reply_at: float = float("-inf")
     part_gossip: PartGossip = field(init=False)
@@ -138,6 +141,7 @@
                 touched=declaration.key,
                 number=declaration.number,
                 source=source,
+                staleness=round_finite(self.staleness(self.clock())),
             )
         if newer:
             self.on_newer(newer, source)
--- a/packages/wasabideck_base/wasabideck_base/state_sync.py
+++ b/packages/wasabideck_base/wasabideck_base/state_sync.py
@@ -27,7 +27,7 @@
 from .channels import Channels
 from .declaration_times import DeclarationTimes
 from .deployment import DeploymentAdapter
-from .events import Events
+from .events import Events, round_finite
 from .gossip import (
     FAST_GOSSIP_INTERVAL_SECONDS,
     GOSSIP_INTERVAL_SECONDS,
@@ -113,6 +113,7 @@
     _members_known: asyncio.Event = field(factory=asyncio.Event)
     _notifications: set[asyncio.Task] = field(factory=set)
     _operators_read: bool = False
+    _behind: bool = True
     _configuration_wanted_at: float = float("-inf")
 
     def __attrs_post_init__(self) -> None:
@@ -192,6 +193,7 @@
         part_gossip.on_quarantined = self.part_store.request_publishing
         self.gossip.position = self.readers.position
         self.gossip.region_may_lag = self._region_may_lag
+        self.gossip.staleness = self.cluster_state.staleness
 
     @property
     def _is_entry(self) -> bool:
@@ -479,6 +481,21 @@
                 self.gossip.last_reply_at,
                 self.operator_watch.last_response_at,
             )
+            self.cluster_state.mark_complete(self.operator_watch.complete_until)
+            self._log_staleness(self.clock())
+
+    def _log_staleness(self, now: float) -> None:
+        """Log when newer declarations may be due, and when all are known again."""
+        staleness = self.cluster_state.staleness(now)
+        behind = staleness > self.cfg.limits.configuration_deadline_seconds
+        if behind == self._behind or not self._is_entry:
+            return
+        self._behind = behind
+        self.events.emit(
+            "state.behind" if behind else "state.current",
+            staleness=round_finite(staleness),
+            failing=self.operator_watch.failing,
+        )
 
     def _is_cut_off(self) -> bool:
         """Whether this process currently gets no declarations from the store."""
--- a/packages/wasabideck_base/wasabideck_base/table_watch.py
+++ b/packages/wasabideck_base/wasabideck_base/table_watch.py
@@ -158,6 +158,14 @@
         """Whether the store did not respond to the last call."""
         return self._failures > 0 or self.version < 0
 
+    @property
+    def complete_until(self) -> float:
+        """Up to when the copy is complete, as shown by responses; -inf if unknown.
+
+        A pending call shows nothing: its connection may be unresponsive.
+        """
+        return max(self._complete_until, self._adopted_complete_until)
+
     async def run(self) -> None:
         """Follow the table until cancelled."""
         while True:
--- a/packages/wasabideck_forward/wasabideck_forward/forwarder.py
+++ b/packages/wasabideck_forward/wasabideck_forward/forwarder.py
@@ -8,7 +8,7 @@
 from functools import partial
 
 from attrs import define, field
-from wasabideck_base.events import Events
+from wasabideck_base.events import Events, round_finite
 from wasabideck_policy.backends import Backend
 from wasabideck_policy.cluster_state import ClusterState
 
@@ -457,6 +457,7 @@
             weights=exchange.weights_version if exchange else 0,
             over_in=_round_or_none(exchange.weights_expire_in) if exchange else None,
             configuration=cfg.number if cfg else 0,
+            staleness=round_finite(self.cluster_state.staleness(now)),
             delivered=exchange.delivered.event_count if exchange else 0,
             **fields,
         )
--- a/packages/wasabideck_policy/wasabideck_policy/cluster_state.py
+++ b/packages/wasabideck_policy/wasabideck_policy/cluster_state.py
@@ -54,6 +54,8 @@
         Whether the list of servers was read at least once.
     last_contact_at : float
         When the store, or a peer acting for it, last answered, seconds.
+    complete_until : float
+        Everything that operators declared up to then is known here, seconds.
     entries : int
         Number of entries in the deployment, including this one.
     local_entries : int
@@ -66,6 +68,7 @@
     _versions: dict[str, list[DeclaredVersion]] = field(factory=dict)
     servers_known: bool = False
     last_contact_at: float = -STALE_SECONDS
+    complete_until: float = float("-inf")
     entries: int = 1
     local_entries: int = 1
 
@@ -78,6 +81,14 @@
         """Whether a newer configuration may exist that was not yet received."""
         return now - self.last_contact_at > STALE_SECONDS
 
+    def staleness(self, now: float) -> float:
+        """Return the maximum age in seconds of declarations that are missing here."""
+        return now - self.complete_until
+
+    def mark_complete(self, until: float) -> None:
+        """Record that everything declared up to then is known here."""
+        self.complete_until = max(self.complete_until, until)
+
     def declare_version(
         self,
         model: str,
