--- a/packages/wasabideck_base/wasabideck_base/state_sync.py
+++ b/packages/wasabideck_base/wasabideck_base/state_sync.py
@@ -491,11 +491,14 @@
         if behind == self._behind or not self._is_entry:
             return
         self._behind = behind
-        self.events.emit(
-            "state.behind" if behind else "state.current",
-            staleness=round_finite(staleness),
-            failing=self.operator_watch.failing,
-        )
+        fields = {
+            "staleness": round_finite(staleness),
+            "failing": self.operator_watch.failing,
+        }
+        if behind:
+            self.events.emit("state.behind", **fields)
+        else:
+            self.events.emit("state.current", **fields)
 
     def _is_cut_off(self) -> bool:
         """Whether this process currently gets no declarations from the store."""
