Have a peer's word carry the moment up to which it is complete

Each reply of an entry now says how stale its sender may be (slot "complete"). Who merged all of a reply knows everything up to when it asked less that staleness, and no reply makes a word younger, however many processes pass it on. Replies that were not readable in full, that left out the configuration, pushes, and agents, which accept configurations only now and then, vouch for nothing. 401 and 404 rest on that moment and on the time in which a configuration has to be in effect, in place of a contact in the last 3 s.

Two tests and a fixture set the new field where they set the old one.

--- a/packages/wasabideck_base/wasabideck_base/gossip.py
+++ b/packages/wasabideck_base/wasabideck_base/gossip.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import random
 from collections.abc import Callable, Iterable
 
@@ -28,12 +29,14 @@
     DeclarationAges,
     ReaderReply,
     age_entries,
+    complete_entry,
     declaration_entry,
     declaration_of,
     position_entry,
     position_of,
     row_entry,
     rows_of,
+    staleness_of,
 )
 from .part_gossip import PartGossip
 from .table_watch import TablePosition, TableWatch
@@ -93,6 +96,8 @@
         How far this process itself follows a table; None if it does not.
     staleness : callable
         Maximum age in seconds of declarations that are missing here.
+    on_complete : callable
+        Called with a time up to which all declarations are known here, seconds.
     last_local_reply_at : float
         When a peer of the region last replied, seconds.
     region_may_lag : callable
@@ -117,6 +122,7 @@
     position: Callable[[str], TablePosition | None] = lambda table: None
     region_may_lag: Callable[[], bool] = lambda: False
     staleness: Callable[[float], float] = lambda now: float("inf")
+    on_complete: Callable[[float], None] = lambda until: None
     last_reply_at: float = float("-inf")
     last_local_reply_at: float = float("-inf")
     part_gossip: PartGossip = field(init=False)
@@ -155,14 +161,19 @@
         knows_none = len(self.declarations) == 0
         timeout = FIRST_SYNC_TIMEOUT_SECONDS if knows_none else SYNC_TIMEOUT_SECONDS
         req = self._sync_request()
-        if self._skips_configuration(address):
+        requested_at = self.clock()
+        skips_configuration = self._skips_configuration(address)
+        if skips_configuration:
             for entry in req.entries:
                 if (entry.slot, entry.scope) == (DECLARED, CONFIGURATION):
                     entry.ticket = SEND_NONE
         reply = await self._sync(address, req, timeout)
         if reply is None:
             return
-        self._apply_entries(reply.entries, address)
+        applied = self._apply_entries(reply.entries, address)
+        # Agents act on versions only.
+        if applied and (self.me.kind == AGENT or not skips_configuration):
+            self._adopt_staleness(reply.entries, requested_at)
         self._merge_crashes(reply)
         for entry in reply.entries:
             if entry.slot == TABLE and entry.scope in self.tables:
@@ -179,6 +190,7 @@
             None if the entry did not reply.
         """
         req = self._sync_request([table])
+        requested_at = self.clock()
         req.entries.append(pb.Entry(scope=table, slot=FOLLOWS))
         req.ClearField("quarantined")
         req.ClearField("suspect_parts")
@@ -186,6 +198,8 @@
         if reply is None:
             return None
         complete = self._apply_entries(reply.entries, address) and not self.unwanted
+        if complete:
+            self._adopt_staleness(reply.entries, requested_at)
         versions = [
             e.ticket for e in reply.entries if (e.slot, e.scope) == (TABLE, table)
         ]
@@ -209,6 +223,17 @@
                 self.last_local_reply_at = self.last_reply_at
         return reply
 
+    def _adopt_staleness(
+        self, entries: Iterable[pb.Entry], requested_at: float
+    ) -> None:
+        """Record up to when all is known here, after all that a peer has was merged.
+
+        The peer knew its staleness when it replied, which was after the request.
+        """
+        staleness = staleness_of(entries)
+        if staleness is not None:
+            self.on_complete(requested_at - staleness)
+
     def _skips_configuration(self, address: str) -> bool:
         """Whether a remote peer is asked for everything but the configuration."""
         if self._region_of(address) == self.me.region or self.region_may_lag():
@@ -284,6 +309,7 @@
                 entries += [
                     row_entry(row) for row in watch.rows_newer_than(entry.ticket)
                 ]
+        entries += self._complete_entries()
         polled_tables = [e.scope for e in req.entries if e.slot == FOLLOWS]
         for table in polled_tables:
             if (position := self.position(table)) is not None:
@@ -377,6 +403,16 @@
         """
         return [e for key in keys for e in age_entries(key, self.ages.unexpired(key))]
 
+    def _complete_entries(self) -> list[pb.Entry]:
+        """Return the entry that reports this process's staleness, if it is known.
+
+        Agents report none: they accept a configuration only now and then.
+        """
+        staleness = self.staleness(self.clock())
+        if self.me.kind != ENTRY or not math.isfinite(staleness):
+            return []
+        return [complete_entry(max(0.0, staleness))]
+
     def _other_entries(self) -> list[str]:
         return [
             m.address
--- a/packages/wasabideck_base/wasabideck_base/gossip_messages.py
+++ b/packages/wasabideck_base/wasabideck_base/gossip_messages.py
@@ -18,24 +18,29 @@
     "FOLLOWS",
     "AGE",
     "COMPRESSED",
+    "COMPLETE",
     "TABLE",
     "DeclarationAges",
     "ReaderReply",
     "age_entries",
+    "complete_entry",
     "declaration_entry",
     "declaration_of",
     "position_entry",
     "position_of",
     "row_entry",
     "rows_of",
+    "staleness_of",
 ]
 
 # Slots, the kinds of entries: a declaration, a declaration with compressed content, the
-# age of a declared version, the version of a table's newest row, how far a process
-# follows a table, a row, and the removal of a row.
+# age of a declared version, the maximum age of declarations that the sender lacks, the
+# version of a table's newest row, how far a process follows a table, a row, and the
+# removal of a row.
 DECLARED = "declared"
 COMPRESSED = "packed"
 AGE = "named"
+COMPLETE = "complete"
 TABLE = "table"
 FOLLOWS = "follows"
 ROW = "row"
@@ -119,6 +124,19 @@
     return Declaration(entry.scope, entry.ticket, content)
 
 
+def complete_entry(staleness_seconds: float) -> pb.Entry:
+    """Return the entry that reports how stale the sender's declarations may be."""
+    return pb.Entry(slot=COMPLETE, age_ms=math.ceil(staleness_seconds * 1000))
+
+
+def staleness_of(entries: Iterable[pb.Entry]) -> float | None:
+    """Return how stale a peer's declarations may be; None if it does not say."""
+    for entry in entries:
+        if entry.slot == COMPLETE:
+            return entry.age_ms / 1000
+    return None
+
+
 def position_entry(table: str, position: TablePosition) -> pb.Entry:
     """Return the entry that reports how far this process follows a table."""
     return pb.Entry(
--- a/packages/wasabideck_base/wasabideck_base/state_sync.py
+++ b/packages/wasabideck_base/wasabideck_base/state_sync.py
@@ -118,7 +118,12 @@
 
     def __attrs_post_init__(self) -> None:
         """Create the table watches and the components that use them."""
-        self.cluster_state = ClusterState(self.clock())
+        self.cluster_state = ClusterState(
+            self.clock(),
+            configuration_deadline_seconds=(
+                self.cfg.limits.configuration_deadline_seconds
+            ),
+        )
         drain = self.cfg.limits.drain_seconds
         settle_seconds = SETTLE_FRACTION * drain
         self.cluster_state.backends.mass_removal_hold_seconds = max(
@@ -129,6 +134,7 @@
             self._apply_operator_rows,
             self._note_operators_read,
         )
+        self.operator_watch.on_complete = self.cluster_state.mark_complete
         self.server_watch = self._watch(
             self.deployment.servers_table,
             self._apply_server_rows,
@@ -194,6 +200,7 @@
         self.gossip.position = self.readers.position
         self.gossip.region_may_lag = self._region_may_lag
         self.gossip.staleness = self.cluster_state.staleness
+        self.gossip.on_complete = self.cluster_state.mark_complete
 
     @property
     def _is_entry(self) -> bool:
@@ -467,7 +474,6 @@
 
     async def _run_gossip(self) -> None:
         while True:
-            responded_at = self.operator_watch.last_response_at
             cut_off = self._is_cut_off()
             uncertain = any(map(self._is_uncertain, self.gossip.declarations.numbers()))
             await asyncio.sleep(
@@ -476,12 +482,6 @@
                 else GOSSIP_INTERVAL_SECONDS
             )
             await self.gossip.sync_with_one()
-            self.cluster_state.last_contact_at = max(
-                responded_at,
-                self.gossip.last_reply_at,
-                self.operator_watch.last_response_at,
-            )
-            self.cluster_state.mark_complete(self.operator_watch.complete_until)
             self._log_staleness(self.clock())
 
     def _log_staleness(self, now: float) -> None:
--- a/packages/wasabideck_base/wasabideck_base/table_watch.py
+++ b/packages/wasabideck_base/wasabideck_base/table_watch.py
@@ -97,6 +97,8 @@
         Called with new rows, including removals.
     on_full_read : callable
         Called with all rows of the table after a full read.
+    on_complete : callable
+        Called with a time up to which the copy is complete, seconds.
     on_recovery : callable
         Called with the length in seconds of an outage of the store, at its end.
     prefers_full_read : bool
@@ -129,6 +131,7 @@
     events: Events
     rng: random.Random
     prefers_full_read: bool = False
+    on_complete: Callable[[float], None] = lambda until: None
     version: int = -1
     newest: int = 0
     _changed_at: float = float("-inf")
@@ -292,6 +295,7 @@
         self._adopted_complete_until = max(
             self._adopted_complete_until, requested_at - peer.staleness_seconds
         )
+        self.on_complete(self.complete_until)
 
     def mark_covered(self) -> None:
         """Record that a peer now follows the table for this process.
@@ -383,6 +387,7 @@
         self.version = max(self.version, changes.version)
         if newer:
             self.on_rows(newer)
+        self.on_complete(self.complete_until)
 
     def _record_response(self, changes: RowChanges, requested_at: float) -> None:
         self.last_response_at = self.clock()
--- a/packages/wasabideck_policy/wasabideck_policy/cluster_state.py
+++ b/packages/wasabideck_policy/wasabideck_policy/cluster_state.py
@@ -9,10 +9,8 @@
 
 __all__ = ["ClusterState", "DeclaredVersion"]
 
-# A process that has had no contact with the store for longer than this may lack a
-# newer configuration. It then refuses what it does not know as "not run" instead of
-# "unknown".
-STALE_SECONDS = 3.0
+# Default of the time within which a declared configuration has to be in effect.
+CONFIGURATION_DEADLINE_SECONDS = 2.0
 
 
 @define
@@ -52,8 +50,8 @@
         When this process started, seconds.
     servers_known : bool
         Whether the list of servers was read at least once.
-    last_contact_at : float
-        When the store, or a peer acting for it, last answered, seconds.
+    configuration_deadline_seconds : float
+        Time within which a declared configuration has to be in effect.
     complete_until : float
         Everything that operators declared up to then is known here, seconds.
     entries : int
@@ -67,7 +65,7 @@
     backends: BackendRegistry = field(factory=BackendRegistry)
     _versions: dict[str, list[DeclaredVersion]] = field(factory=dict)
     servers_known: bool = False
-    last_contact_at: float = -STALE_SECONDS
+    configuration_deadline_seconds: float = CONFIGURATION_DEADLINE_SECONDS
     complete_until: float = float("-inf")
     entries: int = 1
     local_entries: int = 1
@@ -78,8 +76,12 @@
         return self.configuration is not None and self.servers_known
 
     def stale(self, now: float) -> bool:
-        """Whether a newer configuration may exist that was not yet received."""
-        return now - self.last_contact_at > STALE_SECONDS
+        """Whether a configuration may have to be in effect that was not yet received.
+
+        What this process does not know is then refused as "not run" and not as
+        "unknown".
+        """
+        return self.staleness(now) > self.configuration_deadline_seconds
 
     def staleness(self, now: float) -> float:
         """Return the maximum age in seconds of declarations that are missing here."""
--- a/tests/cluster_state/test_region_readers.py
+++ b/tests/cluster_state/test_region_readers.py
@@ -357,7 +357,7 @@
         assert not follower._is_cut_off()
         await asyncio.sleep(1.3)
         now = asyncio.get_running_loop().time()
-        assert now - follower.cluster_state.last_contact_at < 1.5
+        assert now - follower.cluster_state.complete_until < 1.5
 
     region(scenario)
 
--- a/tests/cluster_state/test_staleness.py
+++ b/tests/cluster_state/test_staleness.py
@@ -109,6 +109,7 @@
     entry = knows(new_process(ENTRY, clock), 2, NOW - 10.0)
     entry.gossip.members["peer"] = Member("peer", ENTRY, PEER, "far")
     entry.gossip.last_local_reply_at = NOW
+    entry.gossip.region_may_lag = lambda: False
     ask(entry, peer)
     assert entry.cluster_state.newest_version("m") == 3
     assert entry.cluster_state.complete_until == NOW - 10.0
--- a/tests/forward/conftest.py
+++ b/tests/forward/conftest.py
@@ -212,7 +212,7 @@
         self.cluster_state = ClusterState(
             loop.time(), configuration=cfg, servers_known=True
         )
-        self.cluster_state.last_contact_at = loop.time() + 1000
+        self.cluster_state.complete_until = loop.time() + 1000
         self.log = []
         events = Events("vm", HybridClock(), lambda: 0.0)
         events.listeners.append(lambda kind, fields: self.log.append((kind, fields)))
--- a/tests/forward/test_forwarding.py
+++ b/tests/forward/test_forwarding.py
@@ -86,7 +86,7 @@
         caller = await entry.caller()
         await caller.send(b"Authorization: Token k9")
         assert (await caller.read_response())[0] == 401
-        entry.cluster_state.last_contact_at = -100.0
+        entry.cluster_state.complete_until = -100.0
         await caller.send(b"Authorization: Token k9")
         status, headers, _ = await caller.read_response()
         assert status == 503
