Tests of an agent that has only the word of peers that were cut off

It does not ask the store: that a peer answered is enough for it, however old the peer's word is.

The agents of the other tests of tests/adapter lack no declaration: agent_fakes.py says so with complete_until.

--- a/tests/adapter/agent_fakes.py
+++ b/tests/adapter/agent_fakes.py
@@ -147,7 +147,7 @@
     cfg = VMSettings("vm", "127.0.0.1", "dc", "r", 0, StoreSettings(""), service="s")
     clock = [0.0]
     events = Events("vm", HybridClock(), lambda: 0.0)
-    cluster_state = ClusterState(0.0)
+    cluster_state = ClusterState(0.0, complete_until=float("inf"))
     cluster_state.configuration = Configuration(
         1,
         {},
--- a/tests/adapter/test_agent.py
+++ b/tests/adapter/test_agent.py
@@ -367,3 +367,57 @@
     assert since < max(starts) <= expires_at - SWAP_MARGIN_SECONDS
     agent._served_version = 0
     assert agent._swap_start(MODEL, 2, clock[0]) == clock[0]
+
+
+def test_version_learned_from_a_stale_peer_is_not_ordered(agent, engine):
+    # Guards against requests on expired weights: an agent has just started, and a peer
+    # that was cut off since before version 3 sent it version 2, which is still staged.
+    cluster_state, clock = agent.process.state_sync.cluster_state, agent.process.time
+    clock[0] = 100.0
+    cluster_state.complete_until = clock[0] - 15.0
+    cluster_state.declare_version("m", 2, clock[0] - 20.0)
+    engine.chunks = {i: chunk_bytes(2, i) for i in range(CHUNKS)}
+    for _ in range(5):
+        clock[0] += 0.2
+        asyncio.run(agent.step())
+    assert engine.orders == []
+    cluster_state.declare_version("m", 3, clock[0] - 14.0)
+    cluster_state.mark_complete(clock[0])
+    step_until(agent, lambda: engine.orders)
+    assert engine.orders == [3]
+
+
+def test_order_waits_if_its_load_outlasts_what_is_known(agent, engine):
+    # Guards against a load that ends when a version that is unknown here may be due.
+    step_until(agent, holds(engine, 1))
+    cluster_state, clock = agent.process.state_sync.cluster_state, agent.process.time
+    within = agent.process.cfg.limits.version_deadline_seconds
+    engine.running = 1
+    cluster_state.declare_version("m", 2, clock[0])
+    cluster_state.complete_until = clock[0] + 2.0 - within
+    for _ in range(5):
+        asyncio.run(agent.step())
+    assert engine.orders == [1]
+    engine.running = 0
+    step_until(agent, lambda: engine.orders[1:])
+    assert engine.orders == [1, 2]
+
+
+def test_order_waits_if_the_verification_outlasts_what_is_known(agent, engine):
+    # Guards against a slow verification, after which an unknown version may be due.
+    step_until(agent, holds(engine, 1))
+    cluster_state, clock = agent.process.state_sync.cluster_state, agent.process.time
+    cluster_state.declare_version("m", 2, clock[0])
+    cluster_state.complete_until = clock[0]
+    read, reads_before_order = engine.staged_chunk, engine.chunk_reads + CHUNKS
+
+    async def read_slowly(model, index):
+        if engine.chunk_reads == reads_before_order:
+            clock[0] += agent.process.cfg.limits.version_deadline_seconds
+        return await read(model, index)
+
+    engine.staged_chunk = read_slowly
+    for _ in range(3):
+        asyncio.run(agent.step())
+    assert engine.chunk_reads > reads_before_order
+    assert engine.orders == [1]
