An agent asks the store for the versions when no entry confirms them

Cause: an agent read the store only without a configuration or without a reply of any peer; that a peer replied counted, however old its word.

Now what counts is complete_until, the moment up to which an agent's knowledge is complete. Where that is further back than version_deadline less disturbance_hold (5 s of 8), or a step asks for more (VersionConfirmation.allows), the agent reads the rows of the versions from the store; the answer holds as of the request, since the store's answers are linearizable. It reads a range of the table, no new call: a few hundred bytes where the table has 40 to 100 KB, so agents of a region need not take turns. While a step waits, entries are polled each 0.2 s as well, and any entry's sound word ends the reads. Without a step that waits failed reads get fewer, up to 8 s apart, so that entries read first when the store is back and agents hear. In calm no agent reads: entries' replies keep complete_until within the bound. The fallback read of the whole table, staggered as before, marks it too.

--- a/packages/wasabideck_base/wasabideck_base/deployment.py
+++ b/packages/wasabideck_base/wasabideck_base/deployment.py
@@ -27,6 +27,8 @@
         Reads the current settings of this process; raises a ``WasabideckError``.
     declarations_table, servers_table : str
         Names of the tables of the operators' declarations and of the servers.
+    version_key_prefix : str
+        Start of the keys of declared versions in the former table.
     parse_declaration, parse_listed_server, parse_configuration : callable
         Decode rows; each raises a ``WasabideckError`` for a row that it cannot decode.
     open_store : callable
@@ -40,6 +42,7 @@
     read_settings: Callable[[], VMSettings]
     declarations_table: str
     servers_table: str
+    version_key_prefix: str
     parse_declaration: Callable[[Row], Declaration | None]
     parse_listed_server: Callable[[Row], ListedServer]
     parse_configuration: Callable[[bytes], Configuration]
--- a/packages/wasabideck_base/wasabideck_base/rows.py
+++ b/packages/wasabideck_base/wasabideck_base/rows.py
@@ -73,8 +73,11 @@
 class RowStore(Protocol):
     """What the product requires of a store of rows."""
 
-    async def read(self, table: str) -> RowChanges:
-        """Return all rows of a table."""
+    async def read(self, table: str, key_prefix: str = "") -> RowChanges:
+        """Return all rows of a table whose keys start with a prefix, as of a moment.
+
+        That moment is no earlier than the call.
+        """
 
     async def wait_for_changes(self, table: str, after: int, wait: float) -> RowChanges:
         """Wait for and return changes after a version; raises ``HistoryLost``."""
--- a/packages/wasabideck_base/wasabideck_base/state_sync.py
+++ b/packages/wasabideck_base/wasabideck_base/state_sync.py
@@ -41,6 +41,7 @@
 from .region_readers import RegionReaders
 from .rows import Row, RowStore
 from .table_watch import MAX_BACKDATING_SECONDS, STALLED_CALL_SECONDS, TableWatch
+from .version_confirmation import VersionConfirmation
 from .vm_settings import VMSettings
 
 __all__ = ["StateSync", "members_interval"]
@@ -110,6 +111,7 @@
     readers: RegionReaders = field(init=False)
     declaration_times: DeclarationTimes = field(init=False)
     part_store: PartQuarantineStore = field(init=False)
+    confirmation: VersionConfirmation = field(init=False)
     _members_known: asyncio.Event = field(factory=asyncio.Event)
     _notifications: set[asyncio.Task] = field(factory=set)
     _operators_read: bool = False
@@ -186,6 +188,14 @@
             self.events,
             self.rng,
         )
+        self.confirmation = VersionConfirmation(
+            self.cluster_state,
+            self._read_versions,
+            lambda: self.cfg.limits,
+            self.clock,
+            self.events,
+            self.rng,
+        )
         part_gossip = self.gossip.part_gossip
         self.part_store = PartQuarantineStore(
             self.store,
@@ -219,7 +229,7 @@
             loops.append(self.part_store.run_loading())
             loops.append(self.part_store.run_publishing())
             return [*loops, self.readers.run(), self.server_watch.run()]
-        return [*loops, self._run_fallback_reads()]
+        return [*loops, self._run_fallback_reads(), self.confirmation.run()]
 
     def _parts_publishing_rank(self) -> int:
         """Return the rank of this entry among all that publish quarantined parts."""
@@ -504,7 +514,7 @@
         """Whether this process currently gets no declarations from the store."""
         if self._is_entry:
             return self.operator_watch.failing and not self.readers.covered
-        return self.cluster_state.configuration is None
+        return self.cluster_state.configuration is None or self.confirmation.requested
 
     def _region_may_lag(self) -> bool:
         """Whether peers of the region may lack what other regions have."""
@@ -567,12 +577,14 @@
         known : bool
             Whether the declarations are known now, from the store or from an entry.
         """
+        requested_at = self.clock()
         read = asyncio.create_task(self.store.read(self.deployment.declarations_table))
         try:
             while not read.done() and self._needs_store_read(self.clock()):
                 await asyncio.wait({read}, timeout=GOSSIP_CHECK_SECONDS)
             if read.done():
                 self._apply_operator_rows(list(read.result().rows))
+                self.cluster_state.mark_complete(requested_at)
         except (PlatformUnavailable, PlatformRefused) as exc:
             self.events.emit("table.unavailable", why=str(exc))
             return False
@@ -580,6 +592,14 @@
             read.cancel()
         return True
 
+    async def _read_versions(self) -> None:
+        """Read the declared versions alone, which are a small part of their table."""
+        deployment = self.deployment
+        changes = await self.store.read(
+            deployment.declarations_table, deployment.version_key_prefix
+        )
+        self._apply_operator_rows(list(changes.rows))
+
     def _needs_store_read(self, now: float) -> bool:
         """Whether an agent has to read the store because no entry sends it anything."""
         return self.cluster_state.configuration is None or self._no_recent_gossip(now)
--- a/tests/adapter/test_store.py
+++ b/tests/adapter/test_store.py
@@ -85,3 +85,22 @@
         server.close()
 
     asyncio.run(asyncio.wait_for(run(), 10))
+
+
+def test_read_of_a_prefix_covers_all_keys_that_start_with_it():
+    # Guards against a read of some rows that misses one of them, or takes others.
+    keys = ["config", *(f"version/{n}" for n in range(7)), "version/\xff", "w"]
+
+    class Http:
+        async def json(self, method, path, params, **kwargs):
+            start, end = params.get("from", ""), params.get("to", "\U0010ffff")
+            found = [key for key in keys if start <= key < end]
+            rows = [{"table": "op", "key": key, "ver": 1} for key in found[:3]]
+            return {"rows": rows, "ver": 7, "has-more": len(found) > 3}
+
+    async def read(prefix):
+        changes = await StoreClient(Http()).read("op", prefix)
+        return [row.key for row in changes.rows]
+
+    assert asyncio.run(read("version/")) == keys[1:-1]
+    assert asyncio.run(read("")) == keys
--- a/tests/cluster_state/test_version_confirmation.py
+++ b/tests/cluster_state/test_version_confirmation.py
@@ -1,11 +1,13 @@
 """An agent whose peers have lost the store asks the store itself for the versions."""
 
 import asyncio
+import itertools
 import random
 from contextlib import asynccontextmanager
 
 import pytest
 from wasabideck_adapter.deployment import DEPLOYMENT
+from wasabideck_base import version_confirmation
 from wasabideck_base.channels import Channels
 from wasabideck_base.events import Events, HybridClock
 from wasabideck_base.gossip import Gossip
@@ -31,6 +33,7 @@
 
     def __init__(self):
         self.down, self.reads, self.requested_at = False, [], []
+        self.seconds = 0.02
 
     def received_bytes(self, table):
         return 0
@@ -42,7 +45,7 @@
         self.requested_at.append(asyncio.get_running_loop().time())
         if self.down:
             raise PlatformUnavailable("store", "down", False)
-        await asyncio.sleep(0.05)
+        await asyncio.sleep(self.seconds)
         return RowChanges((version_row(3),), 5)
 
     async def write(self, writes, expected=()):
@@ -120,3 +123,148 @@
             assert state_sync.cluster_state.newest_version("m") == 3
 
     asyncio.run(scenario())
+
+
+def test_only_versions_are_read_for_a_confirmation(store):
+    # Guards against agents of a region that all read the table of 100 KB over its link.
+    async def scenario():
+        async with agent_beside_stale_peer(store):
+            await asyncio.sleep(2.0)
+        assert store.reads == [DEPLOYMENT.version_key_prefix]
+
+    asyncio.run(scenario())
+
+
+def test_confirmed_agent_does_not_read_the_store(store):
+    # Guards against reads of the store by each agent while nothing is wrong.
+    async def scenario():
+        now = asyncio.get_running_loop().time()
+        async with agent_beside_stale_peer(store, now) as state_sync:
+            state_sync.cluster_state.started_at -= 60.0
+            now = state_sync.clock()
+            assert state_sync.confirmation.allows(now + 3.0, now)
+            await asyncio.sleep(2.0)
+        assert store.reads == []
+
+    asyncio.run(scenario())
+
+
+def test_confirmation_is_as_of_the_request(store):
+    # Guards against counting a version as known that was declared during a slow read.
+    async def scenario():
+        store.seconds = 0.5
+        async with agent_beside_stale_peer(store) as state_sync:
+            await asyncio.sleep(2.5)
+            until = state_sync.cluster_state.complete_until
+            assert until <= store.requested_at[0] < until + 0.25
+
+    asyncio.run(scenario())
+
+
+def test_waiting_order_is_confirmed_at_once(store, polled_at):
+    # Guards against an engine that stays empty until the next periodic read or poll.
+    async def scenario():
+        async with agent_beside_stale_peer(store) as state_sync:
+            await asyncio.sleep(0.3)
+            now = state_sync.clock()
+            assert not state_sync.confirmation.allows(now + 0.3, now)
+            await asyncio.sleep(0.2)
+            now = state_sync.clock()
+            assert state_sync.confirmation.allows(now + 0.3, now)
+            assert not state_sync.confirmation.requested
+
+    asyncio.run(scenario())
+
+
+def test_entries_are_polled_often_while_an_order_waits(store, polled_at):
+    # Guards against an agent without the store that asks one entry, which was cut off,
+    # and orders before it has asked another.
+    async def scenario():
+        store.down = True
+        async with agent_beside_stale_peer(store) as state_sync:
+            now = state_sync.clock()
+            while not state_sync.confirmation.allows(now + 0.3, now):
+                await asyncio.sleep(0.05)
+                now = state_sync.clock()
+            hold = state_sync.cfg.limits.disturbance_hold_seconds
+            assert hold <= now - polled_at[0] < hold + 1.0
+        assert len(polled_at) > 8
+
+    asyncio.run(scenario())
+
+
+def test_unconfirmed_order_needs_a_recent_failure_of_the_store(store):
+    # Guards against an order that rests on a failure before it was asked for.
+    async def scenario():
+        store.down = True
+        async with agent_beside_stale_peer(store) as state_sync:
+            await asyncio.sleep(2.0)
+            assert store.reads
+            store.down = False
+            now = state_sync.clock()
+            hold = state_sync.cfg.limits.disturbance_hold_seconds
+            assert not state_sync.confirmation.allows(now + 0.3, now)
+            assert not state_sync.confirmation.allows(now + hold + 0.3, now + hold)
+
+    asyncio.run(scenario())
+
+
+def test_reads_of_the_store_get_fewer_while_it_is_down(store):
+    # Guards against agents that all read at once when the store is back.
+    async def scenario():
+        store.down = True
+        async with agent_beside_stale_peer(store):
+            await asyncio.sleep(6.0)
+        assert 2 <= len(store.reads) <= 6
+        gaps = [b - a for a, b in itertools.pairwise(store.requested_at)]
+        assert gaps == sorted(gaps)
+
+    asyncio.run(scenario())
+
+
+def test_word_of_a_sound_entry_ends_the_reads(store):
+    # Guards against reads of the store that go on when an entry has replied.
+    async def scenario():
+        store.down = True
+        async with agent_beside_stale_peer(store) as state_sync:
+            await asyncio.sleep(1.5)
+            reads = len(store.reads)
+            state_sync.gossip.on_complete(state_sync.clock())
+            await asyncio.sleep(2.0)
+            assert len(store.reads) == reads
+
+    asyncio.run(scenario())
+
+
+def test_read_of_the_whole_table_confirms_the_versions(store):
+    # Guards against a second read after a start beside entries that do not reply.
+    async def scenario():
+        store.seconds = 0.5
+        async with agent_beside_stale_peer(store) as state_sync:
+            state_sync.cluster_state.configuration = None
+            await asyncio.sleep(0.9)
+            until = state_sync.cluster_state.complete_until
+            assert store.reads[0] == ""
+            assert until <= store.requested_at[0] < until + 0.25
+
+    asyncio.run(scenario())
+
+
+def test_request_that_is_not_repeated_lapses(store, polled_at, monkeypatch):
+    # Guards against agents that poll entries five times a second for as long as the
+    # store is down, after the order that waited was sent.
+    async def scenario():
+        monkeypatch.setattr(version_confirmation, "REQUEST_VALID_SECONDS", 0.5)
+        store.down = True
+        async with agent_beside_stale_peer(store) as state_sync:
+            state_sync.cluster_state.started_at -= 60.0
+            now = state_sync.clock()
+            state_sync.confirmation.allows(now + 0.3, now)
+            assert state_sync.confirmation.requested
+            await asyncio.sleep(1.0)
+            polls = len(polled_at)
+            assert not state_sync.confirmation.requested
+            await asyncio.sleep(2.0)
+            assert len(polled_at) - polls <= 2
+
+    asyncio.run(scenario())
