An agent orders a version only while what it lacks can't be due

Cause: an order rested on what the agent knew, however old that was. An age was asked of versions that are known, none of what may be missing.

Now a load is ordered only if it ends before complete_until + version_deadline: a version that the agent does not know was declared after complete_until, so it is not due by then. The rule is checked before the load and again after the verification. Otherwise the store and the entries are asked (VersionConfirmation). If the agent's own read fails and no entry confirms anything for disturbance_hold_seconds, what is known is loaded all the same: nobody can declare a version in an outage of the store, a VM that is cut off serves who reaches it, and once the path is back the weights are unloaded before the VM counts.

--- a/packages/wasabideck_agent/wasabideck_agent/engine_agent.py
+++ b/packages/wasabideck_agent/wasabideck_agent/engine_agent.py
@@ -9,7 +9,7 @@
 
 from attrs import define, evolve, field
 from wasabideck_base.deployment import DeploymentAdapter
-from wasabideck_base.events import Events
+from wasabideck_base.events import Events, round_finite
 from wasabideck_base.http_pool import HttpPool
 from wasabideck_base.vm_process import VMProcess, run_vm_process
 from wasabideck_base.vm_settings import VMSettings
@@ -488,7 +488,9 @@
         if self._expires_before_load(model, version, state.running, now):
             await asyncio.sleep(RETRY_DELAY_SECONDS)
             return
-        if now < self._swap_start(model, version, now):
+        if now < self._swap_start(model, version, now) or not self._is_confirmed(
+            model, state.running, now
+        ):
             await asyncio.sleep(ORDER_POLL_SECONDS)
             return
         self.retirement.loading = True
@@ -524,25 +526,38 @@
     ) -> bool:
         """Whether a superseded version may have expired when it is loaded.
 
-        Requests that wait during the load start on it, and only after the longest
-        running request has ended. If the declaration time of a newer version is
-        unknown, the version may have expired.
+        Requests that wait during the load start on it. If the declaration time of a
+        newer version is unknown, the version may have expired.
         """
-        duration = model.load_seconds + (MAX_DRAIN_SECONDS if running else 0.0)
         cluster_state, within = (
             self.process.state_sync.cluster_state,
             self.process.cfg.limits.version_deadline_seconds,
         )
-        return version < cluster_state.min_version(model.model, within, now + duration)
+        loaded_at = _loaded_at(model, running, now)
+        return version < cluster_state.min_version(model.model, within, loaded_at)
+
+    def _is_confirmed(self, model: EngineModel, running: int, now: float) -> bool:
+        """Whether no version that is unknown here may be due when a load ends.
+
+        Otherwise the version to load may have expired long ago: the peer that sent it
+        may have been cut off. The store and the entries are then asked first. If all of
+        them are out of reach, what is known is loaded after a while: a newer version
+        cannot be confirmed in an outage of the store, callers that reach a VM that is
+        cut off are served, and once the path is back ``Retirement`` unloads expired
+        weights before the VM counts as undisturbed.
+        """
+        confirmation = self.process.state_sync.confirmation
+        return confirmation.allows(_loaded_at(model, running, now), now)
 
     async def _order_load(self, model: EngineModel, manifest: Manifest) -> None:
         """Verify the staged chunks and order the engine to load them."""
         version = int(manifest.version)
         state = await self.staging.verify(manifest)
+        # The verification takes seconds on a slow VM.
+        now = self.process.clock()
         if self._expires_before_load(
-            model, version, state.running, self.process.clock()
-        ):
-            # The verification takes seconds on a slow VM.
+            model, version, state.running, now
+        ) or not self._is_confirmed(model, state.running, now):
             return
         # Notify the entries first, so that they send requests elsewhere that would have
         # to wait for the whole swap.
@@ -571,14 +586,21 @@
 
     def _newest_fields(self, model: EngineModel) -> dict[str, object]:
         """Return event fields of an order: the newest version known to this agent."""
-        newest = self.process.state_sync.cluster_state.newest(model.model)
+        cluster_state, now = self.process.state_sync.cluster_state, self.process.clock()
+        newest = cluster_state.newest(model.model)
+        staleness = round_finite(cluster_state.staleness(now))
         if newest is None:
-            return {"newest": 0, "newest_age": None, "dated": False}
-        age = round(newest.age(self.process.clock()), 3)
+            return {
+                "newest": 0,
+                "newest_age": None,
+                "dated": False,
+                "staleness": staleness,
+            }
         return {
             "newest": newest.number,
-            "newest_age": age,
+            "newest_age": round(newest.age(now), 3),
             "dated": newest.declaration_time_known,
+            "staleness": staleness,
         }
 
     def _swap_start(self, model: EngineModel, version: int, now: float) -> float:
@@ -636,6 +658,14 @@
                 await self.declaration_event.wait()
 
 
+def _loaded_at(model: EngineModel, running: int, now: float) -> float:
+    """Return when a load that is ordered now ends at the latest.
+
+    Requests that wait during the load start after the longest running one has ended.
+    """
+    return now + model.load_seconds + (MAX_DRAIN_SECONDS if running else 0.0)
+
+
 def _weights_settings(cfg: VMSettings, spare_copies: float) -> WeightsSettings:
     return WeightsSettings(
         fetches=MAX_LOCAL_FETCHES,
--- a/tests/adapter/agent_fakes.py
+++ b/tests/adapter/agent_fakes.py
@@ -19,6 +19,7 @@
 from wasabideck_base.events import Events, HybridClock
 from wasabideck_base.http_responses import PlatformUnavailable
 from wasabideck_base.rows import Row, RowChanges, WriteConflict
+from wasabideck_base.version_confirmation import VersionConfirmation
 from wasabideck_base.vm_settings import StoreSettings, VMSettings
 from wasabideck_policy.backends import ListedServer, LoadedLayers
 from wasabideck_policy.cluster_state import ClusterState
@@ -160,8 +161,19 @@
     async def read_members():
         return None
 
+    async def read_versions():
+        raise PlatformUnavailable("store", "down", False)
+
     state_sync = SimpleNamespace(
         cluster_state=cluster_state,
+        confirmation=VersionConfirmation(
+            cluster_state,
+            read_versions,
+            lambda: process.cfg.limits,
+            lambda: process.clock(),
+            events,
+            random.Random(1),
+        ),
         gossip=SimpleNamespace(members={}),
         read_members=read_members,
         store=rows,
--- a/tests/adapter/test_agent.py
+++ b/tests/adapter/test_agent.py
@@ -14,6 +14,7 @@
     step_until,
     step_until_through_outages,
 )
+from attrs import evolve
 from wasabideck_agent.engine_agent import SWAP_MARGIN_SECONDS
 from wasabideck_agent.engine_reporter import EngineReporter
 from wasabideck_agent.listed_peers import ListedPeers
@@ -413,7 +414,7 @@
 
     async def read_slowly(model, index):
         if engine.chunk_reads == reads_before_order:
-            clock[0] += agent.process.cfg.limits.version_deadline_seconds
+            clock[0] += agent.process.cfg.limits.version_deadline_seconds + 0.1
         return await read(model, index)
 
     engine.staged_chunk = read_slowly
@@ -421,3 +422,38 @@
         asyncio.run(agent.step())
     assert engine.chunk_reads > reads_before_order
     assert engine.orders == [1]
+
+
+def test_current_knowledge_delays_no_order(agent, engine):
+    # Guards against a swap that waits for the store or an entry while all is well.
+    step_until(agent, holds(engine, 1))
+    cluster_state, clock = agent.process.state_sync.cluster_state, agent.process.time
+    engine.running = 1
+    cluster_state.declare_version("m", 2, clock[0])
+    cluster_state.complete_until = clock[0] - 4.0
+    asyncio.run(agent.step())
+    assert engine.orders == [1, 2]
+    assert not agent.process.state_sync.confirmation.requested
+
+
+def test_known_version_is_loaded_when_nobody_can_confirm_it(agent, engine):
+    # Guards against an engine that stays empty for as long as the store is away.
+    async def scenario():
+        process = agent.process
+        process.clock = asyncio.get_running_loop().time
+        state_sync, hold = process.state_sync, 0.5
+        limits = evolve(process.cfg.limits, disturbance_hold_seconds=hold)
+        process.cfg = evolve(process.cfg, limits=limits)
+        state_sync.cluster_state.complete_until = process.clock() - 15.0
+        state_sync.cluster_state.declare_version("m", 2, process.clock() - 20.0)
+        running = [asyncio.create_task(agent.run())]
+        await asyncio.sleep(2 * hold)
+        assert engine.orders == []
+        running.append(asyncio.create_task(state_sync.confirmation.run()))
+        await asyncio.sleep(2 * hold)
+        assert engine.orders == [2]
+        for task in running:
+            task.cancel()
+        await asyncio.gather(*running, return_exceptions=True)
+
+    asyncio.run(scenario())
