A reader's pending call makes no follower complete

Callers could get 401 and 404 for a key or route that was added, and agents could load an expired version on such an entry's word: an entry counts as complete as of 0.1 s ago although neither it nor the reader that it follows has heard the store for 14 s.

Cause: complete_until is what responses have shown, but for a follower it took the position of its reader as well, and a position takes a call that waits for proof that nothing has changed (TableWatch.missing_since). On a connection that went silent in a cut it is none.

Now complete_until rests on responses alone. Positions go on to say who follows the table, and bound ages of versions as before.

--- a/packages/wasabideck_base/wasabideck_base/table_watch.py
+++ b/packages/wasabideck_base/wasabideck_base/table_watch.py
@@ -165,9 +165,10 @@
     def complete_until(self) -> float:
         """Up to when the copy is complete, as shown by responses; -inf if unknown.
 
-        A pending call shows nothing: its connection may be unresponsive.
+        A pending call shows nothing: its connection may be unresponsive. The same holds
+        for a position that a peer bases on its pending call.
         """
-        return max(self._complete_until, self._adopted_complete_until)
+        return self._complete_until
 
     async def run(self) -> None:
         """Follow the table until cancelled."""
@@ -295,7 +296,6 @@
         self._adopted_complete_until = max(
             self._adopted_complete_until, requested_at - peer.staleness_seconds
         )
-        self.on_complete(self.complete_until)
 
     def mark_covered(self) -> None:
         """Record that a peer now follows the table for this process.
