Leave the order to unload at an engine that stands still

Seen by callers: a draft that waited at an engine begins on weights that are over, when the engine stood still for a second across their end.

Cause: the order to unload was only made after the engine had told its state, and each call was given up, and its connection closed, after 0.25 s. Beside an engine that says nothing no order was ever under way: as it goes on it answers the question, and starts what waits in its queue before the order can come.

Now an agent that gets no state in time orders by the last state it has, which the main loop and the reports refresh ten times a second; the engine refuses the order if it has accepted another one since.

Whether the platform's servers read orders before they start what waits was not played.

--- a/packages/wasabideck_agent/wasabideck_agent/engine_agent.py
+++ b/packages/wasabideck_agent/wasabideck_agent/engine_agent.py
@@ -278,6 +278,7 @@
         Otherwise entries would send nothing to a server that finished loading long
         ago, and the report would lack a version that was superseded meanwhile.
         """
+        self.retirement.last_state = state
         since = self._swapping_since
         if since is not None and not state.order_in_progress:
             if self.process.clock() - since >= ORDER_ACCEPT_SECONDS:
--- a/packages/wasabideck_agent/wasabideck_agent/retirement.py
+++ b/packages/wasabideck_agent/wasabideck_agent/retirement.py
@@ -12,7 +12,7 @@
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
 
-from attrs import define, evolve
+from attrs import define, evolve, field
 from wasabideck_base.vm_process import VMProcess
 from wasabideck_policy.configuration import EngineModel
 from wasabideck_policy.engine_state import EngineState, OrderResponse
@@ -38,8 +38,8 @@
 RECHECK_DELAY_SECONDS = 0.2
 # A process that shuts down retries to unload the weights for this long at the end.
 FINAL_RETRIES_SECONDS = 0.5
-# Timeout of a call to the engine on the same VM, after which the call is repeated. An
-# order is accepted once per engine state, however often it arrives.
+# Time after which a call to the engine on the same VM is repeated. An order is accepted
+# once per engine state, however often it arrives.
 CALL_TIMEOUT_SECONDS = 0.25
 
 
@@ -55,6 +55,8 @@
         Sends an engine report for the given state to the entries immediately.
     loading : bool
         Whether an order to load newer weights is being prepared.
+    last_state : EngineState or None
+        The last state that the engine reported.
     """
 
     process: VMProcess
@@ -62,6 +64,8 @@
     model: Callable[[], EngineModel | None]
     send_report: Callable[[EngineState], None]
     loading: bool = False
+    last_state: EngineState | None = None
+    _orders: set[asyncio.Task] = field(factory=set)
     _unloaded_below: int = 0
     _retry_at: float = float("-inf")
 
@@ -165,8 +169,7 @@
 
     async def _unload_older(self, model: EngineModel, due: int) -> None:
         """Order the engine to unload weights that are older than ``due``."""
-        async with asyncio.timeout(CALL_TIMEOUT_SECONDS):
-            state = await self.engine.read_state()
+        state = await self._read_state()
         if state.order_in_progress:
             # No request starts until the order ends, and then only on what it loads.
             return
@@ -177,14 +180,43 @@
         if held == 0:
             self._retry_at = self.process.clock() + RECHECK_DELAY_SECONDS
             return
-        async with asyncio.timeout(CALL_TIMEOUT_SECONDS):
-            answer = await self.engine.unload(model.model, due, state.accepted_orders)
+        order = asyncio.create_task(self._order_unload(model, state, due))
+        self._orders.add(order)
+        order.add_done_callback(self._orders.discard)
+        # The order is not cancelled: an engine may ignore what it reads from a closed
+        # connection.
+        await asyncio.wait({order}, timeout=CALL_TIMEOUT_SECONDS)
+
+    async def _read_state(self) -> EngineState:
+        """Return the engine's state, or the last known one if it does not respond.
+
+        An engine that is suspended for a moment may start the waiting requests as soon
+        as it continues. An order that it has not read yet is then read first.
+        """
+        try:
+            async with asyncio.timeout(CALL_TIMEOUT_SECONDS):
+                self.last_state = await self.engine.read_state()
+        except TimeoutError:
+            if self.last_state is None:
+                raise
+            self.process.events.emit("retirement.failed", why="no state in time")
+        return self.last_state
+
+    async def _order_unload(
+        self, model: EngineModel, state: EngineState, due: int
+    ) -> None:
+        """Send an order, which the engine refuses if its state has changed."""
         load_fields = {"running": state.running, "waiting": state.waiting}
-        if answer is OrderResponse.REFUSED:
-            self._retry_at = self.process.clock() + RECHECK_DELAY_SECONDS
-            self.process.events.emit("retirement.failed", why="refused", **load_fields)
-            return
-        self.process.events.emit(
-            "weights.retired", version=held, due=due, **load_fields
-        )
-        self.send_report(evolve(state, order_in_progress=True))
+        with self._logging_failures():
+            answer = await self.engine.unload(model.model, due, state.accepted_orders)
+            if answer is OrderResponse.REFUSED:
+                self._retry_at = self.process.clock() + RECHECK_DELAY_SECONDS
+                self.process.events.emit(
+                    "retirement.failed", why="refused", **load_fields
+                )
+                return
+            held = loaded_version(state, model)
+            self.process.events.emit(
+                "weights.retired", version=held, due=due, **load_fields
+            )
+            self.send_report(evolve(state, order_in_progress=True))
