--- a/packages/wasabideck_policy/wasabideck_policy/outliers.py
+++ b/packages/wasabideck_policy/wasabideck_policy/outliers.py
@@ -34,8 +34,14 @@
         self._records.pop(vm, None)
 
     def record_failure(self, vm: str, now: float) -> None:
-        """Record a failure; each third in a row ejects the VM, each time for longer."""
+        """Record a failure; each third in a row ejects the VM, each time for longer.
+
+        Failures of an ejected VM are mostly of requests that it already had, and are
+        not counted.
+        """
         record = self._records.setdefault(vm, _Record())
+        if now < record.ejected_until:
+            return
         record.failures += 1
         if record.failures % FAILURES_PER_EJECTION == 0:
             _eject(record, now)
