Do not recall requests from a server whose last report suffices

Seen by callers: 502 for drafts that waited at a sound server for its load of the required version, when it was silent for over 1.2 s.

Cause: an agent sends no reports while its engine does not answer. A report counts for 1.2 s; after that an entry took the version of the server's last response or of the list, which are from before the load, and recalled what waited there. The requests lost their places, each cost a retry, and without a free server they failed as possibly run.

For requests that are at a server the last report is now a lower bound however old it is: the weights of one run of an engine only get newer, and what waits begins after the load that was accepted. A restarted server has another record and no report. New requests go by recent reports only, as before.

By reading: no report names a version before the engine has accepted the order for it (`describe`, `_last_order`).

--- a/packages/wasabideck_forward/wasabideck_forward/recall.py
+++ b/packages/wasabideck_forward/wasabideck_forward/recall.py
@@ -112,7 +112,14 @@
         )
 
     def _loaded_version(self, request: InFlightRequest, now: float) -> int:
-        """Return the version that the server starts requests on; 0 if unknown."""
-        return self._backend(request).loaded_version(
+        """Return the version that the server starts requests on; 0 if unknown.
+
+        An old report is still a lower bound: the weights of a running engine only get
+        newer, and what it was ordered to load is loaded before a request starts.
+        """
+        backend = self._backend(request)
+        loaded_version = backend.loaded_version(
             request.engine.model, request.engine.layers, now
         )
+        reported = backend.report.version if backend.report else 0
+        return max(loaded_version, reported)
