A silent server is no crash that a request has met

Seen by callers: refusals of sound prompts as quarantined, after a loss of power that followed a silence.

Cause: a request that goes on elsewhere carries with it that it met a crash at the server that it left, before a probe has confirmed one. That was also done for a server that was only silent, with its connection open. When servers then crash at one moment, the crash of this request's third server counts as a second round beside the others, and five crashes in two rounds quarantine a part which all prompts share.

Now only a connection that failed counts as a crash met. A silent server is probed as before, and counts as crashed where its port is closed.

Evidence: the test failed before (part f1 quarantined after five crashes at one moment); the tests of crashing parts, of crashing requests and of the limits of evidence pass unchanged. Connections that are reset while their server lives still count as a crash met: by reading, not shown.

--- a/packages/wasabideck_forward/wasabideck_forward/crash_detector.py
+++ b/packages/wasabideck_forward/wasabideck_forward/crash_detector.py
@@ -145,8 +145,17 @@
         self, exchange: Exchange, backend: Backend, now: float
     ) -> None:
         """Probe a server whose connection failed during a request."""
-        victim = _Victim(exchange, exchange.answering_for(backend.server, now))
         exchange.rounds_met.append(exchange.known_rounds.get(backend.server, {}))
+        self.left_unresponsive(exchange, backend, now)
+
+    def left_unresponsive(
+        self, exchange: Exchange, backend: Backend, now: float
+    ) -> None:
+        """Probe a server that a request left because it sent no data.
+
+        Unless the probe shows a crash, it is no crash that the request met.
+        """
+        victim = _Victim(exchange, exchange.answering_for(backend.server, now))
         self._probe_once(backend).failed.append(victim)
 
     def _request_is_quarantined(self, exchange: Exchange, now: float) -> bool:
--- a/packages/wasabideck_forward/wasabideck_forward/forwarder.py
+++ b/packages/wasabideck_forward/wasabideck_forward/forwarder.py
@@ -391,7 +391,7 @@
             self._record_failure(exchange, backend, by.failure)
         elif unresponsive:
             self.dispatcher.outliers.record_failure(backend.server, self.clock())
-            self.dispatcher.crash_detector.connection_failed(
+            self.dispatcher.crash_detector.left_unresponsive(
                 exchange, backend, self.clock()
             )
         self.events.emit(
