--- a/tests/adapter/test_silent_engine.py
+++ b/tests/adapter/test_silent_engine.py
@@ -7,6 +7,7 @@
 import pytest
 from agent_fakes import MODEL, FakeEngine, holds
 from attrs import evolve
+from virtual_time import run_in_virtual_time
 from wasabideck_policy.backends import LoadedLayers
 
 # Seconds within which a declared version has to be in effect.
@@ -137,7 +138,7 @@
             assert engine.started_on == []
             assert engine.orders == [-2]
 
-    asyncio.run(scenario())
+    run_in_virtual_time(scenario())
 
 
 @reads_or_drops_closed
@@ -159,7 +160,7 @@
             await asyncio.sleep(0.5)
         assert engine.orders == [-2, 2]
 
-    asyncio.run(scenario())
+    run_in_virtual_time(scenario())
 
 
 def test_an_order_to_load_that_is_read_after_a_silence_is_sent_once(agent, engine):
@@ -176,7 +177,7 @@
         assert engine.orders == [2]
         assert len(engine.load_calls) == 1
 
-    asyncio.run(scenario())
+    run_in_virtual_time(scenario())
 
 
 def test_a_superseded_version_is_not_loaded_after_a_silence_in_which_it_expired(
@@ -208,4 +209,4 @@
         await asyncio.gather(*tasks, return_exceptions=True)
         assert engine.started_on == []
 
-    asyncio.run(scenario())
+    run_in_virtual_time(scenario())
--- a/tests/cluster_state/test_version_confirmation.py
+++ b/tests/cluster_state/test_version_confirmation.py
@@ -6,6 +6,7 @@
 from contextlib import asynccontextmanager
 
 import pytest
+from virtual_time import run_in_virtual_time
 from wasabideck_adapter.deployment import DEPLOYMENT
 from wasabideck_base import version_confirmation
 from wasabideck_base.channels import Channels
@@ -108,7 +109,7 @@
             await asyncio.sleep(2.0)
             assert state_sync.cluster_state.newest_version("m") == 3
 
-    asyncio.run(scenario())
+    run_in_virtual_time(scenario())
 
 
 def test_running_agent_beside_stale_peers_reads_the_versions_from_the_store(store):
@@ -122,7 +123,7 @@
             await asyncio.sleep(1.0)
             assert state_sync.cluster_state.newest_version("m") == 3
 
-    asyncio.run(scenario())
+    run_in_virtual_time(scenario())
 
 
 def test_only_versions_are_read_for_a_confirmation(store):
@@ -132,7 +133,7 @@
             await asyncio.sleep(2.0)
         assert store.reads == [DEPLOYMENT.version_key_prefix]
 
-    asyncio.run(scenario())
+    run_in_virtual_time(scenario())
 
 
 def test_confirmed_agent_does_not_read_the_store(store):
@@ -146,7 +147,7 @@
             await asyncio.sleep(2.0)
         assert store.reads == []
 
-    asyncio.run(scenario())
+    run_in_virtual_time(scenario())
 
 
 def test_confirmation_is_as_of_the_request(store):
@@ -158,7 +159,7 @@
             until = state_sync.cluster_state.complete_until
             assert until <= store.requested_at[0] < until + 0.25
 
-    asyncio.run(scenario())
+    run_in_virtual_time(scenario())
 
 
 def test_waiting_order_is_confirmed_at_once(store, polled_at):
@@ -173,7 +174,7 @@
             assert state_sync.confirmation.allows(now + 0.3, now)
             assert not state_sync.confirmation.requested
 
-    asyncio.run(scenario())
+    run_in_virtual_time(scenario())
 
 
 def test_entries_are_polled_often_while_an_order_waits(store, polled_at):
@@ -190,7 +191,7 @@
             assert hold <= now - polled_at[0] < hold + 1.0
         assert len(polled_at) > 8
 
-    asyncio.run(scenario())
+    run_in_virtual_time(scenario())
 
 
 def test_unconfirmed_order_needs_a_recent_failure_of_the_store(store):
@@ -206,7 +207,7 @@
             assert not state_sync.confirmation.allows(now + 0.3, now)
             assert not state_sync.confirmation.allows(now + hold + 0.3, now + hold)
 
-    asyncio.run(scenario())
+    run_in_virtual_time(scenario())
 
 
 def test_reads_of_the_store_get_fewer_while_it_is_down(store):
@@ -219,7 +220,7 @@
         gaps = [b - a for a, b in itertools.pairwise(store.requested_at)]
         assert gaps == sorted(gaps)
 
-    asyncio.run(scenario())
+    run_in_virtual_time(scenario())
 
 
 def test_word_of_a_sound_entry_ends_the_reads(store):
@@ -233,7 +234,7 @@
             await asyncio.sleep(2.0)
             assert len(store.reads) == reads
 
-    asyncio.run(scenario())
+    run_in_virtual_time(scenario())
 
 
 def test_read_of_the_whole_table_confirms_the_versions(store):
@@ -247,7 +248,7 @@
             assert store.reads[0] == ""
             assert until <= store.requested_at[0] < until + 0.25
 
-    asyncio.run(scenario())
+    run_in_virtual_time(scenario())
 
 
 def test_request_that_is_not_repeated_lapses(store, polled_at, monkeypatch):
@@ -267,4 +268,4 @@
             await asyncio.sleep(2.0)
             assert len(polled_at) - polls <= 2
 
-    asyncio.run(scenario())
+    run_in_virtual_time(scenario())
