Tests of ages that travel over slow links, failing

These show what its mend must not bring: an age that grows with each exchange between two peers, one that stays too old after one slow answer, and one that a process that stood still, or a request of unknown transit, makes younger.

--- a/tests/cluster_state/test_version_ages.py
+++ b/tests/cluster_state/test_version_ages.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+import pytest
 from test_cold_start import (
     clock,
     declaration,
@@ -57,6 +58,112 @@
     assert agent.cluster_state.newest("m").allowed_from <= 35.0 - 7.0
 
 
+def process_that_saw_version_declared(clock):
+    """Return an entry to which the store has just sent version 3."""
+    entry = new_process(ENTRY, clock)
+    entry._note_operators_read([])
+
+    async def run():
+        entry._apply_operator_rows([row(9, 3)])
+
+    asyncio.run(run())
+    return entry
+
+
+@pytest.fixture
+def ask(clock, monkeypatch):
+    """Have one process ask another for anything newer, over links with given delays."""
+
+    def ask(asker, asked, request_seconds=0.002, reply_seconds=0.002):
+        async def call(self, address, req, limit):
+            clock[0] += request_seconds
+            reply = asked.gossip.handle_sync(req)
+            clock[0] += reply_seconds
+            return reply
+
+        monkeypatch.setattr(Gossip, "_sync", call)
+        monkeypatch.setattr(Gossip, "_choose_peer", lambda self, now: "10.0.0.9:1")
+        asyncio.run(asker.gossip.sync_with_one())
+
+    return ask
+
+
+def allowed_from(process):
+    return process.cluster_state.newest("m").allowed_from
+
+
+def test_repeated_exchange_over_slow_links_makes_no_version_older(clock, ask):
+    # Guards against an age that grows by the transit of each message between two peers.
+    saw_it, heard_it = (
+        process_that_saw_version_declared(clock),
+        new_process(AGENT, clock),
+    )
+    declared_at = clock[0]
+    ask(heard_it, saw_it, 0.3, 0.35)
+    for _ in range(4):
+        ask(saw_it, heard_it, 0.35, 0.3)
+        ask(heard_it, saw_it, 0.3, 0.35)
+        assert allowed_from(saw_it) == declared_at
+        assert declared_at - 0.302 <= allowed_from(heard_it) <= declared_at
+
+
+def test_fast_reply_narrows_age_known_from_a_slow_one(clock, ask):
+    # Guards against weights that end early for good after one slow reply.
+    saw_it, heard_it = (
+        process_that_saw_version_declared(clock),
+        new_process(AGENT, clock),
+    )
+    declared_at = clock[0]
+    ask(heard_it, saw_it, 0.6, 0.05)
+    assert declared_at - 0.602 <= allowed_from(heard_it) <= declared_at
+    ask(heard_it, saw_it)
+    assert declared_at - 0.01 <= allowed_from(heard_it) <= declared_at
+
+
+@pytest.mark.parametrize("late_first", [True, False])
+def test_age_told_by_a_suspended_process_does_not_make_a_version_younger(
+    clock, ask, late_first
+):
+    # Guards against the belief of a process that stood still while a version came.
+    saw_it = process_that_saw_version_declared(clock)
+    declared_at = clock[0]
+    clock[0] += 2.0
+    late = process_that_saw_version_declared(clock)
+    heard_it = new_process(AGENT, clock)
+    for asked in (late, saw_it) if late_first else (saw_it, late):
+        ask(heard_it, asked, 0.1, 0.4)
+    assert declared_at - 0.102 <= allowed_from(heard_it) <= declared_at
+    ask(late, heard_it)
+    assert declared_at - 0.102 <= allowed_from(late) <= declared_at
+
+
+def test_age_in_a_late_request_does_not_make_a_version_younger(clock, ask):
+    # Guards against a request's unknown transit in an age known from a slow reply.
+    saw_it, heard_it = (
+        process_that_saw_version_declared(clock),
+        new_process(AGENT, clock),
+    )
+    declared_at = clock[0]
+    ask(heard_it, saw_it, 0.05, 0.6)
+    ask(saw_it, heard_it, 0.4, 0.002)
+    assert declared_at - 0.052 <= allowed_from(heard_it) <= declared_at
+
+
+def test_age_in_a_request_counts_from_its_arrival(clock):
+    # Guards against a version without an age where a request was the only message.
+    saw_it, heard_it = (
+        process_that_saw_version_declared(clock),
+        new_process(AGENT, clock),
+    )
+    clock[0] += 2.0
+    request = saw_it.gossip._sync_request()
+    clock[0] += 0.4
+    receive_gossip(heard_it, declaration(3))
+    heard_it.gossip.handle_sync(request)
+    assert allowed_from(heard_it) == pytest.approx(clock[0] - 2.0)
+    assert not heard_it.cluster_state.declaration_time_unknown("m")
+
+
 def test_newer_time_is_published_after_older_one_is_found():
     # Guards against a newest version whose time no process publishes, because all that
     # saw its declaration had just started and did not yet know the previous one's time.
