Know a declaration time as an interval, and send ages with their error

Cause: an age was one number, counted from its message's arrival. Counted from the question instead, each slow answer would have made the version older for all, since the oldest age won and was told on. Change: a declaration time is an interval, allowed_from (the earliest, which all decisions use, as before) to declared_by (it takes over received_at). An age travels with age_error_ms, by how much less it may be. An age in a reply counts from the question at the earliest and from the reply at the latest. Intervals that overlap are intersected; of those that contradict each other the earlier counts, which keeps the guard against processes that were suspended. What has no real earliest bound (an age in a request, whose transit nobody knows; a bound of the store's answer for a version that a peer sent first, which after an outage is cut off at MAX_BACKDATING_SECONDS; a version that a peer sent without an age) is kept as an estimate: it counts as before, replaces no real bound that it does not contradict, and gives way to one. A stored time is read as an interval as well, so that a slow read no longer makes a version older that this process saw declared. Where the store tells its clock, declared_by is the time of its answer and not that at which a suspended process read it. version.dated is written once for a version that the store sends, when it is declared, as before a moment later.

Open: processes of an earlier build read age_ms as exact, keep the oldest and tell it without an error, so that while both builds run a version may grow older with slow answers (weights end early, none is served too long). A peer whose own interval is wrong is believed within the width of one's own: a process alone cut off from the store for more than MAX_BACKDATING_SECONDS takes a version for declared within that time before its return, until a peer that saw it earlier contradicts.

--- a/packages/wasabideck_base/wasabideck_base/declaration_times.py
+++ b/packages/wasabideck_base/wasabideck_base/declaration_times.py
@@ -71,7 +71,8 @@
     unknown_models : callable
         Models with a version of unknown age.
     on_declaration_time : callable
-        Called with a model, a version and its declaration time, seconds of ``clock``.
+        Called with a model, a version and the earliest and the latest time of its
+        declaration, seconds of ``clock``.
     rank : callable
         Rank of this entry among those that publish times, from 0.
     """
@@ -79,7 +80,7 @@
     store: RowStore
     ages: Callable[[str], dict[int, float]]
     unknown_models: Callable[[], list[str]]
-    on_declaration_time: Callable[[str, int, float], None]
+    on_declaration_time: Callable[[str, int, float, float], None]
     rank: Callable[[], int]
     clock: Callable[[], float]
     events: Events
@@ -165,12 +166,16 @@
             changes = await self.store.read(TIMES_TABLE)
         if changes.store_responded_at is None:
             raise PlatformUnavailable(TIMES_TABLE, "no time in the answer", False)
-        self._apply_times(changes, changes.store_responded_at - requested_at)
+        min_offset = changes.store_responded_at - self.clock()
+        max_offset = changes.store_responded_at - requested_at
+        self._apply_times(changes, min_offset, max_offset)
         rows = {row.key: row for row in changes.rows}
-        return rows, changes.store_responded_at - self.clock()
+        return rows, min_offset
 
-    def _apply_times(self, changes: RowChanges, offset: float) -> None:
-        """Apply published times; ``offset`` is the store's clock minus this clock."""
+    def _apply_times(
+        self, changes: RowChanges, min_offset: float, max_offset: float
+    ) -> None:
+        """Apply published times; an offset is the store's clock minus this clock."""
         for row in changes.rows:
             try:
                 times = declaration_times_of(row)
@@ -179,7 +184,12 @@
                 continue
             now = self.clock()
             for number, time in times.items():
-                self.on_declaration_time(row.key, number, min(time - offset, now))
+                # The time itself counts as exact. It is the earliest possible one, so
+                # that of others which contradict it the earlier still wins.
+                earliest, latest = time - max_offset, time - min_offset
+                self.on_declaration_time(
+                    row.key, number, min(earliest, now), min(latest, now)
+                )
 
 
 def _times_or_empty(row: Row) -> dict[int, float]:
--- a/packages/wasabideck_base/wasabideck_base/gossip.py
+++ b/packages/wasabideck_base/wasabideck_base/gossip.py
@@ -30,6 +30,7 @@
     age_entries,
     declaration_entry,
     declaration_of,
+    declared_between,
     position_entry,
     position_of,
     row_entry,
@@ -159,10 +160,11 @@
             for entry in req.entries:
                 if (entry.slot, entry.scope) == (DECLARED, CONFIGURATION):
                     entry.ticket = SEND_NONE
+        requested_at = self.clock()
         reply = await self._sync(address, req, timeout)
         if reply is None:
             return
-        self._apply_entries(reply.entries, address)
+        self._apply_entries(reply.entries, address, requested_at)
         self._merge_crashes(reply)
         for entry in reply.entries:
             if entry.slot == TABLE and entry.scope in self.tables:
@@ -182,10 +184,12 @@
         req.entries.append(pb.Entry(scope=table, slot=FOLLOWS))
         req.ClearField("quarantined")
         req.ClearField("suspect_parts")
+        requested_at = self.clock()
         reply = await self._sync(address, req, SYNC_TIMEOUT_SECONDS)
         if reply is None:
             return None
-        complete = self._apply_entries(reply.entries, address) and not self.unwanted
+        readable = self._apply_entries(reply.entries, address, requested_at)
+        complete = readable and not self.unwanted
         versions = [
             e.ticket for e in reply.entries if (e.slot, e.scope) == (TABLE, table)
         ]
@@ -298,8 +302,20 @@
             else self.part_gossip.reply_messages(req.suspect_parts),
         )
 
-    def _apply_entries(self, entries: Iterable[pb.Entry], source: str) -> bool:
-        """Apply a peer's entries; return whether all of them were readable."""
+    def _apply_entries(
+        self,
+        entries: Iterable[pb.Entry],
+        source: str,
+        requested_at: float | None = None,
+    ) -> bool:
+        """Apply a peer's entries; return whether all of them were readable.
+
+        Ages in a reply were told after ``requested_at``. Those in a peer's own request
+        (None) count from its arrival: the request's transit time is unknown, and their
+        versions may be that much older.
+        """
+        now = self.clock()
+        told_from = now if requested_at is None else requested_at
         declarations, complete = [], True
         for entry in entries:
             try:
@@ -313,7 +329,10 @@
         newer = self.merge(declarations, source)
         reported = [entry for entry in entries if entry.slot == AGE]
         for entry in reported:
-            self.ages.on_age(entry.scope, entry.ticket, entry.age_ms / 1000)
+            earliest, latest = declared_between(entry, told_from, now)
+            self.ages.on_age(
+                entry.scope, entry.ticket, earliest, latest, requested_at is None
+            )
         with_age = {(entry.scope, entry.ticket) for entry in reported}
         for declaration in newer:
             if (declaration.key, declaration.number) not in with_age:
@@ -366,7 +385,7 @@
         for declaration in declarations:
             key = declaration.key
             entries.append(declaration_entry(declaration))
-            entries += age_entries(key, self.ages.known(key))
+            entries += age_entries(key, self.ages.known(key), self.ages.errors(key))
         return entries
 
     def _unexpired_age_entries(self, keys: Iterable[str]) -> list[pb.Entry]:
@@ -375,7 +394,12 @@
         A process that received a version late, or that was suspended meanwhile,
         underestimates its age and has no other way to correct it.
         """
-        return [e for key in keys for e in age_entries(key, self.ages.unexpired(key))]
+        ages = self.ages
+        return [
+            entry
+            for key in keys
+            for entry in age_entries(key, ages.unexpired(key), ages.errors(key))
+        ]
 
     def _other_entries(self) -> list[str]:
         return [
--- a/packages/wasabideck_base/wasabideck_base/gossip_messages.py
+++ b/packages/wasabideck_base/wasabideck_base/gossip_messages.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Mapping
+from types import MappingProxyType
 
 from attrs import frozen
 from wasabideck_policy.declarations import Declaration
@@ -22,6 +23,7 @@
     "DeclarationAges",
     "ReaderReply",
     "age_entries",
+    "declared_between",
     "declaration_entry",
     "declaration_of",
     "position_entry",
@@ -41,6 +43,8 @@
 ROW = "row"
 REMOVED = "gone"
 
+NO_ERRORS: Mapping[int, float] = MappingProxyType({})
+
 
 @frozen
 class DeclarationAges:
@@ -49,21 +53,25 @@
     Attributes
     ----------
     known : callable
-        Ages of a key's declarations in seconds, by number; empty if unknown.
+        Maximum ages of a key's declarations in seconds, by number; empty if unknown.
+    errors : callable
+        By how many seconds they may be younger, by number.
     unexpired : callable
         The same, but empty if all of them have expired.
     is_uncertain : callable
         Whether a key's newest declaration is known but its age only estimated.
     on_age : callable
-        Called with a key, a number and the age that a peer reports.
+        Called with a key, a number, the earliest and the latest time of declaration
+        that a peer's report allows, and whether the earliest is only an estimate.
     on_missing_age : callable
         Called with a key and a newer number that a peer sends without an age.
     """
 
     known: Callable[[str], dict[int, float]] = lambda key: {}
+    errors: Callable[[str], dict[int, float]] = lambda key: {}
     unexpired: Callable[[str], dict[int, float]] = lambda key: {}
     is_uncertain: Callable[[str], bool] = lambda key: False
-    on_age: Callable[[str, int, float], None] = lambda key, number, age: None
+    on_age: Callable[[str, int, float, float, bool], None] = lambda *report: None
     on_missing_age: Callable[[str, int], None] = lambda key, number: None
 
 
@@ -86,12 +94,47 @@
     is_complete: bool
 
 
-def age_entries(key: str, ages: dict[int, float]) -> list[pb.Entry]:
-    """Return entries with the ages of a key's declarations in seconds, by number."""
-    return [
-        pb.Entry(scope=key, slot=AGE, ticket=number, age_ms=int(age * 1000))
-        for number, age in ages.items()
-    ]
+def age_entries(
+    key: str, ages: dict[int, float], errors: Mapping[int, float] = NO_ERRORS
+) -> list[pb.Entry]:
+    """Return entries with the ages of a key's declarations.
+
+    Parameters
+    ----------
+    ages : dict of int to float
+        Maximum ages in seconds, by number.
+    errors : dict of int to float
+        By how many seconds they may be younger; exact where a number is missing.
+    """
+    entries = []
+    for number, age in ages.items():
+        # Microseconds first: the sum of an exact age may be off by less than that.
+        oldest = math.ceil(round(age * 1000, 3))
+        youngest = math.floor(round((age - errors.get(number, 0.0)) * 1000, 3))
+        entries.append(
+            pb.Entry(
+                scope=key,
+                slot=AGE,
+                ticket=number,
+                age_ms=oldest,
+                age_error_ms=oldest - max(0, youngest),
+            )
+        )
+    return entries
+
+
+def declared_between(
+    entry: pb.Entry, requested_at: float, arrived_at: float
+) -> tuple[float, float]:
+    """Return the earliest and latest declaration that an entry's age allows.
+
+    Parameters
+    ----------
+    requested_at, arrived_at : float
+        Between which times the peer told the age, seconds.
+    """
+    youngest_ms = max(0, entry.age_ms - entry.age_error_ms)
+    return requested_at - entry.age_ms / 1000, arrived_at - youngest_ms / 1000
 
 
 def declaration_entry(declaration: Declaration) -> pb.Entry:
--- a/packages/wasabideck_base/wasabideck_base/state_sync.py
+++ b/packages/wasabideck_base/wasabideck_base/state_sync.py
@@ -153,9 +153,10 @@
             peer_kind="" if self._is_entry else ENTRY,
             ages=DeclarationAges(
                 self._ages_of,
+                self._age_errors,
                 self._unexpired_ages,
                 self._is_uncertain,
-                self._record_reported_age,
+                self._record_declaration_time,
                 self._bound_unreported_age,
             ),
         )
@@ -172,8 +173,8 @@
             self.store,
             lambda model: self._ages_of(weights_key(model)),
             self._models_with_unknown_time,
-            lambda model, number, since: self._record_declaration_time(
-                weights_key(model), number, since
+            lambda model, number, earliest, latest: self._record_declaration_time(
+                weights_key(model), number, earliest, latest
             ),
             self._publishing_rank,
             self.clock,
@@ -286,13 +287,30 @@
         """Bound ages by the store's response, also of versions that a peer sent."""
         for declaration in declarations:
             if declaration.key != CONFIGURATION:
-                since = min(self.clock(), self.operator_watch.written_since)
+                now = self.clock()
+                since = min(now, self.operator_watch.written_since)
+                # After an outage of this process's own path to the store only, the
+                # version may be older than that.
                 self._record_declaration_time(
-                    declaration.key, declaration.number, since
+                    declaration.key,
+                    declaration.number,
+                    since,
+                    self._responded_by(now),
+                    is_estimate=True,
                 )
                 self.declaration_times.request_publishing(model_of_key(declaration.key))
                 self.declaration_times.request_lookup()
 
+    def _responded_by(self, now: float) -> float:
+        """Return the latest time at which rows of the response may have been written.
+
+        That is earlier than its arrival where the store's clock shows that this process
+        was suspended meanwhile.
+        """
+        watch = self.operator_watch
+        is_known = watch.written_since <= watch.complete_until <= now
+        return watch.complete_until if is_known else now
+
     def _note_operators_read(self, rows: list[Row]) -> None:
         # Whatever the store returns after this read has just been declared.
         self._operators_read = True
@@ -328,11 +346,14 @@
         model = model_of_key(declaration.key)
         now = self.clock()
         since, certain = self._declaration_time(declaration, source, now)
+        declared_by = self._responded_by(now) if certain else now
         if not self.cluster_state.declare_version(
-            model, declaration.number, since, certain, now
+            model, declaration.number, since, certain, declared_by
         ):
             return
-        if not certain:
+        if certain:
+            self._log_age(declaration.number, since)
+        else:
             number = declaration.number
             self.events.emit("version.undated", version=number, source=source)
             self.declaration_times.request_lookup()
@@ -341,7 +362,7 @@
     def _declaration_time(
         self, declaration: Declaration, source: str, now: float
     ) -> tuple[float, bool]:
-        """Return when a version's time starts, and whether that is known for certain.
+        """Return a version's earliest declaration, and whether that is known.
 
         A version declared before this process could see it may have expired long ago,
         and perhaps no running process knows. It counts as expired until its declaration
@@ -349,9 +370,8 @@
         """
         if source == STORE and self._store_rows_are_new:
             # The version may be older than the response, if it was declared in the
-            # delay after another change or while the response was in transit: see
-            # ``_bound_ages``.
-            return now, True
+            # delay after another change or while the response was in transit.
+            return min(now, self.operator_watch.written_since), True
         return now - self.cfg.limits.version_deadline_seconds, False
 
     def _models_with_unknown_time(self) -> list[str]:
@@ -372,6 +392,11 @@
         within, now = self.cfg.limits.version_deadline_seconds, self.clock()
         return self.cluster_state.version_ages(model_of_key(key), within, now)
 
+    def _age_errors(self, key: str) -> dict[int, float]:
+        if key == CONFIGURATION:
+            return {}
+        return self.cluster_state.version_age_errors(model_of_key(key))
+
     def _unexpired_ages(self, key: str) -> dict[int, float]:
         # Report all ages or none: a peer that receives only the newest version's age
         # would assume that no older version still matters.
@@ -391,10 +416,6 @@
         )
         return recently_started and time_unknown
 
-    def _record_reported_age(self, key: str, number: int, age: float) -> None:
-        """Record the age of a version as reported by a peer."""
-        self._record_declaration_time(key, number, self.clock() - age)
-
     def _bound_unreported_age(self, key: str, number: int) -> None:
         """Bound the age of a version that a peer sent without one.
 
@@ -405,19 +426,31 @@
         now = self.clock()
         since = self.operator_watch.missing_since(now)
         if now - since <= MAX_BACKDATING_SECONDS + CONFIRMATION_VALID_SECONDS:
-            self._record_declaration_time(key, number, since)
-
-    def _record_declaration_time(self, key: str, number: int, since: float) -> None:
+            self._record_declaration_time(key, number, since, now, is_estimate=True)
+
+    def _record_declaration_time(
+        self,
+        key: str,
+        number: int,
+        earliest: float,
+        latest: float,
+        is_estimate: bool = False,
+    ) -> None:
         model = model_of_key(key)
         newest = self.cluster_state.newest_version(model)
-        if not self.cluster_state.record_declaration_time(model, number, since):
+        if not self.cluster_state.record_declaration_time(
+            model, number, earliest, latest, is_estimate
+        ):
             return
-        age = round(self.clock() - since, 3)
-        self.events.emit("version.dated", version=number, age=age)
+        self._log_age(number, earliest)
         if number > newest:
             # Its declaration will arrive with a known number and trigger nothing.
             self.on_version(model, number)
 
+    def _log_age(self, number: int, declared_at: float) -> None:
+        age = round(self.clock() - declared_at, 3)
+        self.events.emit("version.dated", version=number, age=age)
+
     # Rows of the servers table
 
     def _apply_server_rows(self, rows: list[Row]) -> None:
--- a/packages/wasabideck_policy/wasabideck_policy/cluster_state.py
+++ b/packages/wasabideck_policy/wasabideck_policy/cluster_state.py
@@ -19,28 +19,65 @@
 class DeclaredVersion:
     """A version of weights that the operators declared.
 
+    Its declaration time is known as an interval, ``allowed_from`` to ``declared_by``.
+
     Attributes
     ----------
     allowed_from : float
-        Start of the time allowed for servers to change to the version, seconds.
+        Start of the time allowed for servers to change to the version, seconds: the
+        earliest possible declaration.
     declaration_time_known : bool
-        Whether the version was declared no earlier than ``allowed_from``. Otherwise its
-        declaration time is unknown, and the version is treated as expired.
-    received_at : float
-        When this process learned of the version, which was declared before that.
+        Whether ``allowed_from`` follows from what the store or a peer reported.
+        Otherwise the declaration time has no lower bound, and the version is treated as
+        expired.
+    declared_by : float
+        The latest possible declaration, no later than this process learned of it.
+    is_estimate : bool
+        Whether the version may have been declared before ``allowed_from`` although that
+        was reported.
     """
 
     number: int
     allowed_from: float
     declaration_time_known: bool = True
-    received_at: float = float("-inf")
+    declared_by: float = float("-inf")
+    is_estimate: bool = False
 
     def age(self, now: float) -> float:
-        """Return the minimum number of seconds since the declaration."""
+        """Return the number of seconds for which the version counts as declared.
+
+        That is its maximum age; its minimum age if there is no maximum.
+        """
         return now - (
-            self.allowed_from if self.declaration_time_known else self.received_at
+            self.allowed_from if self.declaration_time_known else self.declared_by
         )
 
+    @property
+    def age_error(self) -> float:
+        """By how many seconds ``age`` may exceed the real age."""
+        if not self.declaration_time_known:
+            return 0.0
+        return max(0.0, self.declared_by - self.allowed_from)
+
+    def narrow(self, earliest: float, latest: float, is_estimate: bool) -> bool:
+        """Merge a report of the declaration time; return whether the earliest changed.
+
+        See ``ClusterState.record_declaration_time``.
+        """
+        if earliest > self.declared_by:
+            return False
+        was = self.allowed_from if self.declaration_time_known else None
+        agrees = was is not None and latest >= was
+        self.declared_by = min(self.declared_by, latest)
+        if agrees and is_estimate:
+            self.allowed_from = min(was, earliest) if self.is_estimate else was
+        elif agrees and not self.is_estimate:
+            self.allowed_from = max(was, earliest)
+        else:
+            self.allowed_from, self.is_estimate = earliest, is_estimate
+        self.declaration_time_known = True
+        return self.allowed_from != was
+
 
 @define
 class ClusterState:
@@ -95,38 +132,58 @@
         number: int,
         since: float,
         declaration_time_known: bool = True,
-        received_at: float | None = None,
+        declared_by: float | None = None,
     ) -> bool:
-        """Record a declared version; return whether it is newer than the known one."""
+        """Record a declared version; return whether it is newer than the known one.
+
+        Parameters
+        ----------
+        since : float
+            The earliest possible declaration, seconds.
+        declared_by : float, optional
+            The latest possible one; ``since`` by default.
+        """
         if number <= self.newest_version(model):
             return False
-        received_at = since if received_at is None else received_at
-        declared = DeclaredVersion(number, since, declaration_time_known, received_at)
+        declared_by = since if declared_by is None else declared_by
+        declared = DeclaredVersion(number, since, declaration_time_known, declared_by)
         self._versions.setdefault(model, []).append(declared)
         return True
 
-    def record_declaration_time(self, model: str, number: int, since: float) -> bool:
-        """Record a version's declaration time; return whether it is earlier than known.
+    def record_declaration_time(
+        self,
+        model: str,
+        number: int,
+        earliest: float,
+        latest: float | None = None,
+        is_estimate: bool = False,
+    ) -> bool:
+        """Merge a report of a declaration time; return whether the earliest changed.
 
-        The earliest reported time wins: a process that learned of a version late, or
-        that was paused, underestimates its age, and no process can overestimate it.
+        Reports that overlap are intersected, so that no exchange of ages between peers
+        makes a version older. Of reports that contradict each other the earlier wins: a
+        process that learned of a version late, or that was suspended, underestimates
+        its age, and no process overestimates it by more than it says.
 
         The time is also recorded for a version that a newer one has replaced and that
         a process started later never received. Its deadline still applies: after it,
         no request may start on an older version.
+
+        Parameters
+        ----------
+        earliest, latest : float
+            Bounds of the declaration time, seconds; both the same by default.
+        is_estimate : bool
+            Whether ``earliest`` is no real bound, as where a message's transit time is
+            unknown. It then replaces no earlier one, and any real bound replaces it.
         """
+        latest = earliest if latest is None else latest
         versions = self._versions.setdefault(model, [])
         known = next((v for v in versions if v.number == number), None)
-        if known is None:
-            versions.append(DeclaredVersion(number, since))
-            versions.sort(key=lambda declared: declared.number)
-            return True
-        if known.declaration_time_known and known.allowed_from <= since:
-            return False
-        if not known.declaration_time_known and known.received_at < since:
-            # The version was already known here before the reported time.
-            return False
-        known.allowed_from, known.declaration_time_known = since, True
+        if known is not None:
+            return known.narrow(earliest, latest, is_estimate)
+        versions.append(DeclaredVersion(number, earliest, True, latest, is_estimate))
+        versions.sort(key=lambda declared: declared.number)
         return True
 
     def declaration_time_unknown(self, model: str) -> bool:
@@ -179,6 +236,10 @@
             return {}
         return {v.number: v.age(now) for v in reported}
 
+    def version_age_errors(self, model: str) -> dict[int, float]:
+        """Return by how many seconds the versions may be younger than their ages."""
+        return {v.number: v.age_error for v in self._versions.get(model, [])}
+
     def newest_version(self, model: str) -> int:
         """Return the number of the newest declared version; 0 if there is none."""
         newest = self.newest(model)
--- a/tests/cluster_state/test_declaration_times.py
+++ b/tests/cluster_state/test_declaration_times.py
@@ -287,3 +287,37 @@
     started.declaration_times.request_lookup()
     started.run(0.5)
     assert started.min_version() == 0
+
+
+def test_published_time_that_agrees_makes_no_version_older(store, clock):
+    # Guards against weights that end early, by the time that a slow read took, at each
+    # process that saw the version declared.
+    declared_at = clock()
+    store.put("m", b'{"2": %.1f}' % (declared_at + AHEAD))
+    saw_it = Process(store, clock)
+    saw_it.cluster_state.declare_version(
+        "m", 2, declared_at - 0.1, declared_by=declared_at + 0.1
+    )
+    read = store.read
+
+    async def slow(table):
+        clock.now += 0.4
+        return await read(table)
+
+    store.read = slow
+    saw_it.declaration_times.request_lookup()
+    saw_it.run()
+    assert store.reads == 1
+    assert saw_it.cluster_state.newest("m").allowed_from == declared_at - 0.1
+
+
+def test_published_time_before_the_known_one_counts(store, clock):
+    # Guards against a process that was suspended while the version was declared.
+    declared_at = clock()
+    store.put("m", b'{"2": %.1f}' % (declared_at + AHEAD))
+    clock.now += 3.0
+    late = Process(store, clock)
+    late.record_declared(2)
+    late.declaration_times.request_lookup()
+    late.run()
+    assert late.cluster_state.newest("m").allowed_from == pytest.approx(declared_at)
--- a/tests/cluster_state/test_gossip_messages.py
+++ b/tests/cluster_state/test_gossip_messages.py
@@ -10,8 +10,10 @@
 from wasabideck_base.gossip_messages import (
     COMPRESSED,
     DECLARED,
+    age_entries,
     declaration_entry,
     declaration_of,
+    declared_between,
 )
 from wasabideck_policy.declarations import CONFIGURATION, Declaration
 from wasabideck_wire import inner_pb2 as pb
@@ -68,3 +70,21 @@
     assert decompress("k", zlib.compress(b"x" * 1000)) == b"x" * 1000
     with pytest.raises(MalformedContent):
         decompress("k", zlib.compress(b"x" * 1001))
+
+
+def test_interval_in_an_age_entry_contains_the_one_known(rng):
+    # Guards against an interval that rounding to milliseconds shifts: those of two
+    # peers would contradict each other, and the version grow older with each exchange.
+    for _ in range(200):
+        earliest, now = rng.uniform(0.0, 50.0), rng.uniform(60.0, 70.0)
+        latest = earliest + rng.choice([0.0, rng.uniform(0.0, 5.0)])
+        (entry,) = age_entries("weights/m", {2: now - earliest}, {2: latest - earliest})
+        told = declared_between(entry, now, now)
+        assert earliest - 0.0011 <= told[0] <= earliest + 1e-6
+        assert latest - 1e-6 <= told[1] <= latest + 0.0011
+
+
+def test_age_without_an_error_is_exact():
+    # Guards against ages of processes of an earlier build that have no effect.
+    entry = pb.Entry(scope="weights/m", slot="named", ticket=2, age_ms=2500)
+    assert declared_between(entry, 10.0, 10.75) == (7.5, 8.25)
--- a/tests/cluster_state/test_version_ages.py
+++ b/tests/cluster_state/test_version_ages.py
@@ -149,6 +149,22 @@
     assert declared_at - 0.052 <= allowed_from(heard_it) <= declared_at
 
 
+def test_slow_reply_corrects_age_known_from_a_late_request(clock, ask):
+    # Guards against a request's unknown transit that no later reply corrects.
+    saw_it, heard_it = (
+        process_that_saw_version_declared(clock),
+        new_process(AGENT, clock),
+    )
+    declared_at = clock[0]
+    clock[0] += 2.0
+    request = saw_it.gossip._sync_request()
+    clock[0] += 0.4
+    receive_gossip(heard_it, declaration(3))
+    heard_it.gossip.handle_sync(request)
+    ask(heard_it, saw_it, 0.05, 0.6)
+    assert declared_at - 0.052 <= allowed_from(heard_it) <= declared_at
+
+
 def test_age_in_a_request_counts_from_its_arrival(clock):
     # Guards against a version without an age where a request was the only message.
     saw_it, heard_it = (
@@ -164,6 +180,33 @@
     assert not heard_it.cluster_state.declaration_time_unknown("m")
 
 
+def test_late_answer_of_store_does_not_make_a_version_younger(clock, ask):
+    # Guards against an age known from a peer that a process's own outage replaces.
+    cut_off = new_process(ENTRY, clock)
+    changes = RowChanges((row(5, 2),), 5)
+    store_answers(cut_off, clock, (35.05, 35.1, changes), (35.1, 36.0, changes))
+    clock[0] = declared_at = 38.0
+    saw_it = process_that_saw_version_declared(clock)
+    ask(cut_off, saw_it, 0.05, 0.6)
+    store_answers(cut_off, clock, (39.2, 39.3, RowChanges((row(9, 3),), 9)))
+    assert declared_at - 0.052 <= allowed_from(cut_off) <= declared_at
+
+
+def test_declaration_is_no_later_than_the_stores_answer_to_a_suspended_process(clock):
+    # Guards against a wide interval within which any wrong age of a peer counts.
+    late = new_process(ENTRY, clock)
+    store_answers(
+        late,
+        clock,
+        (35.05, 35.1, RowChanges((row(5, 2),), 5, 1035.1)),
+        (35.1, 36.0, RowChanges((row(5, 2),), 5, 1036.0)),
+        (36.0, 43.0, RowChanges((row(9, 3),), 9, 1040.0)),
+    )
+    version = late.cluster_state.newest("m")
+    assert version.allowed_from == pytest.approx(39.9, abs=0.01)
+    assert version.declared_by == pytest.approx(40.0, abs=0.01)
+
+
 def test_newer_time_is_published_after_older_one_is_found():
     # Guards against a newest version whose time no process publishes, because all that
     # saw its declaration had just started and did not yet know the previous one's time.
