--- a/packages/wasabideck_base/wasabideck_base/gossip.py
+++ b/packages/wasabideck_base/wasabideck_base/gossip.py
@@ -32,6 +32,7 @@
     complete_entry,
     declaration_entry,
     declaration_of,
+    declared_between,
     position_entry,
     position_of,
     row_entry,
@@ -161,16 +162,16 @@
         knows_none = len(self.declarations) == 0
         timeout = FIRST_SYNC_TIMEOUT_SECONDS if knows_none else SYNC_TIMEOUT_SECONDS
         req = self._sync_request()
-        requested_at = self.clock()
         skips_configuration = self._skips_configuration(address)
         if skips_configuration:
             for entry in req.entries:
                 if (entry.slot, entry.scope) == (DECLARED, CONFIGURATION):
                     entry.ticket = SEND_NONE
+        requested_at = self.clock()
         reply = await self._sync(address, req, timeout)
         if reply is None:
             return
-        applied = self._apply_entries(reply.entries, address)
+        applied = self._apply_entries(reply.entries, address, requested_at)
         # Agents act on versions only.
         if applied and (self.me.kind == AGENT or not skips_configuration):
             self._adopt_staleness(reply.entries, requested_at)
@@ -190,14 +191,15 @@
             None if the entry did not reply.
         """
         req = self._sync_request([table])
-        requested_at = self.clock()
         req.entries.append(pb.Entry(scope=table, slot=FOLLOWS))
         req.ClearField("quarantined")
         req.ClearField("suspect_parts")
+        requested_at = self.clock()
         reply = await self._sync(address, req, SYNC_TIMEOUT_SECONDS)
         if reply is None:
             return None
-        complete = self._apply_entries(reply.entries, address) and not self.unwanted
+        readable = self._apply_entries(reply.entries, address, requested_at)
+        complete = readable and not self.unwanted
         if complete:
             self._adopt_staleness(reply.entries, requested_at)
         versions = [
@@ -324,8 +326,20 @@
             else self.part_gossip.reply_messages(req.suspect_parts),
         )
 
-    def _apply_entries(self, entries: Iterable[pb.Entry], source: str) -> bool:
-        """Apply a peer's entries; return whether all of them were readable."""
+    def _apply_entries(
+        self,
+        entries: Iterable[pb.Entry],
+        source: str,
+        requested_at: float | None = None,
+    ) -> bool:
+        """Apply a peer's entries; return whether all of them were readable.
+
+        Ages in a reply were told after ``requested_at``. Those in a peer's own request
+        (None) count from its arrival: the request's transit time is unknown, and their
+        versions may be that much older.
+        """
+        now = self.clock()
+        told_from = now if requested_at is None else requested_at
         declarations, complete = [], True
         for entry in entries:
             try:
@@ -339,7 +353,10 @@
         newer = self.merge(declarations, source)
         reported = [entry for entry in entries if entry.slot == AGE]
         for entry in reported:
-            self.ages.on_age(entry.scope, entry.ticket, entry.age_ms / 1000)
+            earliest, latest = declared_between(entry, told_from, now)
+            self.ages.on_age(
+                entry.scope, entry.ticket, earliest, latest, requested_at is None
+            )
         with_age = {(entry.scope, entry.ticket) for entry in reported}
         for declaration in newer:
             if (declaration.key, declaration.number) not in with_age:
@@ -392,7 +409,7 @@
         for declaration in declarations:
             key = declaration.key
             entries.append(declaration_entry(declaration))
-            entries += age_entries(key, self.ages.known(key))
+            entries += age_entries(key, self.ages.known(key), self.ages.errors(key))
         return entries
 
     def _unexpired_age_entries(self, keys: Iterable[str]) -> list[pb.Entry]:
@@ -401,7 +418,12 @@
         A process that received a version late, or that was suspended meanwhile,
         underestimates its age and has no other way to correct it.
         """
-        return [e for key in keys for e in age_entries(key, self.ages.unexpired(key))]
+        ages = self.ages
+        return [
+            entry
+            for key in keys
+            for entry in age_entries(key, ages.unexpired(key), ages.errors(key))
+        ]
 
     def _complete_entries(self) -> list[pb.Entry]:
         """Return the entry that reports this process's staleness, if it is known.
