--- a/tests/cluster_state/region_of_entries.py
+++ b/tests/cluster_state/region_of_entries.py
@@ -174,7 +174,28 @@
     return loop.time() - started_at
 
 
-def run_region(scenario, size):
+class VirtualTimeLoop(asyncio.SelectorEventLoop):
+    """An event loop whose clock advances to the next timer once no data is ready."""
+
+    def __init__(self):
+        super().__init__()
+        self._now = 1000.0
+        select = self._selector.select
+
+        def advance(timeout):
+            assert timeout is not None, "nothing left to wait for"
+            ready = select(0)
+            if not ready:
+                self._now += timeout
+            return ready
+
+        self._selector.select = advance
+
+    def time(self):
+        return self._now
+
+
+def run_region(scenario, size, seconds=10, start_seconds=3, virtual_time=False):
     """Run a scenario with a store and a region of entries that have all read it."""
 
     async def body():
@@ -187,11 +208,13 @@
             for entry in entries:
                 entry.state_sync.gossip.members.update((e.vm, e.me) for e in entries)
                 entry.run()
-            await wait_until(lambda: all(e.number == 1 for e in entries))
-            async with asyncio.timeout(10):
+            await wait_until(lambda: all(e.number == 1 for e in entries), start_seconds)
+            async with asyncio.timeout(seconds):
                 await scenario(store, entries)
         finally:
             for entry in entries:
                 entry.stop()
 
-    asyncio.run(body())
+    loop_factory = VirtualTimeLoop if virtual_time else None
+    with asyncio.Runner(loop_factory=loop_factory) as runner:
+        runner.run(body())
