Ask for an answer at once in the first call after a failed one

Callers saw fast gossip and "not run" for what an entry did not know for up to 15 s after the store was back: the first call that the returned store took was a long poll, which it holds while nothing changes, and until its answer the watch counted as failing. Such a call shows nothing while it pends.

The call that follows a failed one has a wait of 0. Its answer ends the outage and tells up to when the copy is complete; the long poll follows. That costs one short call for each table and outage.

Evidence: test_entry_is_not_cut_off_for_long_after_an_outage[1] and [4] failed before (still cut off 8 s after the store was back) and pass now.

--- a/packages/wasabideck_base/wasabideck_base/table_watch.py
+++ b/packages/wasabideck_base/wasabideck_base/table_watch.py
@@ -321,10 +321,12 @@
 
     async def _follow(self) -> None:
         missing_since, max_age = self._missing_bounds()
-        requested_at = self._follow_started_at = self.clock()
-        follow = self.store.wait_for_changes(
-            self.table, self.version, self.wait_seconds
-        )
+        requested_at = self.clock()
+        # Until the store has responded again, a call that it may hold shows nothing.
+        unconfirmed = self._failures > 0
+        wait = 0.0 if unconfirmed else self.wait_seconds
+        self._follow_started_at = float("inf") if unconfirmed else requested_at
+        follow = self.store.wait_for_changes(self.table, self.version, wait)
         try:
             changes = await self._await_call(follow)
         finally:
@@ -333,11 +335,7 @@
             await asyncio.sleep(self._next_backoff())
             return
         self._record_response(changes, requested_at)
-        if (
-            HELD_RESPONSE_SECONDS
-            < self._complete_until - requested_at
-            <= self.wait_seconds
-        ):
+        if HELD_RESPONSE_SECONDS < self._complete_until - requested_at <= wait:
             missing_since = self._complete_until - MIN_TRANSIT_SECONDS
             self.first_read_unverified = False
         self.written_since = max(missing_since, self._complete_until - max_age)
