Check the store by a short call while a process's knowledge is old

Cause: while nothing changes a pending call looks like one whose connection a cut made silent, until it times out, 15 s + 1.5 s after it began. Meanwhile the watch did not count as failing, so that gossip kept its slow pace, and nothing tied the way back to the time for which a machine counts as disturbed.

An entry whose staleness exceeds a bound asks the store for changes with a wait of 0, on another connection. The bound, the intervals between checks without a response and the time after which a check has failed are fractions of disturbance_hold_seconds (the bound also of the time that a configuration may take); what they add up to is CheckTimes.seconds_until_current. Further checks are made beside those without a response, as the pool may offer idle connections of before the cut. A failed check makes the watch failing: gossip is fast, and the entry covers nobody. A response after a failed check, one that outruns an earlier check, or one with rows that the pending call did not bring, drops the pending calls of both tables; the server list then asks for an answer at once. While bytes of the table arrive no check is begun or given up. While the table's own calls fail at once there are none either.

Price: where nobody else vouches for it, an entry makes one short call each 1.0 to 1.35 s; peers' words and region readers save it (tests).

--- a/packages/wasabideck_base/wasabideck_base/event_kinds.py
+++ b/packages/wasabideck_base/wasabideck_base/event_kinds.py
@@ -246,10 +246,18 @@
         "a peer knows a newer row; the unresponsive call was aborted",
         "nothing for one; many: connections to the store become unresponsive",
     ),
+    "watch.call-dropped": EventKind(
+        "a pending call to the store was made again, after a check of the store",
+        "nothing for one; many: connections to the store become unresponsive",
+    ),
     "watch.covered": EventKind("an entry relies on its region readers for a table"),
     "watch.history-lost": EventKind(
         "the store has discarded its history; the whole table is read"
     ),
+    "watch.unconfirmed": EventKind(
+        "the store does not respond to checks; a table may have changed",
+        "check the store and the network path from this VM to it",
+    ),
     "watch.uncovered": EventKind(
         "an entry watches a table itself; `age`: seconds since a reader's message",
         "nothing for one; many: check the readers' VMs and their paths to the store",
--- a/packages/wasabideck_base/wasabideck_base/state_sync.py
+++ b/packages/wasabideck_base/wasabideck_base/state_sync.py
@@ -40,6 +40,7 @@
 from .part_quarantine_store import PARTS_TABLE, PartQuarantineStore
 from .region_readers import RegionReaders
 from .rows import Row, RowStore
+from .staleness_checks import CheckTimes, StalenessChecks
 from .table_watch import MAX_BACKDATING_SECONDS, STALLED_CALL_SECONDS, TableWatch
 from .vm_settings import VMSettings
 
@@ -218,9 +219,20 @@
             loops.append(self.gossip.part_gossip.run_pushes())
             loops.append(self.part_store.run_loading())
             loops.append(self.part_store.run_publishing())
+            loops.append(self._checks().run())
             return [*loops, self.readers.run(), self.server_watch.run()]
         return [*loops, self._run_fallback_reads()]
 
+    def _checks(self) -> StalenessChecks:
+        return StalenessChecks(
+            self.operator_watch,
+            [self.server_watch],
+            CheckTimes.from_limits(self.cfg.limits),
+            self.cluster_state.staleness,
+            self.clock,
+            self.rng,
+        )
+
     def _parts_publishing_rank(self) -> int:
         """Return the rank of this entry among all that publish quarantined parts."""
         members = self.gossip.members.values()
--- a/packages/wasabideck_base/wasabideck_base/table_watch.py
+++ b/packages/wasabideck_base/wasabideck_base/table_watch.py
@@ -87,6 +87,10 @@
     received_bytes: int
 
 
+class _CallDropped(Exception):
+    """A pending call was dropped, and is to be made again at once."""
+
+
 @define
 class TableWatch:
     """Keeps a process's copy of a table.
@@ -151,6 +155,9 @@
     _bytes_received: int = 0
     _rows: dict[str, Row] = field(factory=dict)
     _failures: int = 0
+    _checks_fail: bool = False
+    _drops_call: bool = False
+    _wants_confirmation: bool = False
     _failing_since: float = 0.0
     _needs_full_read: bool = True
     _pending_call: asyncio.Task | None = None
@@ -158,8 +165,8 @@
 
     @property
     def failing(self) -> bool:
-        """Whether the store did not respond to the last call."""
-        return self._failures > 0 or self.version < 0
+        """Whether the store did not respond to the last call or check."""
+        return self._failures > 0 or self._checks_fail or self.version < 0
 
     @property
     def complete_until(self) -> float:
@@ -179,6 +186,8 @@
                 self._needs_full_read = True
                 # A full read may be stale, and the history after it lost again.
                 await asyncio.sleep(FIRST_BACKOFF_SECONDS)
+            except _CallDropped:
+                continue
             except (PlatformUnavailable, PlatformRefused) as exc:
                 self._record_failure(exc)
                 await asyncio.sleep(self._next_backoff())
@@ -190,6 +199,59 @@
         else:
             await self._follow()
 
+    async def check(self) -> bool:
+        """Ask the store for changes beside a pending call, and apply them.
+
+        Returns
+        -------
+        newer : bool
+            Whether there were changes that no other call had brought.
+
+        Raises
+        ------
+        PlatformUnavailable, PlatformRefused
+            The store sent no usable response.
+        """
+        missing_since, max_age = self._missing_bounds()
+        version, requested_at = self.version, self.clock()
+        try:
+            changes = await self.store.wait_for_changes(self.table, version, 0.0)
+        except HistoryLost as exc:
+            self.events.emit("watch.history-lost", table=self.table, why=str(exc))
+            self._needs_full_read = True
+            self.drop_call(self.clock())
+            return False
+        if changes.version < version:
+            raise PlatformUnavailable(self.table, "stale response", False)
+        responded_at = self._record_response(changes, requested_at)
+        self.written_since = max(missing_since, responded_at - max_age)
+        return self._apply(changes)
+
+    def record_failed_check(self, exc: WasabideckError) -> None:
+        """Record that the store did not respond to a check."""
+        if not self._checks_fail:
+            self._checks_fail = True
+            self.events.emit("watch.unconfirmed", table=self.table, why=str(exc))
+
+    def drop_call(self, before: float) -> None:
+        """Drop a pending call that began before a time; it is made again at once.
+
+        Its connection may be unresponsive: nothing would arrive on it until it times
+        out.
+        """
+        if self._pending_call is None or self._requested_at >= before:
+            return
+        self.events.emit("watch.call-dropped", table=self.table)
+        self._drops_call = True
+        self._wants_confirmation = self.last_response_at < before
+        self._pending_call.cancel()
+
+    def is_retrying(self, now: float, seconds: float) -> bool:
+        """Whether calls fail at once: the next one follows, or began a moment ago."""
+        if self._failures == 0:
+            return False
+        return self._pending_call is None or now - self._requested_at < seconds
+
     def merge_rows(self, rows: Iterable[Row]) -> None:
         """Merge rows sent by a peer; the watch itself still has to receive them.
 
@@ -303,6 +365,7 @@
         Without a call of its own this process has no outage of its own either.
         """
         self._failures = 0
+        self._checks_fail = False
 
     async def _read(self) -> None:
         missing_since, max_age = self._missing_bounds()
@@ -313,9 +376,9 @@
             # A response older than the copy would remove rows that were added since.
             await asyncio.sleep(self._next_backoff())
             return
-        self._record_response(changes, requested_at)
+        responded_at = self._record_response(changes, requested_at)
         self._needs_full_read = False
-        self.written_since = max(missing_since, self._complete_until - max_age)
+        self.written_since = max(missing_since, responded_at - max_age)
         self._apply(changes)
         self.on_full_read(list(changes.rows))
 
@@ -323,7 +386,7 @@
         missing_since, max_age = self._missing_bounds()
         requested_at = self.clock()
         # Until the store has responded again, a call that it may hold shows nothing.
-        unconfirmed = self._failures > 0
+        unconfirmed = self._failures > 0 or self._wants_confirmation
         wait = 0.0 if unconfirmed else self.wait_seconds
         self._follow_started_at = float("inf") if unconfirmed else requested_at
         follow = self.store.wait_for_changes(self.table, self.version, wait)
@@ -334,11 +397,12 @@
         if changes.version < self.version:
             await asyncio.sleep(self._next_backoff())
             return
-        self._record_response(changes, requested_at)
-        if HELD_RESPONSE_SECONDS < self._complete_until - requested_at <= wait:
-            missing_since = self._complete_until - MIN_TRANSIT_SECONDS
+        responded_at = self._record_response(changes, requested_at)
+        self._wants_confirmation = False
+        if HELD_RESPONSE_SECONDS < responded_at - requested_at <= wait:
+            missing_since = responded_at - MIN_TRANSIT_SECONDS
             self.first_read_unverified = False
-        self.written_since = max(missing_since, self._complete_until - max_age)
+        self.written_since = max(missing_since, responded_at - max_age)
         self._apply(changes)
         self.first_read_unverified = False
         if not changes.rows:
@@ -364,8 +428,9 @@
         return missing_since, MAX_BACKDATING_SECONDS + CONFIRMATION_VALID_SECONDS
 
     async def _await_call(self, call: object) -> RowChanges:
-        """Return the response to a call, which ``note_newer_row`` may cancel."""
+        """Return the response to a call, which other methods may cancel."""
         self._pending_call = asyncio.ensure_future(call)
+        self._drops_call = False
         self._requested_at = self.clock()
         try:
             return await self._pending_call
@@ -373,11 +438,14 @@
             if asyncio.current_task().cancelling():
                 self._pending_call.cancel()
                 raise
+            if self._drops_call:
+                raise _CallDropped from None
             raise PlatformUnavailable(self.table, "no data received", False) from None
         finally:
             self._pending_call = None
 
-    def _apply(self, changes: RowChanges) -> None:
+    def _apply(self, changes: RowChanges) -> bool:
+        """Apply the rows of a response; return whether any was not yet known."""
         newer = [r for r in changes.rows if r.version > self._known_version(r.key)]
         for row in newer:
             self._rows[row.key] = row
@@ -386,12 +454,17 @@
         if newer:
             self.on_rows(newer)
         self.on_complete(self.complete_until)
+        return bool(newer)
 
-    def _record_response(self, changes: RowChanges, requested_at: float) -> None:
+    def _record_response(self, changes: RowChanges, requested_at: float) -> float:
+        """Record a response; return when the store sent it, seconds."""
         self.last_response_at = self.clock()
-        self._complete_until = self.last_response_at - self._transit_seconds(
+        responded_at = self.last_response_at - self._transit_seconds(
             changes, requested_at
         )
+        # A check and a pending call may be answered in any order.
+        self._complete_until = max(self._complete_until, responded_at)
+        self._checks_fail = False
         if self._failures:
             self._failures = 0
             outage_seconds = self.last_response_at - self._failing_since
@@ -399,6 +472,7 @@
                 "store.back", table=self.table, seconds=round(outage_seconds, 3)
             )
             self.on_recovery(outage_seconds)
+        return responded_at
 
     def _transit_seconds(self, changes: RowChanges, requested_at: float) -> float:
         """Return a response's transit time in excess of the shortest one so far."""
--- a/tests/cluster_state/test_way_back.py
+++ b/tests/cluster_state/test_way_back.py
@@ -61,7 +61,7 @@
     async def wait_for_changes(self, table, after, wait):
         paths.calls.append((asyncio.get_running_loop().time(), self.vm, table, wait))
         silent = asyncio.Event()
-        if self.vm in paths.from_store or paths.takes_silent_connection(self.vm):
+        if paths.takes_silent_connection(self.vm) or self.vm in paths.from_store:
             silent.set()
         paths.open_calls.setdefault(self.vm, []).append(silent)
         response = asyncio.ensure_future(follow(self, table, after, wait))
