Test of an entry that begins beside stale peers in a large region, failing

An entry that begins has configuration and version of a peer that was cut off within 10 ms of its start, and the list of servers from the store, and counts as ready: it sends by that configuration, on version 2 where 3 was declared long ago, until its own first read. (What it does not know it refuses as not run: ClusterState.stale.) Readers of a region read at once; the others in turn. A mend has to keep the turns after a loss of power, where all read over one link.

--- a/tests/cluster_state/test_startup_stagger.py
+++ b/tests/cluster_state/test_startup_stagger.py
@@ -4,6 +4,7 @@
 import random
 
 import pytest
+from virtual_time import run_in_virtual_time
 from wasabideck_adapter.deployment import DEPLOYMENT
 from wasabideck_base.channels import Channels
 from wasabideck_base.events import Events, HybridClock
@@ -11,6 +12,8 @@
 from wasabideck_base.rows import Row, RowChanges
 from wasabideck_base.state_sync import CONCURRENT_AGENT_READS, StateSync
 from wasabideck_base.vm_settings import StoreSettings, VMSettings
+from wasabideck_policy.configuration import Configuration
+from wasabideck_policy.declarations import Declaration, weights_key
 from wasabideck_policy.membership import AGENT, ENTRY, Member
 from wasabideck_policy.reader_selection import READERS_PER_REGION
 from wasabideck_policy.startup_stagger import (
@@ -171,3 +174,32 @@
     new = Member("vm-0", AGENT, "127.0.0.1:1", "r", "dc")
     store = run_for(0.3, new, Store(old), lambda b: [b._run_member_reads()])
     assert len(store.writes) == 1
+
+
+@pytest.mark.parametrize("entries", [3, 7, 14, 36])
+def test_entry_beside_stale_peers_is_current_before_it_counts(entries):
+    # Guards against an entry that has just begun and sends requests for expired weights
+    # by an old configuration: a peer that was cut off sent them, and the entry leaves
+    # the first read of the declarations to others, which are cut off as well.
+    everyone = members_of(ENTRY, entries)
+    key = weights_key("m")
+
+    async def newest_version(me):
+        store = Store(everyone)
+        value = b'{"model":"m","version":3}'
+        store.changes = RowChanges((Row("op", "version/m", value, 5),), 5)
+        entry = new_state_sync(me, store)
+        entry.cluster_state.configuration = Configuration(1, {}, {})
+        entry.gossip.merge([Declaration(key, 2, b'{"model":"m","version":2}')], "peer")
+        tasks = [
+            asyncio.create_task(loop)
+            for loop in (entry._run_member_reads(), entry.readers.run())
+        ]
+        await asyncio.sleep(entry.cfg.limits.disturbance_hold_seconds)
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        return entry.cluster_state.newest_version("m")
+
+    found = [run_in_virtual_time(newest_version(me)) for me in everyone]
+    assert found == [3] * entries
