--- a/tests/cluster_state/test_version_ages.py
+++ b/tests/cluster_state/test_version_ages.py
@@ -1,6 +1,7 @@
 """Cases in which a version's age is underestimated or its declaration time is lost."""
 
 import asyncio
+from math import inf
 
 from test_cold_start import (
     clock,
@@ -39,6 +40,49 @@
     assert min_version(follower, clock, 37.9) == 3
 
 
+def test_an_answer_full_of_rows_does_not_show_that_nothing_is_missing(clock):
+    # Guards against counting as new what the second of several partial answers lacked.
+    entry = new_process(ENTRY, clock)
+    store_answers(
+        entry,
+        clock,
+        (35.05, 35.1, RowChanges((row(5, 2),), 5)),
+        (35.1, 35.15, RowChanges((row(9, 3),), 9)),
+        (35.55, 35.6, RowChanges((row(12, 4),), 12)),
+    )
+    assert min_version(entry, clock, 35.7) == 4
+
+
+def test_version_after_an_answer_without_rows_is_new(clock):
+    # Guards against versions that count as expired although their declaration was seen.
+    entry = new_process(ENTRY, clock)
+    store_answers(
+        entry,
+        clock,
+        (35.05, 35.1, RowChanges((row(5, 2),), 5)),
+        (35.1, 35.15, RowChanges((), 5)),
+        (35.2, 35.3, RowChanges((row(9, 3),), 9)),
+    )
+    assert min_version(entry, clock, 35.7) == 2
+
+
+def test_a_process_whose_first_read_may_be_stale_vouches_for_nothing(clock):
+    # Guards against processes that rely on one that itself lacks what is declared.
+    entry = new_process(ENTRY, clock)
+    watch = entry.operator_watch
+    shown = []
+    for answer in (
+        (35.05, 35.1, RowChanges((row(5, 2),), 5)),
+        (35.1, 35.15, RowChanges((row(9, 3),), 9)),
+        (35.55, 35.6, RowChanges((), 9)),
+    ):
+        store_answers(entry, clock, answer)
+        position = watch.position(clock[0])
+        until = entry.cluster_state.complete_until
+        shown.append((position is not None, watch.complete_until, until))
+    assert shown == [(False, -inf, -inf), (False, -inf, -inf), (True, 35.6, 35.6)]
+
+
 def test_an_age_counts_from_when_the_peer_was_asked(clock, monkeypatch):
     # Guards against underestimating an age by a reply's transit time on a full link.
     agent = new_process(AGENT, clock)
