Take a first read for current only once a response shows that nothing is missing

Cause: a first read may be stale, and three places took it for current all the same. A reader told its position right after it; its followers, and the follower itself, counted the age of what they heard next from that moment; and any second response counted as proof, also one full of rows, which may be one part of what was missing.

Now a first read is verified by a response that the store had held, by one without rows, or by the position of a reader whose own read is verified and from which this process lacks nothing. Until then the process has no position and knows no moment up to which it is complete (complete_until), so that missing_since, which dates what a peer sends without an age, has no bound from it either.

test_position_includes_staleness demanded a position right after the first read, which is the fault: it now demands none there, then one more response without rows, and after that what it demanded. test_first_check_is_made_in_time measures from the first check on, as nothing bounds the staleness of a process before that.

--- a/packages/wasabideck_base/wasabideck_base/table_watch.py
+++ b/packages/wasabideck_base/wasabideck_base/table_watch.py
@@ -149,6 +149,7 @@
     adopted_version: int = -1
     first_read_unverified: bool = False
     _adopted_complete_until: float = float("-inf")
+    _shown_complete_until: float = float("-inf")
     _follow_started_at: float = float("inf")
     _requested_at: float = float("-inf")
     _bytes_arrived_at: float = float("-inf")
@@ -174,7 +175,7 @@
 
         A pending call shows nothing: its connection may be unresponsive.
         """
-        return max(self._complete_until, self._adopted_complete_until)
+        return max(self._shown_complete_until, self._adopted_complete_until)
 
     async def run(self) -> None:
         """Follow the table until cancelled."""
@@ -225,7 +226,9 @@
             raise PlatformUnavailable(self.table, "stale response", False)
         responded_at = self._record_response(changes, requested_at)
         self.written_since = max(missing_since, responded_at - max_age)
-        return self._apply(changes)
+        newer = self._apply(changes)
+        self._note_complete(changes, responded_at)
+        return newer
 
     def record_failed_check(self, exc: WasabideckError) -> None:
         """Record that the store did not respond to a check."""
@@ -313,11 +316,12 @@
         """Return the earliest time at which rows missing here may have been written."""
         if HELD_RESPONSE_SECONDS < now - self._follow_started_at <= self.wait_seconds:
             return now - MIN_TRANSIT_SECONDS
-        return max(self._complete_until, self._adopted_complete_until)
+        return self.complete_until
 
     def position(self, now: float) -> TablePosition | None:
         """Return how far the table is followed; None while the store does not respond.
 
+        Nor does a process report its position whose first read may have been stale.
         An unresponsive connection looks like one on which nothing changes, until a
         response is overdue.
         """
@@ -329,6 +333,7 @@
         )
         if (
             self.failing
+            or self.first_read_unverified
             or now - last_activity_at > self.wait_seconds + RESPONSE_GRACE_SECONDS
         ):
             return None
@@ -357,6 +362,8 @@
         self._adopted_complete_until = max(
             self._adopted_complete_until, requested_at - peer.staleness_seconds
         )
+        # Nothing that the first read lacked is missing any more.
+        self.first_read_unverified = False
         self.on_complete(self.complete_until)
 
     def mark_covered(self) -> None:
@@ -380,6 +387,8 @@
         self._needs_full_read = False
         self.written_since = max(missing_since, responded_at - max_age)
         self._apply(changes)
+        if not self.first_read_unverified:
+            self._mark_complete(responded_at)
         self.on_full_read(list(changes.rows))
 
     async def _follow(self) -> None:
@@ -404,7 +413,7 @@
             self.first_read_unverified = False
         self.written_since = max(missing_since, responded_at - max_age)
         self._apply(changes)
-        self.first_read_unverified = False
+        self._note_complete(changes, responded_at)
         if not changes.rows:
             return
         # Following returns every change, each with the whole row; reading the table
@@ -453,9 +462,23 @@
         self.version = max(self.version, changes.version)
         if newer:
             self.on_rows(newer)
-        self.on_complete(self.complete_until)
         return bool(newer)
 
+    def _note_complete(self, changes: RowChanges, responded_at: float) -> None:
+        """Record that the copy is complete, unless more may follow a stale first read.
+
+        A response with rows may be one part of what the first read lacked. Before it
+        was applied, a response that the store had held verified the first read.
+        """
+        if not changes.rows:
+            self.first_read_unverified = False
+        if not self.first_read_unverified:
+            self._mark_complete(responded_at)
+
+    def _mark_complete(self, until: float) -> None:
+        self._shown_complete_until = max(self._shown_complete_until, until)
+        self.on_complete(self.complete_until)
+
     def _record_response(self, changes: RowChanges, requested_at: float) -> float:
         """Record a response; return when the store sent it, seconds."""
         self.last_response_at = self.clock()
--- a/tests/cluster_state/test_staleness_checks.py
+++ b/tests/cluster_state/test_staleness_checks.py
@@ -149,6 +149,8 @@
 def test_first_check_is_made_in_time():
     # Guards against knowledge that is older than the bound although the store responds.
     async def scenario(process):
+        # The first check shows whether the first read was current.
+        await asyncio.sleep(TIMES.first_interval)
         oldest = 0.0
         for _ in range(2000):
             await asyncio.sleep(0.01)
--- a/tests/cluster_state/test_table_watch.py
+++ b/tests/cluster_state/test_table_watch.py
@@ -263,11 +263,14 @@
 
 def test_position_includes_staleness(recorder, clock):
     # In its delay after a change, a reader reports its position at the answer. While
-    # its call is pending, a reader lacks only rows in transit.
-    store = ScriptedStore(RowChanges((row("a", 1),), 1), None)
+    # its call is pending, a reader lacks only rows in transit. Its first read may have
+    # been stale, until a response shows that nothing is missing.
+    store = ScriptedStore(RowChanges((row("a", 1),), 1), RowChanges((), 1), None)
     watch = watch_of(store, recorder, clock)
 
     async def run():
+        assert watch.position(0.0) is None
+        await watch.step()
         assert watch.position(0.0) is None
         await watch.step()
         clock[0] = 0.3
