--- a/tests/cluster_state/test_version_ages.py
+++ b/tests/cluster_state/test_version_ages.py
@@ -15,7 +15,7 @@
 from test_declaration_times import AHEAD, FakeStore, Process, StoppedClock
 from wasabideck_base.gossip import Gossip
 from wasabideck_base.gossip_messages import age_entries, declaration_entry
-from wasabideck_base.rows import RowChanges
+from wasabideck_base.rows import HistoryLost, RowChanges
 from wasabideck_policy.declarations import weights_key
 from wasabideck_policy.membership import AGENT, ENTRY
 from wasabideck_wire import inner_pb2 as pb
@@ -66,6 +66,24 @@
     assert min_version(entry, clock, 35.7) == 2
 
 
+def test_a_read_after_lost_history_does_not_show_that_nothing_is_missing(clock):
+    # Guards against counting as new, long after the start, what a stale read lacked
+    # when the store had lost its history.
+    entry = new_process(ENTRY, clock)
+    store_answers(
+        entry,
+        clock,
+        (35.05, 35.1, RowChanges((row(5, 2),), 5)),
+        (35.1, 50.1, RowChanges((), 5)),
+        (50.1, 65.1, HistoryLost("op", 5)),
+        (65.3, 65.35, RowChanges((row(5, 2),), 6)),
+    )
+    assert entry.operator_watch.position(clock[0]) is None
+    assert entry.cluster_state.complete_until == 50.1
+    store_answers(entry, clock, (65.35, 65.4, RowChanges((row(9, 3),), 9)))
+    assert min_version(entry, clock, 65.5) == 3
+
+
 def test_a_process_whose_first_read_may_be_stale_vouches_for_nothing(clock):
     # Guards against processes that rely on one that itself lacks what is declared.
     entry = new_process(ENTRY, clock)
