--- a/packages/wasabideck_base/wasabideck_base/state_sync.py
+++ b/packages/wasabideck_base/wasabideck_base/state_sync.py
@@ -337,8 +337,8 @@
         was suspended meanwhile.
         """
         watch = self.operator_watch
-        is_known = watch.written_since <= watch.complete_until <= now
-        return watch.complete_until if is_known else now
+        is_known = watch.written_since <= watch.responded_at <= now
+        return watch.responded_at if is_known else now
 
     def _note_operators_read(self, rows: list[Row]) -> None:
         # Whatever the store returns after this read has just been declared.
