Take no row from a peer that the copy of the table reflects already

Callers would see requests sent to a server that was removed: the read of a whole table contains no record of removals, so a peer that was cut off, or one that had read the table anew after lost history and kept the row, brought it back, and no later change removes it.

Rows and notes of peers are compared with the version that the copy reflects, and a full read drops the rows that it lacks.

--- a/packages/wasabideck_base/wasabideck_base/table_watch.py
+++ b/packages/wasabideck_base/wasabideck_base/table_watch.py
@@ -271,7 +271,13 @@
             # Rows kept now would not count as new in the first read, and so would never
             # be acted on.
             return
-        newer = [row for row in rows if row.version > self._known_version(row.key)]
+        # The read of a whole table contains no record of a removal, so an older row may
+        # be one that was removed.
+        newer = [
+            row
+            for row in rows
+            if row.version > max(self.version, self._known_version(row.key))
+        ]
         for row in newer:
             self._rows[row.key] = row
         if newer:
@@ -285,6 +291,11 @@
         newer = [row for row in self._rows.values() if row.version > version]
         return sorted(newer, key=lambda row: row.version)[-MAX_ROWS_SENT:]
 
+    @property
+    def _reflected_version(self) -> int:
+        """Version up to which no row is missing: the read of a table has no removals."""
+        return max(self.version, self.newest)
+
     def _known_version(self, key: str) -> int:
         row = self._rows.get(key)
         return row.version if row else -1
@@ -296,10 +307,10 @@
         seconds, and a new call would transfer all of it again.
         """
         now, received = self.clock(), self.store.received_bytes(self.table)
-        if newest <= self.newest:
+        if newest <= self._reflected_version:
             return
         missing = self._missing_row
-        if missing is None or missing.version <= self.newest:
+        if missing is None or missing.version <= self._reflected_version:
             self._missing_row = _MissingRow(newest, now, now, received)
         elif received > missing.received_bytes:
             missing.idle_since, missing.received_bytes = now, received
@@ -314,7 +325,7 @@
     def is_lagging(self, now: float, seconds: float) -> bool:
         """Whether a row that a peer knows has been missing here for ``seconds``."""
         missing = self._missing_row
-        if missing is None or missing.version <= self.newest:
+        if missing is None or missing.version <= self._reflected_version:
             return False
         return now - missing.first_seen_at >= seconds
 
@@ -391,6 +402,8 @@
         self._needs_full_read = False
         self.written_since = max(missing_since, responded_at - max_age)
         self._apply(changes)
+        listed = {row.key for row in changes.rows}
+        self._rows = {key: row for key, row in self._rows.items() if key in listed}
         if not self.first_read_unverified:
             self._mark_complete(responded_at)
         self.on_full_read(list(changes.rows))
--- a/tests/cluster_state/test_table_watch.py
+++ b/tests/cluster_state/test_table_watch.py
@@ -368,3 +368,39 @@
     clock[0] = 12.0
     watch.merge_rows([row("a", 2, removed=True)])
     assert watch.written_since == 12.0
+
+
+def test_row_that_the_copy_reflects_already_is_not_taken_from_a_peer(recorder, clock):
+    # Guards against a removed server that comes back: a read of the whole table has no
+    # record of its removal, and a peer that was cut off still has its row.
+    store = ScriptedStore(RowChanges((row("b", 90),), 100))
+    watch = watch_of(store, recorder, clock)
+    asyncio.run(steps(watch, 1))
+    watch.merge_rows([row("a", 95)])
+    assert recorder.rows == [("b", False)]
+    watch.merge_rows([row("a", 101)])
+    assert recorder.rows == [("b", False), ("a", False)]
+
+
+def test_row_that_a_read_of_the_table_lacks_is_not_sent_to_peers(recorder, clock):
+    # Guards against a removed server that a peer is told of after lost history.
+    store = ScriptedStore(
+        RowChanges((row("a", 95), row("b", 90)), 95), RowChanges((row("b", 90),), 100)
+    )
+    watch = watch_of(store, recorder, clock)
+    asyncio.run(steps(watch, 1))
+    watch._needs_full_read = True
+    asyncio.run(steps(watch, 1))
+    assert [r.key for r in watch.rows_newer_than(0)] == ["b"]
+
+
+def test_removal_that_the_copy_reflects_is_no_newer_row(recorder, clock):
+    # Guards against calls that are cancelled every two seconds in calm: a removal that
+    # a peer saw left no row in the read of the whole table.
+    store = ScriptedStore(RowChanges((row("b", 90),), 100))
+    watch = watch_of(store, recorder, clock)
+    asyncio.run(steps(watch, 1))
+    watch.note_newer_row(98)
+    assert not watch.is_lagging(clock[0] + 5.0, 1.0)
+    watch.note_newer_row(101)
+    assert watch.is_lagging(clock[0] + 5.0, 1.0)
