Count an answer that is given at once as of its request

Reads and checks count from their request; only an answer that the store held counts from when it was sent. The test failed before (complete until 10.0, where the answer was asked for at 5.0).

--- a/packages/wasabideck_base/wasabideck_base/table_watch.py
+++ b/packages/wasabideck_base/wasabideck_base/table_watch.py
@@ -233,7 +233,8 @@
         responded_at = self._record_response(changes, requested_at)
         self.written_since = max(missing_since, responded_at - max_age)
         newer = self._apply(changes)
-        self._note_complete(changes, responded_at)
+        # How long an answer travelled is known only against a faster one.
+        self._note_complete(changes, requested_at)
         return newer
 
     def record_failed_check(self, exc: WasabideckError) -> None:
@@ -293,7 +294,7 @@
 
     @property
     def _reflected_version(self) -> int:
-        """Version up to which no row is missing: the read of a table has no removals."""
+        """Version up to which no row is missing; a full read has no removals."""
         return max(self.version, self.newest)
 
     def _known_version(self, key: str) -> int:
@@ -405,7 +406,7 @@
         listed = {row.key for row in changes.rows}
         self._rows = {key: row for key, row in self._rows.items() if key in listed}
         if not self.first_read_unverified:
-            self._mark_complete(responded_at)
+            self._mark_complete(requested_at)
         self.on_full_read(list(changes.rows))
 
     async def _follow(self) -> None:
@@ -430,7 +431,7 @@
             self.first_read_unverified = False
         self.written_since = max(missing_since, responded_at - max_age)
         self._apply(changes)
-        self._note_complete(changes, responded_at)
+        self._note_complete(changes, responded_at if wait else requested_at)
         if not changes.rows:
             return
         # Following returns every change, each with the whole row; reading the table
@@ -481,8 +482,8 @@
             self.on_rows(newer)
         return bool(newer)
 
-    def _note_complete(self, changes: RowChanges, responded_at: float) -> None:
-        """Record that the copy is complete, unless more may follow a stale first read.
+    def _note_complete(self, changes: RowChanges, until: float) -> None:
+        """Record up to when the copy is complete, unless a stale read may lack more.
 
         A response with rows may be one part of what the first read lacked. Before it
         was applied, a response that the store had held verified the first read.
@@ -490,7 +491,7 @@
         if not changes.rows:
             self.first_read_unverified = False
         if not self.first_read_unverified:
-            self._mark_complete(responded_at)
+            self._mark_complete(until)
 
     def _mark_complete(self, until: float) -> None:
         self._shown_complete_until = max(self._shown_complete_until, until)
--- a/tests/cluster_state/test_table_watch.py
+++ b/tests/cluster_state/test_table_watch.py
@@ -404,3 +404,19 @@
     assert not watch.is_lagging(clock[0] + 5.0, 1.0)
     watch.note_newer_row(101)
     assert watch.is_lagging(clock[0] + 5.0, 1.0)
+
+
+def test_answer_given_at_once_is_complete_as_of_its_request(recorder, clock):
+    # Guards against vouching for the time that the first answers spent on a full link:
+    # no faster one shows yet how long they took.
+    first, checked = RowChanges((row("a", 1),), 1), RowChanges((), 1)
+    store = SlowTransitStore(clock, [5.0, 5.0], first, checked)
+    watch = watch_of(store, recorder, clock)
+
+    async def scenario():
+        await watch.step()
+        await watch.check()
+
+    asyncio.run(scenario())
+    assert clock[0] > 9.9
+    assert watch.complete_until <= 5.1
