Count a read after lost history as possibly stale, like a first one

A process that had followed the table for long, and then had to read it anew as the store had lost its history, took that read for current: a version that it lacked was dated as new, so that drafts ran on the previous one for up to 8 s more, and the process told others that it lacked nothing. Same class as the first read, found by reading.

The read is unverified until a response shows that nothing is missing, as before; the moment up to which the copy was complete earlier stays.

--- a/packages/wasabideck_base/wasabideck_base/table_watch.py
+++ b/packages/wasabideck_base/wasabideck_base/table_watch.py
@@ -122,8 +122,8 @@
     adopted_version : int
         Version up to which a peer sent all that the table holds; -1 for none.
     first_read_unverified : bool
-        Whether nothing has confirmed yet that the first read was current: rows missing
-        in it may be old.
+        Whether nothing has confirmed yet that the first read, or the one after lost
+        history, was current: rows missing in it may be old.
     """
 
     store: RowStore
@@ -219,7 +219,7 @@
             changes = await self.store.wait_for_changes(self.table, version, 0.0)
         except HistoryLost as exc:
             self.events.emit("watch.history-lost", table=self.table, why=str(exc))
-            self._needs_full_read = True
+            self._needs_full_read = self.first_read_unverified = True
             self.drop_call(self.clock())
             return False
         if changes.version < version:
@@ -401,6 +401,9 @@
         follow = self.store.wait_for_changes(self.table, self.version, wait)
         try:
             changes = await self._await_call(follow)
+        except HistoryLost:
+            self.first_read_unverified = True
+            raise
         finally:
             self._follow_started_at = float("inf")
         if changes.version < self.version:
