--- a/tests/adapter/test_store.py
+++ b/tests/adapter/test_store.py
@@ -1,6 +1,7 @@
 """Calls of the store over a slow or an unresponsive connection."""
 
 import asyncio
+import contextlib
 
 import pytest
 from wasabideck_adapter import store as store_module
@@ -85,3 +86,32 @@
         server.close()
 
     asyncio.run(asyncio.wait_for(run(), 10))
+
+
+def test_short_call_is_answered_beside_a_call_on_a_silent_connection():
+    # Guards against a check that waits behind the long poll whose connection it is to
+    # check.
+    async def respond(reader, writer):
+        with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError):
+            while True:
+                head = await reader.readuntil(b"\r\n\r\n")
+                if b"wait-ms=0 " in head:
+                    writer.write(b"HTTP/1.1 200 OK\r\n")
+                    writer.write(b"Content-Length: %d\r\n\r\n%s" % (len(BODY), BODY))
+        writer.close()
+
+    async def run():
+        server = await asyncio.start_server(respond, "127.0.0.1", 0)
+        port = server.sockets[0].getsockname()[1]
+        async with HttpPool() as pool:
+            client = StoreClient(PooledClient(f"127.0.0.1:{port}", 3.0, pool))
+            pending = asyncio.create_task(client.wait_for_changes("op", 5, 30.0))
+            await asyncio.sleep(0)
+            for _ in range(2):
+                changes = await client.wait_for_changes("op", 5, 0.0)
+                assert (changes.rows, changes.version) == ((), 7)
+            assert not pending.done()
+            pending.cancel()
+        server.close()
+
+    asyncio.run(asyncio.wait_for(run(), 10))
