Have a read of several pages reflect the version of its first page

A change of a row of the first page, made while the next one was read, was lost for good: the read took the last page's version, after which the next call asks (found by the review; needs over 500 rows or 1 MB).

--- a/packages/wasabideck_base/wasabideck_base/rows.py
+++ b/packages/wasabideck_base/wasabideck_base/rows.py
@@ -62,7 +62,7 @@
     ----------
     store_responded_at : float or None
         Time of the store's response in seconds of the store's own monotonic clock;
-        of the last response if several calls were needed. None if not reported.
+        of the first response if several calls were needed. None if not reported.
     """
 
     rows: tuple[Row, ...]
--- a/tests/adapter/test_store.py
+++ b/tests/adapter/test_store.py
@@ -134,3 +134,24 @@
         server.close()
 
     asyncio.run(asyncio.wait_for(run(), 10))
+
+
+def test_a_read_of_several_pages_reflects_the_version_of_the_first():
+    # Guards against a change of an earlier page's row, made while a later page is read,
+    # that the call after the read would skip.
+    class Http:
+        pages = 0
+
+        async def json(self, method, path, params, **kwargs):
+            self.pages += 1
+            rows = [{"table": "op", "key": f"k{self.pages}", "ver": 1}]
+            return {
+                "rows": rows,
+                "ver": 100 * self.pages,
+                "now-ms": 1000 * self.pages,
+                "has-more": self.pages < 3,
+            }
+
+    changes = asyncio.run(StoreClient(Http()).read("op"))
+    assert [row.key for row in changes.rows] == ["k1", "k2", "k3"]
+    assert (changes.version, changes.store_responded_at) == (100, 1.0)
