Pause after each read of the versions that an agent makes

An agent whose load lasts longer than a newer version takes to become due asked the store a hundred times a second, as no answer could confirm enough (found by the review, shown there by a script: 200 reads in 2 s). The test failed before.

--- a/packages/wasabideck_base/wasabideck_base/version_confirmation.py
+++ b/packages/wasabideck_base/wasabideck_base/version_confirmation.py
@@ -118,6 +118,8 @@
             else:
                 failures = 0
                 self.cluster_state.mark_complete(requested_at)
+                # A step that lasts too long may need more than any answer confirms.
+                await asyncio.sleep(FIRST_BACKOFF_SECONDS)
 
     def _is_overdue(self, now: float) -> bool:
         """Whether no entry has confirmed the versions for too long.
--- a/tests/cluster_state/test_version_confirmation.py
+++ b/tests/cluster_state/test_version_confirmation.py
@@ -289,3 +289,18 @@
             assert state_sync.cluster_state.newest_version("m") == 3
 
     run_in_virtual_time(scenario())
+
+
+def test_confirmation_that_can_never_suffice_does_not_fill_the_store(store):
+    # Guards against an agent that reads the store without a pause: its load lasts
+    # longer than the time in which a newer version becomes due.
+    async def scenario():
+        async with agent_beside_stale_peer(store) as state_sync:
+            deadline = state_sync.cfg.limits.version_deadline_seconds
+            for _ in range(40):
+                now = state_sync.clock()
+                state_sync.confirmation.allows(now + deadline + 0.5, now)
+                await asyncio.sleep(0.05)
+        assert len(store.reads) <= 8
+
+    run_in_virtual_time(scenario())
