Drop held calls also when a peer answers before a silent check; never a read

After a short cut a peer's word made an entry current before its check timed out, and the loop ended without dropping the calls that had gone silent: the list of servers stayed on such a call for up to 16.5 s. On the other hand a check that saw a change dropped a read of the list of servers that was arriving (both found by the review, by reading).

A check that is silent for an interval counts as a sign of silent calls, however its round ends. Only calls that the store may hold are dropped: a read times out soon by itself.

--- a/packages/wasabideck_base/wasabideck_base/staleness_checks.py
+++ b/packages/wasabideck_base/wasabideck_base/staleness_checks.py
@@ -157,12 +157,18 @@
             self._checks[started_at] = asyncio.create_task(self._check(started_at))
             await self._wait_for_response(interval * self._jitter())
             interval = min(2 * interval, self.times.max_interval)
-        if self._failed:
-            # The table's own call was answered, or another entry now follows it.
-            for watch in self.others:
+        if self._failed or self._has_silent_check(self.clock()):
+            # The table's own call was answered, a peer told more, or another entry now
+            # follows it.
+            for watch in (self.watch, *self.others):
                 if watch.last_response_at < began_at:
                     watch.drop_call(self.clock())
 
+    def _has_silent_check(self, now: float) -> bool:
+        return any(
+            now - started_at >= self.times.first_interval for started_at in self._checks
+        )
+
     def _is_current(self, bound: float) -> bool:
         return self._responded.is_set() or (
             not self.watch.failing and self.staleness(self.clock()) <= bound
--- a/packages/wasabideck_base/wasabideck_base/table_watch.py
+++ b/packages/wasabideck_base/wasabideck_base/table_watch.py
@@ -244,13 +244,15 @@
             self.events.emit("watch.unconfirmed", table=self.table, why=str(exc))
 
     def drop_call(self, before: float) -> None:
-        """Drop a pending call that began before a time; it is made again at once.
+        """Drop a held call that began before a time; it is made again at once.
 
         Its connection may be unresponsive: nothing would arrive on it until it times
-        out.
+        out. A read, which the store answers at once, times out soon.
         """
         if self._pending_call is None or self._requested_at >= before:
             return
+        if self._follow_started_at == float("inf"):
+            return
         self.events.emit("watch.call-dropped", table=self.table)
         self._drops_call = True
         self._wants_confirmation = self.last_response_at < before
--- a/tests/cluster_state/test_staleness_checks.py
+++ b/tests/cluster_state/test_staleness_checks.py
@@ -100,9 +100,10 @@
         )
         process = SimpleNamespace(watch=watch, store=store, emitted=emitted)
         process.known_until = float("-inf")
+        process.others = []
         checks = StalenessChecks(
             watch,
-            [],
+            process.others,
             TIMES,
             lambda now: now - max(watch.complete_until, process.known_until),
             loop.time,
@@ -311,3 +312,32 @@
         assert most_in_window(calls, 1.0, id) <= most
 
     run_region(scenario, MANY, 60, 20, virtual_time=True)
+
+
+class OtherTable:
+    """Counts how often its pending call is dropped."""
+
+    def __init__(self):
+        self.drops, self.last_response_at = 0, 0.0
+
+    def drop_call(self, before):
+        self.drops += 1
+
+
+def test_calls_are_dropped_when_a_peer_answers_before_a_silent_check():
+    # Guards against a server list that stays old after a short cut: a peer's word makes
+    # the declarations current before the check that was lost in the cut times out.
+    other = OtherTable()
+
+    async def scenario(process):
+        process.others.append(other)
+        process.store.delay = None
+        while not process.store.checks:
+            await asyncio.sleep(0.01)
+        await asyncio.sleep(2 * TIMES.first_interval)
+        process.known_until = float("inf")
+        await asyncio.sleep(TIMES.timeout)
+        assert other.drops == 1
+        assert "watch.call-dropped" in process.emitted
+
+    run_checks(scenario)
--- a/tests/cluster_state/test_table_watch.py
+++ b/tests/cluster_state/test_table_watch.py
@@ -420,3 +420,19 @@
     asyncio.run(scenario())
     assert clock[0] > 9.9
     assert watch.complete_until <= 5.1
+
+
+def test_read_of_the_whole_table_is_not_dropped(recorder, clock):
+    # Guards against a first read of the server list over a full link that is begun anew
+    # with each change of the operators; unlike a held call it times out by itself.
+    watch = watch_of(ScriptedStore(None), recorder, clock)
+
+    async def scenario():
+        reading = asyncio.create_task(watch.step())
+        await asyncio.sleep(0)
+        watch.drop_call(clock[0] + 1.0)
+        await asyncio.sleep(0.01)
+        assert not reading.done()
+        reading.cancel()
+
+    asyncio.run(scenario())
