Have a follower's bound of unseen rows rest on its reader's position again

Renamed beside it: responded_at, when the store sent its newest response, and complete_until, up to when the copy is complete, are two moments with two names.

--- a/packages/wasabideck_base/wasabideck_base/table_watch.py
+++ b/packages/wasabideck_base/wasabideck_base/table_watch.py
@@ -111,8 +111,10 @@
         Version of the store that the copy reflects; -1 before the first read.
     newest : int
         Version of the newest known row, including removals.
+    responded_at : float
+        When the store sent its newest response, seconds.
     last_response_at : float
-        When the store last responded for this table, seconds.
+        When that response arrived here, seconds.
     wait_seconds : float
         Maximum time for which the store may hold a response.
     settle_seconds : float
@@ -139,7 +141,7 @@
     version: int = -1
     newest: int = 0
     _changed_at: float = float("-inf")
-    _complete_until: float = float("-inf")
+    responded_at: float = float("-inf")
     _min_clock_offset: float = float("inf")
     _clock_offset_at: float = float("-inf")
     last_response_at: float = float("-inf")
@@ -149,7 +151,7 @@
     adopted_version: int = -1
     first_read_unverified: bool = False
     _adopted_complete_until: float = float("-inf")
-    _shown_complete_until: float = float("-inf")
+    _complete_until: float = float("-inf")
     _follow_started_at: float = float("inf")
     _requested_at: float = float("-inf")
     _bytes_arrived_at: float = float("-inf")
@@ -176,11 +178,6 @@
         A pending call shows nothing: its connection may be unresponsive. The same holds
         for a position that a peer bases on its pending call.
         """
-        return self._shown_complete_until
-
-    @property
-    def responded_at(self) -> float:
-        """When the store sent its newest response, seconds; -inf before the first."""
         return self._complete_until
 
     async def run(self) -> None:
@@ -336,7 +333,7 @@
         """Return the earliest time at which rows missing here may have been written."""
         if HELD_RESPONSE_SECONDS < now - self._follow_started_at <= self.wait_seconds:
             return now - MIN_TRANSIT_SECONDS
-        return self.complete_until
+        return max(self._complete_until, self._adopted_complete_until)
 
     def position(self, now: float) -> TablePosition | None:
         """Return how far the table is followed; None while the store does not respond.
@@ -454,7 +451,7 @@
         A follower that has just lost its region readers calls the store later than
         processes with a pending call, and not because the store had an outage.
         """
-        missing_since = max(self._complete_until, self._adopted_complete_until)
+        missing_since = max(self.responded_at, self._adopted_complete_until)
         if self._failures or self._adopted_complete_until <= self.last_response_at:
             return missing_since, MAX_BACKDATING_SECONDS
         return missing_since, MAX_BACKDATING_SECONDS + CONFIRMATION_VALID_SECONDS
@@ -499,7 +496,7 @@
             self._mark_complete(until)
 
     def _mark_complete(self, until: float) -> None:
-        self._shown_complete_until = max(self._shown_complete_until, until)
+        self._complete_until = max(self._complete_until, until)
         self.on_complete(self.complete_until)
 
     def _record_response(self, changes: RowChanges, requested_at: float) -> float:
@@ -509,7 +506,7 @@
             changes, requested_at
         )
         # A check and a pending call may be answered in any order.
-        self._complete_until = max(self._complete_until, responded_at)
+        self.responded_at = max(self.responded_at, responded_at)
         self._checks_fail = False
         if self._failures:
             self._failures = 0
