--- a/tests/cluster_state/test_way_back.py
+++ b/tests/cluster_state/test_way_back.py
@@ -29,6 +29,7 @@
         self.from_store, self.from_peers = set(), set()
         self.calls = []
         self.open_calls, self.idle = {}, {}
+        self.calls_of_table = {}
 
     def cut(self, entry, idle_connections=0):
         """Cut an entry off: calls in progress and idle connections stay silent."""
@@ -64,6 +65,7 @@
         if paths.takes_silent_connection(self.vm) or self.vm in paths.from_store:
             silent.set()
         paths.open_calls.setdefault(self.vm, []).append(silent)
+        paths.calls_of_table.setdefault((self.vm, table), []).append(silent)
         response = asyncio.ensure_future(follow(self, table, after, wait))
         try:
             async with asyncio.timeout(wait + IDLE_TIMEOUT_SECONDS):
@@ -194,3 +196,16 @@
         assert not entries[1].state_sync._is_cut_off()
 
     run_region(scenario, 2, 60, 20, virtual_time=True)
+
+
+def test_server_list_is_current_in_time_when_only_its_call_falls_silent(paths):
+    # Guards against requests to servers that left the list, at an entry whose call for
+    # the declarations is sound, so that nothing shows that the other one is not.
+    async def scenario(store, entries):
+        await asyncio.sleep(2.0)
+        for call in paths.calls_of_table[entries[0].vm, DEPLOYMENT.servers_table]:
+            call.set()
+        put_server(store)
+        await wait_until(lambda: knows_server(entries[0]), HOLD_SECONDS)
+
+    run_region(scenario, 1, 60, 20, virtual_time=True)
