Log calls of the store that take long, and how they ended

An answer after 1.2 s, a call given up after 1.5 s and one that still waits looked alike, so that the hypotheses of the slow store could not be told apart. store.slow has the call's table, kind, outcome and duration; state.behind and state.current say whether region readers cover the entry.

--- a/packages/wasabideck_base/wasabideck_base/event_kinds.py
+++ b/packages/wasabideck_base/wasabideck_base/event_kinds.py
@@ -231,6 +231,10 @@
         "the store does not respond; the process continues with its known state",
         "check the store and the network path from this VM to it",
     ),
+    "store.slow": EventKind(
+        "a call of the store took long; `outcome`: how it ended",
+        "nothing for one; many: check the store and the links to it",
+    ),
     "transfer.stalled": EventKind(
         "no data of the newest version for a second; an older one is fetched",
         "check whether the origin of weights responds",
--- a/packages/wasabideck_base/wasabideck_base/state_sync.py
+++ b/packages/wasabideck_base/wasabideck_base/state_sync.py
@@ -549,6 +549,7 @@
         fields = {
             "staleness": round_finite(staleness),
             "failing": self.operator_watch.failing,
+            "covered": self.readers.covered,
         }
         if behind:
             self.events.emit("state.behind", **fields)
--- a/packages/wasabideck_base/wasabideck_base/table_watch.py
+++ b/packages/wasabideck_base/wasabideck_base/table_watch.py
@@ -3,8 +3,9 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import random
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Iterator
 
 from attrs import define, field, frozen
 from wasabideck_policy.outcomes import WasabideckError
@@ -41,6 +42,9 @@
 MIN_TRANSIT_SECONDS = 0.1
 # Maximum drift between two steady clocks, in seconds per second.
 MAX_CLOCK_DRIFT_RATIO = 2e-4
+# A call that takes longer than this, beside the time for which the store may hold its
+# response, is logged.
+SLOW_CALL_SECONDS = 0.5
 # First and maximum backoff while the store does not respond. The maximum stays below
 # the time in which a change has to be in effect after the store's return.
 FIRST_BACKOFF_SECONDS = 0.15
@@ -219,7 +223,8 @@
         missing_since, max_age = self._missing_bounds()
         version, requested_at = self.version, self.clock()
         try:
-            changes = await self.store.wait_for_changes(self.table, version, 0.0)
+            with self._log_if_slow("check"):
+                changes = await self.store.wait_for_changes(self.table, version, 0.0)
         except HistoryLost as exc:
             self.events.emit("watch.history-lost", table=self.table, why=str(exc))
             self._needs_full_read = self.first_read_unverified = True
@@ -393,7 +398,8 @@
         missing_since, max_age = self._missing_bounds()
         requested_at = self.clock()
         self.first_read_unverified = self.first_read_unverified or self.version < 0
-        changes = await self._await_call(self.store.read(self.table))
+        with self._log_if_slow("read"):
+            changes = await self._await_call(self.store.read(self.table))
         if changes.version < self.version:
             # A response older than the copy would remove rows that were added since.
             await asyncio.sleep(self._next_backoff())
@@ -417,7 +423,8 @@
         self._follow_started_at = float("inf") if unconfirmed else requested_at
         follow = self.store.wait_for_changes(self.table, self.version, wait)
         try:
-            changes = await self._await_call(follow)
+            with self._log_if_slow("follow", wait):
+                changes = await self._await_call(follow)
         except HistoryLost:
             self.first_read_unverified = True
             raise
@@ -473,6 +480,29 @@
         finally:
             self._pending_call = None
 
+    @contextlib.contextmanager
+    def _log_if_slow(self, call: str, wait: float = 0.0) -> Iterator[None]:
+        """Log the call within the block if it takes long or is given up late."""
+        started_at = self.clock()
+        outcome, expected_seconds = "given up", 0.0
+        try:
+            yield
+            outcome, expected_seconds = "answered", wait
+        except WasabideckError as exc:
+            outcome = type(exc).__name__
+            raise
+        finally:
+            seconds = self.clock() - started_at
+            if seconds - expected_seconds > SLOW_CALL_SECONDS:
+                self.events.emit(
+                    "store.slow",
+                    table=self.table,
+                    call=call,
+                    outcome=outcome,
+                    seconds=round(seconds, 3),
+                    wait=wait,
+                )
+
     def _apply(self, changes: RowChanges) -> bool:
         """Apply the rows of a response; return whether any was not yet known."""
         newer = [r for r in changes.rows if r.version > self._known_version(r.key)]
