--- a/tests/cluster_state/region_of_entries.py
+++ b/tests/cluster_state/region_of_entries.py
@@ -100,8 +100,9 @@
 class Entry:
     """One entry, with its loops and its inner protocol."""
 
-    def __init__(self, vm, store, seed):
-        self.vm, self.store = vm, store
+    def __init__(self, vm, store, seed, region=REGION, connect=ProcessStore):
+        self.vm, self.store, self.region = vm, store, region
+        self.connect = connect
         self.emitted, self.rng = [], random.Random(seed)
 
     async def start(self):
@@ -112,9 +113,9 @@
         events.listeners.append(
             lambda kind, fields: self.emitted.append((kind, fields))
         )
-        cfg = VMSettings(self.vm, "127.0.0.1", "dc", REGION, 1, StoreSettings(""))
-        self.me = Member(self.vm, ENTRY, "", REGION)
-        self.process_store = ProcessStore(self.store, self.vm)
+        cfg = VMSettings(self.vm, "127.0.0.1", "dc", self.region, 1, StoreSettings(""))
+        self.me = Member(self.vm, ENTRY, "", self.region)
+        self.process_store = self.connect(self.store, self.vm)
         loop = asyncio.get_running_loop()
         self.state_sync = StateSync(
             cfg,
@@ -129,7 +130,7 @@
         self.server = InnerServer([_gated(self)])
         await self.server.start("127.0.0.1", 0)
         port = self.server._server.sockets[0].getsockname()[1]
-        self.me = Member(self.vm, ENTRY, f"127.0.0.1:{port}", REGION)
+        self.me = Member(self.vm, ENTRY, f"127.0.0.1:{port}", self.region)
         self.state_sync.me = self.me
 
     def run(self):
