Check each table beside calls that are pending, at a pace that follows the store

Cause: one call followed the other. A change that one response just missed came a whole response later, after a pause; a check was cancelled as soon as an earlier one was answered, or after half the disturbance hold; and a call that a peer's word showed to be behind was cancelled after 0.8 s, though a slow store's response was on its way. The server list had no checks of its own and lost its call with each finding about the other table.

Change: checks begin one interval after each other and do not wait for responses. The interval leaves a quarter of the deadline beside the time that the store takes now; where the store takes longer than the deadline, it is a tenth of the disturbance hold or an eighth of the response time. So a change is known one interval after the store's own delay, whatever that is. A check ends when a later one is answered. A peer's word leads to a check, not to a cancelled call. The server list has its own checks.

Why it works: no limit is left that a late response can exceed; what a lost response delays is one interval.

--- a/packages/wasabideck_base/wasabideck_base/staleness_checks.py
+++ b/packages/wasabideck_base/wasabideck_base/staleness_checks.py
@@ -1,11 +1,11 @@
-"""Checks of the store while a process's knowledge of the operators' table is old."""
+"""Checks of the store while a process's copy of a table is old."""
 
 from __future__ import annotations
 
 import asyncio
 import contextlib
 import random
-from collections.abc import Callable, Iterable
+from collections.abc import Callable
 
 from attrs import define, field, frozen
 
@@ -17,22 +17,27 @@
 
 # Fractions of the time for which a VM counts as disturbed after a disturbance: the
 # staleness that leads to a check, the first and the longest interval between checks
-# without a response, and the time without data after which a check has failed.
+# without a response, and the time without data after which the store does not respond.
 MAX_STALENESS_RATIO = 0.45
 FIRST_INTERVAL_RATIO = 0.1
 MAX_INTERVAL_RATIO = 0.3
 TIMEOUT_RATIO = 0.5
-# The same staleness as a fraction of the time within which a configuration has to be in
-# effect: the rest is for the check.
+# The same staleness, the store's response included, as a fraction of the time within
+# which a change has to be in effect.
 MAX_STALENESS_DEADLINE_RATIO = 0.75
+# Checks that wait for a slow store at the same time, as long as the interval between
+# them stays below the longest one.
+MAX_PENDING_CHECKS = 8
+# A check that takes this many times as long as the last ones may have been made on an
+# unresponsive connection.
+LATE_RATIO = 1.5
 # Idle connections that the pool may offer to a check although they have become
 # unresponsive: that of the last check, and that of another call.
 MAX_IDLE_CONNECTIONS = 2
 # Minimum fraction of an interval: entries that lose the store at the same moment do not
 # check at the same moment.
 MIN_JITTER = 0.75
-
-# Minimum wait until knowledge is old: what is left may be less than a clock resolves.
+# Minimum wait until a check is due: what is left may be less than a clock resolves.
 MIN_WAIT_SECONDS = 0.001
 
 
@@ -42,39 +47,51 @@
 
     Attributes
     ----------
+    deadline : float
+        Time within which a change has to be in effect.
     max_staleness : float
-        Staleness at which the store is checked.
+        Staleness at which a store that responds at once is checked.
     first_interval, max_interval : float
         Interval between checks without a response; it doubles with each one.
     timeout : float
-        Time without data after which a check has failed.
+        Time without data after which the store counts as unresponsive.
     """
 
+    deadline: float
     max_staleness: float
     first_interval: float
     max_interval: float
     timeout: float
 
     @classmethod
-    def from_limits(cls, limits: DeploymentLimits) -> CheckTimes:
-        """Return the times for a deployment."""
+    def from_limits(cls, limits: DeploymentLimits, deadline: float) -> CheckTimes:
+        """Return the times for a table whose changes have a deadline."""
         hold = limits.disturbance_hold_seconds
-        deadline = limits.configuration_deadline_seconds
         return cls(
+            deadline,
             min(MAX_STALENESS_RATIO * hold, MAX_STALENESS_DEADLINE_RATIO * deadline),
             FIRST_INTERVAL_RATIO * hold,
             MAX_INTERVAL_RATIO * hold,
             TIMEOUT_RATIO * hold,
         )
 
+    def interval(self, response_seconds: float) -> float:
+        """Return the interval between checks of a store that responds this slowly.
+
+        A change is known one interval and one response after it was written, however
+        long a response takes: checks do not wait for each other.
+        """
+        spare = MAX_STALENESS_DEADLINE_RATIO * self.deadline - response_seconds
+        shortest = min(response_seconds / MAX_PENDING_CHECKS, self.max_interval)
+        return max(self.first_interval, shortest, min(self.max_staleness, spare))
+
     def seconds_until_current(self, response_seconds: float) -> float:
         """Return how long after its path is back a process may still be behind.
 
         After a long disturbance a check follows within ``max_interval``; a table whose
         own calls fail waits up to ``MAX_BACKOFF_SECONDS`` more. After a short one the
         first check is due within ``max_staleness``, and each idle connection that
-        became unresponsive costs one interval. The check's response brings the checked
-        table, and those of the calls that are then made again bring the others.
+        became unresponsive costs one interval.
 
         Parameters
         ----------
@@ -92,135 +109,149 @@
 
 @define
 class StalenessChecks:
-    """Checks the store by short calls while a process's knowledge is old.
+    """Checks the store by short calls while a process's copy of a table is old.
 
     A pending call looks the same while nothing changes and while its connection is
-    unresponsive. A check is made on another connection, and is answered at once.
+    unresponsive, and a change that it just misses waits for the next one. A check is
+    made beside it, and beside earlier checks, on another connection. It is given up
+    only when a later one has been answered.
 
     Attributes
     ----------
     watch : TableWatch
         The table that is checked.
-    others : iterable of TableWatch
-        Tables whose pending calls are dropped as well when the store responds again.
     staleness : callable
         Maximum age in seconds of rows that are missing here, whoever reported them.
     """
 
     watch: TableWatch
-    others: Iterable[TableWatch]
     times: CheckTimes
     staleness: Callable[[float], float]
     clock: Callable[[], float]
     rng: random.Random
+    _pending: dict[float, asyncio.Task] = field(factory=dict)
+    _started_at: float = float("-inf")
+    _backoff: float = field(init=False)
+    _jitter: float = 1.0
     _failed: bool = False
-    _responded: asyncio.Event = field(factory=asyncio.Event)
-    _checks: dict[float, asyncio.Task] = field(factory=dict)
+    _behind: bool = False
+    _data_arrived_at: float = float("-inf")
+    _received_bytes: int = 0
+    _due_changed: asyncio.Event = field(factory=asyncio.Event)
+
+    def __attrs_post_init__(self) -> None:
+        """Have the watch ask for a check when a peer knows more."""
+        self._backoff = self.times.first_interval
+        self.watch.on_behind = self._note_behind
 
     async def run(self) -> None:
-        """Check whenever knowledge is old, until cancelled."""
-        while True:
-            bound = self.times.max_staleness * self._jitter()
-            await self._wait_until_stale(bound)
-            try:
-                await self._check_until_current(bound)
-            finally:
-                for task in self._checks.values():
-                    task.cancel()
-                self._checks.clear()
-            # A response that took longer than the bound must not lead to the next
-            # check at once.
-            await asyncio.sleep(self.times.first_interval)
-
-    async def _wait_until_stale(self, bound: float) -> None:
-        while True:
-            remaining = self.times.first_interval
-            if self.watch.version >= 0:
-                remaining = bound - self.staleness(self.clock())
-            if remaining <= 0.0:
-                return
-            await asyncio.sleep(max(remaining, MIN_WAIT_SECONDS))
-
-    async def _check_until_current(self, bound: float) -> None:
-        """Make further checks beside those without a response, until there is one."""
-        self._failed = False
-        self._responded.clear()
-        began_at = self.clock()
-        interval = self.times.first_interval
-        while not self._is_current(bound):
-            if self.watch.is_retrying(self.clock(), self.times.first_interval):
-                # The table's own calls show the same, as long as they fail at once.
-                self._failed = True
-                await self._wait_for_response(self.times.first_interval)
-                continue
-            started_at = self.clock()
-            self._checks[started_at] = asyncio.create_task(self._check(started_at))
-            await self._wait_for_response(interval * self._jitter())
-            interval = min(2 * interval, self.times.max_interval)
-        if self._failed or self._has_silent_check(self.clock()):
-            # The table's own call was answered, a peer told more, or another entry now
-            # follows it.
-            for watch in (self.watch, *self.others):
-                if watch.last_response_at < began_at:
-                    watch.drop_call(self.clock())
-
-    def _has_silent_check(self, now: float) -> bool:
-        return any(
-            now - started_at >= self.times.first_interval for started_at in self._checks
-        )
+        """Check whenever the copy is old, until cancelled."""
+        try:
+            while True:
+                now = self.clock()
+                self._note_data(now)
+                self._note_silence(now)
+                remaining = self._seconds_until_due(now)
+                if remaining <= 0.0:
+                    self._start(now)
+                else:
+                    await self._wait(remaining)
+        finally:
+            for check in self._pending.values():
+                check.cancel()
 
-    def _is_current(self, bound: float) -> bool:
-        return self._responded.is_set() or (
-            not self.watch.failing and self.staleness(self.clock()) <= bound
-        )
+    async def _wait(self, seconds: float) -> None:
+        """Wait until a check may be due, or a pending one may be late."""
+        if self._pending or self.watch.version < 0:
+            seconds = min(seconds, self.times.first_interval)
+        self._due_changed.clear()
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(max(seconds, MIN_WAIT_SECONDS)):
+                await self._due_changed.wait()
+
+    def _seconds_until_due(self, now: float) -> float:
+        """Return the time until the next check; none is left if it is due."""
+        if self.watch.version < 0:
+            return self.times.first_interval
+        if self.watch.is_retrying(now, self.times.first_interval):
+            # The table's own calls show the same, as long as they fail at once.
+            return self.times.first_interval
+        interval = self.times.interval(self.watch.response_seconds) * self._jitter
+        until_stale = interval - self.staleness(now)
+        if self._is_late(now) or self._failed:
+            interval = self._backoff * self._jitter
+        elif self._behind and not self._pending:
+            interval = self.times.first_interval
+        if self._behind or self.watch.failing:
+            until_stale = 0.0
+        elif self._is_late(now) and until_stale > 0.0:
+            # A peer told more, or another entry now follows the table.
+            self.watch.drop_call(min(self._pending))
+        since = self._started_at
+        if self._pending:
+            since = max(since, self._data_arrived_at)
+        return max(until_stale, since + interval - now)
 
-    async def _wait_for_response(self, seconds: float) -> None:
-        """Wait for a check's response, or until no data arrived for ``seconds``."""
-        while True:
-            received = self._received_bytes()
-            with contextlib.suppress(TimeoutError):
-                async with asyncio.timeout(seconds):
-                    await self._responded.wait()
-            if self._responded.is_set() or self._received_bytes() == received:
-                return
+    def _start(self, now: float) -> None:
+        """Start a check beside those that are pending."""
+        if self._is_late(now) or self._failed:
+            self._backoff = min(2 * self._backoff, self.times.max_interval)
+        self._started_at = now
+        self._jitter = self.rng.uniform(MIN_JITTER, 1.0)
+        self._behind = False
+        self._pending[now] = asyncio.create_task(self._check(now))
 
     async def _check(self, started_at: float) -> None:
         try:
-            newer = await self._call_while_data_arrives()
+            newer = await self.watch.check()
         except (PlatformUnavailable, PlatformRefused) as exc:
             self._failed = True
             self.watch.record_failed_check(exc)
-            return
+        else:
+            self._note_response(started_at, newer)
         finally:
-            self._checks.pop(started_at, None)
-        # An earlier check without a response was made on an unresponsive connection.
-        outrun = any(earlier < started_at for earlier in self._checks)
-        if self._failed or newer or outrun:
-            for watch in (self.watch, *self.others):
-                watch.drop_call(started_at)
+            self._pending.pop(started_at, None)
+            self._due_changed.set()
+
+    def _note_response(self, started_at: float, newer: bool) -> None:
+        """Give up what a check has overtaken; its connection may be unresponsive."""
+        now = self.clock()
+        overtaken = [at for at in self._pending if at < started_at]
+        silent = [at for at in overtaken if self._is_late_since(at, now)]
+        for at in overtaken:
+            self._pending[at].cancel()
+        if newer or silent or self._failed:
+            self.watch.drop_call(started_at)
+        if silent:
+            self.watch.on_recovery(now - min(silent))
         self._failed = False
-        self._responded.set()
+        self._backoff = self.times.first_interval
 
-    async def _call_while_data_arrives(self) -> bool:
-        """Return the response to a check, or cancel the call when no data arrives.
+    def _note_behind(self) -> None:
+        self._behind = True
+        self._due_changed.set()
 
-        Over a full link an empty response may wait behind a large one for the table.
-        """
-        call = asyncio.ensure_future(self.watch.check())
-        try:
-            while True:
-                received = self._received_bytes()
-                await asyncio.wait({call}, timeout=self.times.timeout)
-                if call.done():
-                    return call.result()
-                if self._received_bytes() == received:
-                    table = self.watch.table
-                    raise PlatformUnavailable(table, "no data received", False)
-        finally:
-            call.cancel()
+    def _note_data(self, now: float) -> None:
+        received = self.watch.store.received_bytes(self.watch.table)
+        if received != self._received_bytes:
+            self._received_bytes, self._data_arrived_at = received, now
 
-    def _received_bytes(self) -> int:
-        return self.watch.store.received_bytes(self.watch.table)
+    def _note_silence(self, now: float) -> None:
+        """Have the store count as unresponsive when a check has waited for long."""
+        since = max(min(self._pending, default=now), self._data_arrived_at)
+        longest = max(self.times.timeout, LATE_RATIO * self.watch.response_seconds)
+        if now - since >= longest:
+            self.watch.record_failed_check(
+                PlatformUnavailable(self.watch.table, "no data received", False)
+            )
 
-    def _jitter(self) -> float:
-        return self.rng.uniform(MIN_JITTER, 1.0)
+    def _is_late(self, now: float) -> bool:
+        """Whether a pending check may have been made on an unresponsive connection."""
+        return bool(self._pending) and self._is_late_since(min(self._pending), now)
+
+    def _is_late_since(self, started_at: float, now: float) -> bool:
+        waited = now - max(started_at, self._data_arrived_at)
+        return waited >= max(
+            MIN_JITTER * self.times.first_interval,
+            LATE_RATIO * self.watch.response_seconds,
+        )
--- a/packages/wasabideck_base/wasabideck_base/state_sync.py
+++ b/packages/wasabideck_base/wasabideck_base/state_sync.py
@@ -230,19 +230,31 @@
             loops.append(self.gossip.part_gossip.run_pushes())
             loops.append(self.part_store.run_loading())
             loops.append(self.part_store.run_publishing())
-            loops.append(self._checks().run())
+            loops += [checks.run() for checks in self._checks()]
             return [*loops, self.readers.run(), self.server_watch.run()]
         return [*loops, self._run_fallback_reads(), self.confirmation.run()]
 
-    def _checks(self) -> StalenessChecks:
-        return StalenessChecks(
-            self.operator_watch,
-            [self.server_watch],
-            CheckTimes.from_limits(self.cfg.limits),
+    def _checks(self) -> list[StalenessChecks]:
+        """Return the checks of the operators' table and of the server list."""
+        limits = self.cfg.limits
+        deadlines = (limits.configuration_deadline_seconds, limits.drain_seconds)
+        watches = (self.operator_watch, self.server_watch)
+        staleness = (
             self.cluster_state.staleness,
-            self.clock,
-            self.rng,
+            lambda now: now - self.server_watch.complete_until,
         )
+        return [
+            StalenessChecks(
+                watch,
+                CheckTimes.from_limits(limits, deadline),
+                table_staleness,
+                self.clock,
+                self.rng,
+            )
+            for watch, deadline, table_staleness in zip(
+                watches, deadlines, staleness, strict=True
+            )
+        ]
 
     def _parts_publishing_rank(self) -> int:
         """Return the rank of this entry among all that publish quarantined parts."""
--- a/packages/wasabideck_base/wasabideck_base/table_watch.py
+++ b/packages/wasabideck_base/wasabideck_base/table_watch.py
@@ -35,8 +35,12 @@
 # Time allowed for a newer row that a peer knows to arrive here: the response that
 # brought it to the peer should have arrived here as well.
 STALLED_CALL_SECONDS = 0.8
-# A response later than this was held by the store until something changed.
+# A response later than this, beside the time that the store takes for one, was held by
+# the store until something changed.
 HELD_RESPONSE_SECONDS = 0.5
+# Fraction of the longest recent response time that is kept at each response: one
+# response that was delayed on its way says little about the store.
+RESPONSE_TIME_DECAY = 0.5
 # Minimum age of a response, its transit included, where the store does not report when
 # it responded.
 MIN_TRANSIT_SECONDS = 0.1
@@ -109,6 +113,8 @@
         Called with a time up to which the copy is complete, seconds.
     on_recovery : callable
         Called with the length in seconds of an outage of the store, at its end.
+    on_behind : callable
+        Called when a row that a peer knows stays missing here.
     prefers_full_read : bool
         Whether the whole table is small, and its rows are large and change often.
     version : int
@@ -119,6 +125,8 @@
         When the store sent its newest response, seconds.
     last_response_at : float
         When that response arrived here, seconds.
+    response_seconds : float
+        Time that the store takes for a response which it does not hold.
     wait_seconds : float
         Maximum time for which the store may hold a response.
     settle_seconds : float
@@ -142,6 +150,7 @@
     rng: random.Random
     prefers_full_read: bool = False
     on_complete: Callable[[float], None] = lambda until: None
+    on_behind: Callable[[], None] = lambda: None
     version: int = -1
     newest: int = 0
     _changed_at: float = float("-inf")
@@ -149,6 +158,7 @@
     _min_clock_offset: float = float("inf")
     _clock_offset_at: float = float("-inf")
     last_response_at: float = float("-inf")
+    response_seconds: float = 0.0
     wait_seconds: float = LONG_POLL_SECONDS
     settle_seconds: float = SETTLE_SECONDS
     written_since: float = float("inf")
@@ -232,7 +242,11 @@
             return False
         if changes.version < version:
             raise PlatformUnavailable(self.table, "stale response", False)
+        self._note_response_time(requested_at)
         responded_at = self._record_response(changes, requested_at)
+        if changes.version < self.version:
+            # The response to a later call was faster.
+            return False
         self.written_since = max(missing_since, responded_at - max_age)
         newer = self._apply(changes)
         # How long an answer travelled is known only against a faster one.
@@ -308,8 +322,9 @@
     def note_newer_row(self, newest: int) -> None:
         """Record that a peer knows a newer row: the current call may be unresponsive.
 
-        A call whose response is arriving continues: over a full link a response takes
-        seconds, and a new call would transfer all of it again.
+        A check then tells whether it is. A call whose response is arriving continues:
+        over a full link a response takes seconds, and a new call would transfer all of
+        it again.
         """
         now, received = self.clock(), self.store.received_bytes(self.table)
         if newest <= self._reflected_version:
@@ -319,13 +334,10 @@
             self._missing_row = _MissingRow(newest, now, now, received)
         elif received > missing.received_bytes:
             missing.idle_since, missing.received_bytes = now, received
-        elif (
-            now - missing.idle_since >= STALLED_CALL_SECONDS
-            and self._pending_call is not None
-        ):
+        elif now - missing.idle_since >= STALLED_CALL_SECONDS:
             self.events.emit("watch.behind", table=self.table, peer=newest)
-            self._missing_row = None
-            self._pending_call.cancel()
+            missing.idle_since = now
+            self.on_behind()
 
     def is_lagging(self, now: float, seconds: float) -> bool:
         """Whether a row that a peer knows has been missing here for ``seconds``."""
@@ -336,8 +348,9 @@
 
     def missing_since(self, now: float) -> float:
         """Return the earliest time at which rows missing here may have been written."""
-        if HELD_RESPONSE_SECONDS < now - self._follow_started_at <= self.wait_seconds:
-            return now - MIN_TRANSIT_SECONDS
+        waited = now - self._follow_started_at
+        if self._min_held_seconds < waited <= self.wait_seconds:
+            return now - MIN_TRANSIT_SECONDS - self.response_seconds
         return max(self._complete_until, self._adopted_complete_until)
 
     def position(self, now: float) -> TablePosition | None:
@@ -356,11 +369,21 @@
         if (
             self.failing
             or self.first_read_unverified
-            or now - last_activity_at > self.wait_seconds + RESPONSE_GRACE_SECONDS
+            or now - last_activity_at > self.wait_seconds + self._response_grace
         ):
             return None
         return TablePosition(self.version, now - self.missing_since(now))
 
+    @property
+    def _min_held_seconds(self) -> float:
+        """Time after which a call that the store has not answered is held by it."""
+        return HELD_RESPONSE_SECONDS + self.response_seconds
+
+    @property
+    def _response_grace(self) -> float:
+        """Time for a response after the store has stopped holding it."""
+        return RESPONSE_GRACE_SECONDS + self.response_seconds
+
     def adopt_position(
         self, peer: TablePosition, newest: int, requested_at: float
     ) -> None:
@@ -421,7 +444,8 @@
         unconfirmed = self._failures > 0 or self._wants_confirmation
         wait = 0.0 if unconfirmed else self.wait_seconds
         self._follow_started_at = float("inf") if unconfirmed else requested_at
-        follow = self.store.wait_for_changes(self.table, self.version, wait)
+        version = self.version
+        follow = self.store.wait_for_changes(self.table, version, wait)
         try:
             with self._log_if_slow("follow", wait):
                 changes = await self._await_call(follow)
@@ -430,12 +454,17 @@
             raise
         finally:
             self._follow_started_at = float("inf")
-        if changes.version < self.version:
+        if changes.version < version:
             await asyncio.sleep(self._next_backoff())
             return
+        if not wait:
+            self._note_response_time(requested_at)
         responded_at = self._record_response(changes, requested_at)
         self._wants_confirmation = False
-        if HELD_RESPONSE_SECONDS < responded_at - requested_at <= wait:
+        if changes.version < self.version:
+            # A check was faster, and brought more.
+            return
+        if self._min_held_seconds < responded_at - requested_at <= wait:
             missing_since = responded_at - MIN_TRANSIT_SECONDS
             self.first_read_unverified = False
         self.written_since = max(missing_since, responded_at - max_age)
@@ -529,6 +558,12 @@
         self._complete_until = max(self._complete_until, until)
         self.on_complete(self.complete_until)
 
+    def _note_response_time(self, requested_at: float) -> None:
+        """Record how long a response took that the store did not hold."""
+        self.response_seconds = max(
+            self.clock() - requested_at, RESPONSE_TIME_DECAY * self.response_seconds
+        )
+
     def _record_response(self, changes: RowChanges, requested_at: float) -> float:
         """Record a response; return when the store sent it, seconds."""
         self.last_response_at = self.clock()
