--- a/packages/wasabideck_agent/wasabideck_agent/delivery_log.py
+++ b/packages/wasabideck_agent/wasabideck_agent/delivery_log.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import reprlib
+
 import orjson
 from attrs import asdict, define, field, fields
 from wasabideck_base.rows import Row, RowStore, RowWrite, WriteConflict
@@ -21,7 +23,9 @@
     status = 400
 
     def __init__(self, key: str, name: str, value: object):
-        super().__init__(f"{DELIVERIES_TABLE}/{key}: {name} = {value!r}"[:300])
+        # A value that is nested deeply has no plain representation.
+        text = reprlib.repr(value)
+        super().__init__(f"{DELIVERIES_TABLE}/{key}: {name} = {text}"[:300])
         self.key = key
         self.field = name
         self.value = value
--- a/packages/wasabideck_base/wasabideck_base/declaration_times.py
+++ b/packages/wasabideck_base/wasabideck_base/declaration_times.py
@@ -18,12 +18,14 @@
 from wasabideck_policy.outcomes import WasabideckError
 
 from .events import Events
-from .http_responses import PlatformRefused, PlatformUnavailable
+from .http_responses import MALFORMED_DATA, PlatformRefused, PlatformUnavailable
 from .rows import Row, RowChanges, RowStore, RowWrite, WriteConflict
 
 __all__ = ["TIMES_TABLE", "MalformedDates", "DeclarationTimes", "declaration_times_of"]
 
 TIMES_TABLE = "wasabideck-version-dates"
+# Largest version that a message between processes holds.
+MAX_VERSION = (1 << 53) - 1
 # Version of a row that does not exist.
 ABSENT_VERSION = 0
 # The longer a response takes, the more a version's age is overestimated: a read that
@@ -53,10 +55,12 @@
     """Return times by version in the store's clock; raises ``MalformedDates``."""
     try:
         times = {int(n): float(at) for n, at in orjson.loads(row.value).items()}
-    except (ValueError, TypeError, AttributeError) as exc:
+    except MALFORMED_DATA as exc:
         raise MalformedDates(row) from exc
     if not all(map(math.isfinite, times.values())):
         raise MalformedDates(row)
+    if not all(0 <= number <= MAX_VERSION for number in times):
+        raise MalformedDates(row)
     return times
 
 
--- a/packages/wasabideck_base/wasabideck_base/http_responses.py
+++ b/packages/wasabideck_base/wasabideck_base/http_responses.py
@@ -8,6 +8,7 @@
 from wasabideck_policy.outcomes import WasabideckError
 
 __all__ = [
+    "MALFORMED_DATA",
     "PlatformNonsense",
     "PlatformRefused",
     "PlatformUnavailable",
@@ -17,6 +18,16 @@
 
 T = TypeVar("T")
 
+# Errors of a parser that meets data of another type, range or depth than it expects.
+MALFORMED_DATA = (
+    TypeError,
+    ValueError,
+    LookupError,
+    AttributeError,
+    ArithmeticError,
+    RecursionError,
+)
+
 
 class PlatformUnavailable(WasabideckError):
     """A service of the platform sent no response.
@@ -60,7 +71,7 @@
     """Return ``parse(value)``; raise ``PlatformNonsense`` if the value is malformed."""
     try:
         return parse(value)
-    except (TypeError, ValueError, LookupError, AttributeError) as exc:
+    except (*MALFORMED_DATA, WasabideckError) as exc:
         raise PlatformNonsense(url, f"{type(exc).__name__}: {exc}"[:200]) from exc
 
 
--- a/packages/wasabideck_base/wasabideck_base/members.py
+++ b/packages/wasabideck_base/wasabideck_base/members.py
@@ -2,12 +2,16 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterator
+
 import orjson
 from attrs import define, field
+from eliot import log_message
 from wasabideck_policy.membership import Member
 
 from .http_client import HttpClient
-from .http_responses import parse_response
+from .http_responses import MALFORMED_DATA, parse_response
+from .member_rows import member_of
 
 __all__ = ["MemberListClient"]
 
@@ -61,4 +65,17 @@
 
 
 def _parse_members(body: bytes) -> list[Member]:
-    return [Member(**row) for row in orjson.loads(body)]
+    entries = orjson.loads(body)
+    members = list(_well_formed_members(entries))
+    if entries and not members:
+        raise ValueError("not a list of members")
+    return members
+
+
+def _well_formed_members(entries: list) -> Iterator[Member]:
+    for entry in entries:
+        try:
+            yield member_of(entry)
+        except MALFORMED_DATA as exc:
+            why = f"{MEMBERS_PATH}: {exc}"[:300]
+            log_message(message_type="row.unreadable", why=why)
--- a/packages/wasabideck_base/wasabideck_base/part_quarantine_store.py
+++ b/packages/wasabideck_base/wasabideck_base/part_quarantine_store.py
@@ -22,7 +22,7 @@
 from wasabideck_policy.suspect_parts import PartCrash, SuspectPart
 
 from .events import Events
-from .http_responses import PlatformRefused, PlatformUnavailable
+from .http_responses import MALFORMED_DATA, PlatformRefused, PlatformUnavailable
 from .rows import Row, RowStore, RowWrite, WriteConflict
 
 __all__ = [
@@ -162,7 +162,7 @@
             _number(data["refuted_round"]),
         )
         part = _text(data["part"])
-    except (LookupError, ValueError, TypeError, AttributeError) as exc:
+    except MALFORMED_DATA as exc:
         raise MalformedPart(row, f"{type(exc).__name__}: {exc}") from exc
     if not crashes:
         raise MalformedPart(row, "no evidence")
