Skip odd rows of the product's own table, with a typed failure for each

A claim or ticket that another writer left raised a TypeError or KeyError: a list of tickets, or an agent that follows the table, ended with one odd row. Lists skip and log it, single reads fail as for a malformed response.

--- a/packages/wasabideck_agent/wasabideck_agent/claim_store.py
+++ b/packages/wasabideck_agent/wasabideck_agent/claim_store.py
@@ -6,7 +6,12 @@
 import base64
 
 from attrs import asdict, define, evolve, field
-from wasabideck_base.claim_rows import CLAIMS_TABLE, conditional_claim_write, read_claim
+from wasabideck_base.claim_rows import (
+    CLAIMS_TABLE,
+    claim_of,
+    conditional_claim_write,
+    read_claim,
+)
 from wasabideck_base.events import Events
 from wasabideck_base.http_responses import PlatformUnavailable
 from wasabideck_base.table import Check, CheckFailed, Table, Write
@@ -146,7 +151,7 @@
             return await self._resolve_lost_write(claim, found, exc)
         if failed is None:
             return Decision("run", claim)
-        return decide(claim, Claim(**failed.found))
+        return decide(claim, claim_of(failed.found))
 
     async def _resolve_lost_write(
         self, claim: Claim, found: Claim | None, lost: PlatformUnavailable
@@ -161,7 +166,7 @@
                 barred = await self._put(found, as_released(claim))
                 now = next_row(found, as_released(claim))
                 if barred is not None:
-                    now = Claim(**barred.found)
+                    now = claim_of(barred.found)
         except PlatformUnavailable as exc:
             raise ClaimUnresolved(exc.url, str(exc)) from lost
         return decide(claim, now)
--- a/packages/wasabideck_base/wasabideck_base/ticket_store.py
+++ b/packages/wasabideck_base/wasabideck_base/ticket_store.py
@@ -3,8 +3,11 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable, Iterable, Iterator
+from typing import TypeVar
 
 from attrs import asdict, evolve, frozen
+from eliot import log_message
 from wasabideck_policy.outcomes import WasabideckError
 from wasabideck_policy.tickets import (
     Assignment,
@@ -16,7 +19,7 @@
     ticket_digest,
 )
 
-from .http_responses import PlatformUnavailable
+from .http_responses import PlatformNonsense, PlatformUnavailable, parse_response
 from .table import Check, Table, Write
 
 __all__ = [
@@ -33,6 +36,8 @@
     "resolve_acceptance",
 ]
 
+T = TypeVar("T")
+
 HEAD = "head"
 TICKETS_TABLE = "tickets"
 STATE_TABLE = "state"
@@ -212,9 +217,10 @@
 
 def _accepted_from_row(row: dict, ticket: Ticket) -> AcceptedTicket:
     """Return a row's accepted ticket; raises ``TicketConflict`` if contents differ."""
-    if row["digest"] != ticket_digest(ticket):
+    accepted = parse_response(TICKETS_TABLE, row, _listed_ticket)
+    if row.get("digest") != ticket_digest(ticket):
         raise TicketConflict(ticket.number)
-    return AcceptedTicket(_ticket_from_row(row), row["sequence"], already_accepted=True)
+    return evolve(accepted, already_accepted=True)
 
 
 async def _read_holders(table: Table, ticket: Ticket) -> dict[Key, int]:
@@ -304,22 +310,38 @@
 async def read_changes(table: Table, above: int) -> list[Assignment]:
     """Return the newest change of each key that changed after a sequence."""
     rows = await table.scan(STATE_TABLE, above=above)
-    return [
-        Assignment(row["ticket"], Change(**row["change"]), row["sequence"])
-        for _, row in rows
-    ]
+    return list(_well_formed(STATE_TABLE, _assignment_from_row, rows))
 
 
 async def read_ticket(table: Table, number: int) -> AcceptedTicket | None:
     """Return an accepted ticket, or None."""
     row = await table.get(TICKETS_TABLE, _row_key(number))
-    return AcceptedTicket(_ticket_from_row(row), row["sequence"]) if row else None
+    return parse_response(TICKETS_TABLE, row, _listed_ticket) if row else None
 
 
 async def list_tickets(table: Table) -> list[AcceptedTicket]:
     """Return all accepted tickets, ordered by number."""
     rows = await table.scan(TICKETS_TABLE)
-    return [AcceptedTicket(_ticket_from_row(row), row["sequence"]) for _, row in rows]
+    return list(_well_formed(TICKETS_TABLE, _listed_ticket, rows))
+
+
+def _well_formed(
+    table: str, parse: Callable[[dict], T], rows: Iterable[tuple[str, dict]]
+) -> Iterator[T]:
+    """Return what well-formed rows hold; another writer's row is logged and skipped."""
+    for key, row in rows:
+        try:
+            yield parse_response(f"{table}/{key}", row, parse)
+        except PlatformNonsense as exc:
+            log_message(message_type="row.unreadable", why=str(exc))
+
+
+def _assignment_from_row(row: dict) -> Assignment:
+    return Assignment(row["ticket"], Change(**row["change"]), row["sequence"])
+
+
+def _listed_ticket(row: dict) -> AcceptedTicket:
+    return AcceptedTicket(_ticket_from_row(row), row["sequence"])
 
 
 def _row_key(number: int) -> str:
