Look up declaration times beside a slow store

A process that begins looks up when versions were declared, and treats the newest one as expired until it knows: it serves nothing meanwhile unless a peer tells. The lookup was given up after 0.5 s, so that a store which takes longer was never heard. Now it is made again beside the pending one after 0.5, 1, 2 s; the first response counts, by its own request. Both cases of test_late_answer_of_a_slow_store_is_used failed before.

--- a/packages/wasabideck_base/wasabideck_base/declaration_times.py
+++ b/packages/wasabideck_base/wasabideck_base/declaration_times.py
@@ -29,8 +29,8 @@
 # Version of a row that does not exist.
 ABSENT_VERSION = 0
 # The longer a response takes, the more a version's age is overestimated: a read that
-# takes longer than this is repeated.
-READ_TIMEOUT_SECONDS = 0.5
+# takes longer than this is repeated beside the pending one, ever later.
+FIRST_REPEAT_SECONDS = 0.5
 # First and maximum backoff between attempts.
 FIRST_BACKOFF_SECONDS = 0.2
 MAX_BACKOFF_SECONDS = 3.0
@@ -165,9 +165,7 @@
 
     async def _read(self) -> tuple[dict[str, Row], float]:
         """Return rows by model, and the minimum offset of the store's clock."""
-        requested_at = self.clock()
-        async with asyncio.timeout(READ_TIMEOUT_SECONDS):
-            changes = await self.store.read(TIMES_TABLE)
+        requested_at, changes = await self._first_response()
         if changes.store_responded_at is None:
             raise PlatformUnavailable(TIMES_TABLE, "no time in the answer", False)
         min_offset = changes.store_responded_at - self.clock()
@@ -176,6 +174,25 @@
         rows = {row.key: row for row in changes.rows}
         return rows, min_offset
 
+    async def _first_response(self) -> tuple[float, RowChanges]:
+        """Return the first response, and when its read was requested."""
+        reads: dict[asyncio.Task, float] = {}
+        interval = FIRST_REPEAT_SECONDS
+        try:
+            while True:
+                read = asyncio.ensure_future(self.store.read(TIMES_TABLE))
+                reads[read] = self.clock()
+                done, _ = await asyncio.wait(
+                    reads, timeout=interval, return_when=asyncio.FIRST_COMPLETED
+                )
+                if done:
+                    newest = max(done, key=lambda task: reads[task])
+                    return reads[newest], newest.result()
+                interval *= 2
+        finally:
+            for read in reads:
+                read.cancel()
+
     def _apply_times(
         self, changes: RowChanges, min_offset: float, max_offset: float
     ) -> None:
--- a/tests/cluster_state/test_declaration_times.py
+++ b/tests/cluster_state/test_declaration_times.py
@@ -197,6 +197,26 @@
     assert started.min_version() == 0
 
 
+@pytest.mark.parametrize("seconds", [0.7, 1.2])
+def test_late_answer_of_a_slow_store_is_used(store, clock, seconds):
+    # Guards against a process that counts the newest version as expired, and refuses
+    # requests, for as long as the store takes longer for an answer than it waits.
+    publisher = Process(store, clock)
+    publisher.record_declared(2)
+    publisher.run()
+    started = Process(store, clock)
+    started.record_unknown_time(2)
+    read = store.read
+
+    async def slow(table):
+        await asyncio.sleep(seconds)
+        return await read(table)
+
+    store.read = slow
+    started.run(seconds + 0.3)
+    assert started.min_version() == 0
+
+
 def test_version_without_published_time_is_in_effect(store, clock):
     # Guards against underestimating the age of a version whose time was never
     # published.
