Have an entry that acts on unconfirmed declarations read the table in time

What callers would see: requests on expired weights and by an old configuration, at an entry that begins beside peers that were cut off, in regions of ten entries and more. Cause: followers leave the first read to others for up to 10 s, whether or not anyone confirms what they were told. Now that delay ends within the time in which a configuration has to be in effect, the entries spread over its second half; entries that were told nothing, or that somebody confirms, wait as before, so that a restart of all reads no more at once.

--- a/packages/wasabideck_base/wasabideck_base/region_readers.py
+++ b/packages/wasabideck_base/wasabideck_base/region_readers.py
@@ -14,7 +14,7 @@
     READERS_PER_REGION,
     RegionReaderView,
 )
-from wasabideck_policy.startup_stagger import read_delay
+from wasabideck_policy.startup_stagger import MAX_READ_DELAY_SECONDS, read_delay
 
 from .events import Events
 from .gossip import Gossip
@@ -38,6 +38,10 @@
 # them what the table holds.
 MEMBERS_WAIT_SECONDS = 0.5
 FIRST_READ_DELAY_SECONDS = 1.0
+# Part of the time within which a change has to be in effect after which the first of
+# the entries reads the table that act on what nobody has confirmed; the last one reads
+# at its end.
+UNCONFIRMED_READ_RATIO = 0.5
 # Minimum wait of a reader's call.
 MIN_LONG_POLL_SECONDS = 0.3
 
@@ -52,6 +56,8 @@
         The table; it is read whole once in any case.
     in_effect_seconds : float
         Time after its confirmation within which a change has to be in effect.
+    acts_unconfirmed : callable
+        Whether this entry acts on declarations of peers that may be outdated.
     """
 
     readers: RegionReaderView
@@ -61,6 +67,7 @@
     clock: Callable[[], float]
     rng: random.Random
     in_effect_seconds: float = 2.0
+    acts_unconfirmed: Callable[[float], bool] = lambda now: False
     _watch_task: asyncio.Task | None = None
     _polls: dict[str, asyncio.Task] = field(factory=dict)
     _pushes: set[asyncio.Task] = field(factory=set)
@@ -133,9 +140,20 @@
         nearby = {m.vm for m in members if m.kind == ENTRY and m.region == region}
         if len(nearby) < MIN_ENTRIES_FOR_SHARING:
             return False
-        return elapsed < read_delay(
+        delay = read_delay(
             region, vm, nearby, READERS_PER_REGION, FIRST_READ_DELAY_SECONDS
         )
+        if self.acts_unconfirmed(now):
+            delay = min(delay, self._max_unconfirmed_delay(delay))
+        return elapsed < delay
+
+    def _max_unconfirmed_delay(self, delay: float) -> float:
+        """Return when an entry reads that others leave without confirmation.
+
+        The entries that sent the declarations may all be cut off from the store.
+        """
+        spread = (1 - UNCONFIRMED_READ_RATIO) * delay / MAX_READ_DELAY_SECONDS
+        return self.in_effect_seconds * (UNCONFIRMED_READ_RATIO + spread)
 
     def _set_long_poll(self, has_followers: bool) -> None:
         """Shorten the wait of the store's responses where others rely on this entry."""
--- a/packages/wasabideck_base/wasabideck_base/state_sync.py
+++ b/packages/wasabideck_base/wasabideck_base/state_sync.py
@@ -177,6 +177,7 @@
             self.clock,
             self.rng,
             self.cfg.limits.configuration_deadline_seconds,
+            self._acts_unconfirmed,
         )
         self.declaration_times = DeclarationTimes(
             self.store,
@@ -568,6 +569,11 @@
         else:
             self.events.emit("state.current", **fields)
 
+    def _acts_unconfirmed(self, now: float) -> bool:
+        """Whether requests are routed by what no process has confirmed recently."""
+        state = self.cluster_state
+        return state.configuration is not None and state.stale(now)
+
     def _is_cut_off(self) -> bool:
         """Whether this process currently gets no declarations from the store."""
         if self._is_entry:
--- a/packages/wasabideck_policy/wasabideck_policy/startup_stagger.py
+++ b/packages/wasabideck_policy/wasabideck_policy/startup_stagger.py
@@ -12,7 +12,7 @@
 
 from .rendezvous import rank_vms
 
-__all__ = ["read_delay"]
+__all__ = ["MAX_READ_DELAY_SECONDS", "read_delay"]
 
 # Interval between the reads of waiting processes: 400 KB take 0.2 s on a link of
 # 15 Mbit/s.
