--- a/tests/cluster_state/test_slow_store.py
+++ b/tests/cluster_state/test_slow_store.py
@@ -3,10 +3,12 @@
 import asyncio
 import random
 
+import orjson
 import pytest
 from region_of_entries import Entry, Store, wait_until
 from store_server import StoreServer
 from virtual_time import run_in_virtual_time
+from wasabideck_adapter.deployment import DEPLOYMENT
 from wasabideck_adapter.store import StoreClient
 from wasabideck_base.http_pool import HttpPool, PooledClient
 from wasabideck_base.vm_settings import DeploymentLimits
@@ -17,6 +19,8 @@
 CALL_SECONDS = 4.0
 CHANGES = 8
 START_SECONDS = 30.0
+SERVERS_TABLE = DEPLOYMENT.servers_table
+SERVER = {"service": "s", "addr": "10.0.0.9:1", "state": "ready"}
 
 
 class Region:
@@ -145,3 +149,27 @@
 
     run_regions(scenario, (6,))
     assert not late, late
+
+
+@pytest.mark.parametrize("delay", [0.005, 0.7, 1.2, 2.0])
+@pytest.mark.parametrize("size", [1, 3, 6])
+def test_change_takes_effect_in_time_after_open_connections_fell_silent(size, delay):
+    # Guards against an old configuration or server list at entries whose connections to
+    # the store went silent without a reset: each looks like one without changes.
+    late = []
+
+    async def scenario(region):
+        region.server.delay = delay
+        await asyncio.sleep(4 * HOLD_SECONDS)
+        region.server.silence_open_connections()
+        await asyncio.sleep(1.0)
+        region.store.configure(2)
+        region.store.put(SERVERS_TABLE, "i-1", orjson.dumps(SERVER))
+        await asyncio.sleep(max(HOLD_SECONDS - 1.0, delay + DEADLINE_SECONDS) + delay)
+        for entry in region.entries.values():
+            names = entry.state_sync.cluster_state.backends.names()
+            if entry.number != 2 or "i-1" not in names:
+                late.append((entry.vm, entry.number, names))
+
+    run_regions(scenario, (size,))
+    assert not late, late
