Have an agent go on while the store takes long for a list or a row

Calls of the store are no longer given up after 1.5 s, so a step of an agent that waits for one would wait as long as the store is silent: for the list of peers ahead of a transfer, for the row of a delivery after it. Both wait 1.5 s at most, as before, and the call goes on: a late list is applied when it arrives, a row is not written twice meanwhile.

--- a/packages/wasabideck_agent/wasabideck_agent/delivery_tracker.py
+++ b/packages/wasabideck_agent/wasabideck_agent/delivery_tracker.py
@@ -4,6 +4,7 @@
 
 from attrs import define, field
 from wasabideck_base.events import Events
+from wasabideck_base.patient_call import PatientCall
 from wasabideck_policy.delivery_row import Delivery
 from wasabideck_policy.manifests import Manifest
 from wasabideck_policy.outcomes import WasabideckError
@@ -12,6 +13,10 @@
 
 __all__ = ["DeliveryTracker"]
 
+# Maximum wait for rows to be written; a write that takes longer goes on beside what the
+# agent does next.
+MAX_WAIT_SECONDS = 1.5
+
 
 @define
 class DeliveryTracker:
@@ -31,6 +36,11 @@
     _verified: dict[int, float] = field(factory=dict)
     _sources: dict[int, dict[str, int]] = field(factory=dict)
     _reported: set[tuple[int, int]] = field(factory=set)
+    _writing: PatientCall = field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        """Create the call that writes the rows."""
+        self._writing = PatientCall(self._write)
 
     def record_start(self, version: int, wall_time: float) -> bool:
         """Record the wall time at which a version's transfer started.
@@ -96,6 +106,9 @@
 
     async def write(self) -> None:
         """Write rows that the store lacks; rows that fail are retried later."""
+        await self._writing.wait(MAX_WAIT_SECONDS)
+
+    async def _write(self) -> None:
         try:
             await self.log.write()
         except WasabideckError as exc:
--- a/packages/wasabideck_agent/wasabideck_agent/listed_peers.py
+++ b/packages/wasabideck_agent/wasabideck_agent/listed_peers.py
@@ -2,9 +2,10 @@
 
 from __future__ import annotations
 
-from attrs import define
+from attrs import define, field
 from wasabideck_base.deployment import DeploymentAdapter
 from wasabideck_base.http_responses import PlatformRefused, PlatformUnavailable
+from wasabideck_base.patient_call import PatientCall
 from wasabideck_base.vm_process import VMProcess
 from wasabideck_policy.membership import AGENT, Member
 from wasabideck_policy.outcomes import WasabideckError
@@ -13,6 +14,8 @@
 
 # Maximum age of the list of servers before it is read again.
 MAX_AGE_SECONDS = 2.0
+# Maximum wait for the list; a transfer goes on with the last one meanwhile.
+MAX_WAIT_SECONDS = 1.5
 
 
 @define
@@ -28,6 +31,11 @@
     deployment: DeploymentAdapter
     _ips: set[str] | None = None
     _read_at: float = float("-inf")
+    _reading: PatientCall = field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        """Create the call that reads the list."""
+        self._reading = PatientCall(self._read)
 
     async def refresh(self) -> None:
         """Read the list of servers, unless it is recent."""
@@ -35,6 +43,10 @@
             await self.read()
 
     async def read(self) -> None:
+        """Read the list; one that arrives late is applied when it arrives."""
+        await self._reading.wait(MAX_WAIT_SECONDS)
+
+    async def _read(self) -> None:
         """Read which VMs have a listed server of this service."""
         state_sync = self.process.state_sync
         try:
--- a/packages/wasabideck_agent/wasabideck_agent/numbered_manifests.py
+++ b/packages/wasabideck_agent/wasabideck_agent/numbered_manifests.py
@@ -38,6 +38,8 @@
 # Member rows stay when a VM is lost; the list of servers shows which VMs exist. This is
 # the maximum time to wait for that list.
 PEER_LIST_TIMEOUT_SECONDS = 0.5
+# Maximum wait for the members while no peer is known: the origin is asked then.
+MEMBERS_TIMEOUT_SECONDS = 1.5
 
 
 @define
@@ -163,7 +165,11 @@
         """Return the reports on a version, starting with this agent's if it has one."""
         process = self.process
         if not self.peers.members():
-            await asyncio.gather(process.state_sync.read_members(), self.peers.read())
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(MEMBERS_TIMEOUT_SECONDS):
+                    await asyncio.gather(
+                        process.state_sync.read_members(), self.peers.read()
+                    )
         peers, vm = self.peers.members(), process.cfg.vm
         reports = await query_peers(
             model, version, vm, peers, process.channels, process.rng
