--- a/packages/wasabideck_base/wasabideck_base/event_kinds.py
+++ b/packages/wasabideck_base/wasabideck_base/event_kinds.py
@@ -247,11 +247,11 @@
         "check whether the origin of weights responds",
     ),
     "watch.behind": EventKind(
-        "a peer knows a newer row; the unresponsive call was aborted",
-        "nothing for one; many: connections to the store become unresponsive",
+        "a peer knows a newer row; the store is checked for it",
+        "nothing for one; many: see `store.slow`",
     ),
     "watch.call-dropped": EventKind(
-        "a pending call to the store was made again, after a check of the store",
+        "a held call to the store was made again, as a later check was answered first",
         "nothing for one; many: connections to the store become unresponsive",
     ),
     "watch.covered": EventKind("an entry relies on its region readers for a table"),
