--- a/packages/wasabideck_base/wasabideck_base/staleness_checks.py
+++ b/packages/wasabideck_base/wasabideck_base/staleness_checks.py
@@ -151,6 +151,7 @@
                 now = self.clock()
                 self._note_data(now)
                 self._note_silence(now)
+                self._drop_silent_call(now)
                 remaining = self._seconds_until_due(now)
                 if remaining <= 0.0:
                     self._start(now)
@@ -171,26 +172,41 @@
 
     def _seconds_until_due(self, now: float) -> float:
         """Return the time until the next check; none is left if it is due."""
-        if self.watch.version < 0:
-            return self.times.first_interval
-        if self.watch.is_retrying(now, self.times.first_interval):
+        first_interval = self.times.first_interval
+        if self.watch.version < 0 or self.watch.is_retrying(now, first_interval):
             # The table's own calls show the same, as long as they fail at once.
-            return self.times.first_interval
-        interval = self.times.interval(self.watch.response_seconds) * self._jitter
-        until_stale = interval - self.staleness(now)
+            return first_interval
+        return max(self._seconds_until_stale(now), self._seconds_until_next(now))
+
+    def _seconds_until_stale(self, now: float) -> float:
+        """Return the time until the copy is too old."""
+        if self._behind or self.watch.failing:
+            return 0.0
+        return self._interval - self.staleness(now)
+
+    def _seconds_until_next(self, now: float) -> float:
+        """Return the time left of the interval between two checks."""
+        interval, since = self._interval, self._started_at
         if self._is_late(now) or self._failed:
             interval = self._backoff * self._jitter
         elif self._behind and not self._pending:
             interval = self.times.first_interval
-        if self._behind or self.watch.failing:
-            until_stale = 0.0
-        elif self._is_late(now) and until_stale > 0.0:
-            # A peer told more, or another entry now follows the table.
-            self.watch.drop_call(min(self._pending))
-        since = self._started_at
         if self._pending:
             since = max(since, self._data_arrived_at)
-        return max(until_stale, since + interval - now)
+        return since + interval - now
+
+    @property
+    def _interval(self) -> float:
+        return self.times.interval(self.watch.response_seconds) * self._jitter
+
+    def _drop_silent_call(self, now: float) -> None:
+        """Drop the held call if a late check shows nothing that a peer has not told.
+
+        A cut that was over before the check times out may have made both connections
+        unresponsive.
+        """
+        if self._is_late(now) and self._seconds_until_stale(now) > 0.0:
+            self.watch.drop_call(min(self._pending))
 
     def _start(self, now: float) -> None:
         """Start a check beside those that are pending."""
