Have only a process with a call of its own check what a peer knows more of

Tried and not kept: no checks of the server list by followers, which left two cases of test_change_takes_effect_in_time_after_open_connections_fell_silent late (a list that only peers' rows correct).

--- a/packages/wasabideck_base/wasabideck_base/table_watch.py
+++ b/packages/wasabideck_base/wasabideck_base/table_watch.py
@@ -334,7 +334,10 @@
             self._missing_row = _MissingRow(newest, now, now, received)
         elif received > missing.received_bytes:
             missing.idle_since, missing.received_bytes = now, received
-        elif now - missing.idle_since >= STALLED_CALL_SECONDS:
+        elif (
+            now - missing.idle_since >= STALLED_CALL_SECONDS
+            and self._pending_call is not None
+        ):
             self.events.emit("watch.behind", table=self.table, peer=newest)
             missing.idle_since = now
             self.on_behind()
