Bound the rows that checks transfer again beside a pending one

Checks that wait may transfer 128 KB at the same time now; with larger rows the next ones back off as before the pipeline, and the one that brings a large row ends the others.

--- a/packages/wasabideck_base/wasabideck_base/staleness_checks.py
+++ b/packages/wasabideck_base/wasabideck_base/staleness_checks.py
@@ -28,6 +28,9 @@
 # Checks that wait for a slow store at the same time, as long as the interval between
 # them stays below the longest one.
 MAX_PENDING_CHECKS = 8
+# Bytes of rows that pending checks may transfer at the same time: each brings the same
+# rows, over a link that other processes use.
+MAX_PENDING_BYTES = 128 * 1024
 # A check that takes this many times as long as the last ones may have been made on an
 # unresponsive connection.
 LATE_RATIO = 1.5
@@ -187,7 +190,7 @@
     def _seconds_until_next(self, now: float) -> float:
         """Return the time left of the interval between two checks."""
         interval, since = self._interval, self._started_at
-        if self._is_late(now) or self._failed:
+        if self._backs_off(now):
             interval = self._backoff * self._jitter
         elif self._behind and not self._pending:
             interval = self.times.first_interval
@@ -210,7 +213,7 @@
 
     def _start(self, now: float) -> None:
         """Start a check beside those that are pending."""
-        if self._is_late(now) or self._failed:
+        if self._backs_off(now):
             self._backoff = min(2 * self._backoff, self.times.max_interval)
         self._started_at = now
         self._jitter = self.rng.uniform(MIN_JITTER, 1.0)
@@ -233,6 +236,8 @@
         """Give up what a check has overtaken; its connection may be unresponsive."""
         now = self.clock()
         overtaken = [at for at in self._pending if at < started_at]
+        if newer and len(self._pending) > self._max_pending:
+            overtaken = [at for at in self._pending if at != started_at]
         silent = [at for at in overtaken if self._is_late_since(at, now)]
         for at in overtaken:
             self._pending[at].cancel()
@@ -243,6 +248,16 @@
         self._failed = False
         self._backoff = self.times.first_interval
 
+    @property
+    def _max_pending(self) -> int:
+        """Maximum number of checks that wait at the same time and are not late."""
+        return max(1, MAX_PENDING_BYTES // max(1, self.watch.largest_row_bytes))
+
+    def _backs_off(self, now: float) -> bool:
+        """Whether further checks may not help, or fill the link that delays others."""
+        crowded = len(self._pending) >= self._max_pending
+        return crowded or self._failed or self._is_late(now)
+
     def _note_behind(self) -> None:
         self._behind = True
         self._due_changed.set()
--- a/packages/wasabideck_base/wasabideck_base/table_watch.py
+++ b/packages/wasabideck_base/wasabideck_base/table_watch.py
@@ -310,6 +310,11 @@
         newer = [row for row in self._rows.values() if row.version > version]
         return sorted(newer, key=lambda row: row.version)[-MAX_ROWS_SENT:]
 
+    @property
+    def largest_row_bytes(self) -> int:
+        """Size of the largest known row."""
+        return max((len(row.value) for row in self._rows.values()), default=0)
+
     @property
     def _reflected_version(self) -> int:
         """Version up to which no row is missing; a full read has no removals."""
--- a/tests/cluster_state/test_staleness_checks.py
+++ b/tests/cluster_state/test_staleness_checks.py
@@ -49,7 +49,7 @@
     """Answers calls after a delay; long polls stay silent."""
 
     def __init__(self):
-        self.calls, self.cancelled = [], 0
+        self.calls, self.cancelled, self.sent = [], 0, 0
         self.delay, self.bytes_received = 0.0, 0
         self.rows, self.version = (), 1
         self.failure = None
@@ -72,6 +72,7 @@
         if self.failure is not None:
             raise self.failure
         newer = tuple(row for row in self.rows if row.version > after)
+        self.sent += len(newer)
         return RowChanges(newer, self.version)
 
     @property
@@ -375,3 +376,22 @@
         assert waiting <= 12.0 / (MIN_JITTER * TIMES.max_interval) + 1
 
     run_checks(scenario)
+
+
+@pytest.mark.parametrize("size", [400_000, 1_000_000])
+def test_large_rows_are_not_transferred_many_times_at_once(size):
+    # Guards against a configuration whose copies, one for each check that waits, fill
+    # the link of a region and delay the first one.
+    async def scenario(process):
+        process.store.rows = (Row("op", "config", b"x" * size, 2),)
+        process.store.version = 2
+        await asyncio.sleep(4 * TIMES.max_staleness)
+        process.store.delay = 1.5
+        await asyncio.sleep(10.0)
+        process.store.rows = (Row("op", "config", b"x" * size, 3),)
+        process.store.version, before = 3, process.store.sent
+        await asyncio.sleep(5.0)
+        assert process.watch.newest == 3
+        assert process.store.sent - before <= 2
+
+    run_checks(scenario)
