--- a/packages/wasabideck_base/wasabideck_base/gossip.py
+++ b/packages/wasabideck_base/wasabideck_base/gossip.py
@@ -448,17 +448,18 @@
             for m in self.members.values()
             if m.vm != self.me.vm and self.peer_kind in ("", m.kind)
         ]
-        known = {m.address for m in others}
-        available = [a for a in known if self._peer_retry_at.get(a, 0.0) <= now]
+        available = [m for m in others if self._may_call(m.address, now)]
         if not available:
             # No known peer replies: the seeds may know the current members.
-            seeds = [a for a in self.seeds if self._peer_retry_at.get(a, 0.0) <= now]
+            seeds = [a for a in self.seeds if self._may_call(a, now)]
             return self.rng.choice(seeds) if seeds else None
-        local_addresses = {m.address for m in others if m.region == self.me.region}
-        local = [a for a in available if a in local_addresses]
+        local = [m for m in available if m.region == self.me.region]
         if local and self.rng.random() < LOCAL_PEER_RATIO:
-            return self.rng.choice(sorted(local))
-        return self.rng.choice(sorted(available))
+            available = local
+        return self.rng.choice(sorted(available, key=lambda m: m.vm)).address
+
+    def _may_call(self, address: str, now: float) -> bool:
+        return self._peer_retry_at.get(address, 0.0) <= now
 
 
 def _request_none(keys: Iterable[str]) -> list[pb.Entry]:
--- a/tests/cluster_state/test_gossip.py
+++ b/tests/cluster_state/test_gossip.py
@@ -179,6 +179,26 @@
     run_with(scenario, lone)
 
 
+def test_peers_are_chosen_alike_whatever_their_ports(run_with):
+    # Guards against scenarios that pass or fail by the ports that the machine assigns.
+    process = Process("one")
+    chosen = set()
+
+    async def scenario():
+        gossip = process.gossip
+        for ports in ([1, 2, 3, 4], [4, 3, 2, 1], [10, 9, 2, 1]):
+            gossip.rng = random.Random(7)
+            vms = {f"127.0.0.1:{port}": f"e{n}" for n, port in enumerate(ports)}
+            gossip.members.update(
+                (vm, Member(vm, ENTRY, address, "region"))
+                for address, vm in vms.items()
+            )
+            chosen.add(tuple(vms[gossip._choose_peer(0.0)] for _ in range(20)))
+
+    run_with(scenario, process)
+    assert len(chosen) == 1
+
+
 def test_entries_share_requests_that_crash_servers(run_with):
     # A request crashes a server through each of two entries. Neither entry has seen
     # enough crashes to refuse it, nor has a third one, whose server crashes as well.
--- a/tests/cluster_state/test_slow_store.py
+++ b/tests/cluster_state/test_slow_store.py
@@ -135,15 +135,20 @@
     assert not late, late
 
 
-@pytest.mark.parametrize("delay", [1.2, 1.47, 2.0, 5.0])
-def test_changes_take_effect_in_time_while_entries_restart_beside_a_slow_store(delay):
+@pytest.mark.parametrize(
+    ("delay", "seed"),
+    [(1.2, 1), (1.47, 1), (2.0, 1), (3.0, 2), (5.0, 1), (5.0, 4), (5.0, 9)],
+)
+def test_changes_take_effect_in_time_while_entries_restart_beside_a_slow_store(
+    delay, seed
+):
     # Guards against followers that lose their readers one after the other, and begin
     # to read a slow store anew each time.
     late = []
 
     async def scenario(region):
         region.server.delay = delay
-        restarts = asyncio.create_task(restart_in_turn(region, 1))
+        restarts = asyncio.create_task(restart_in_turn(region, seed))
         await change_one_after_another(region, late, delay)
         await restarts
 
