Have a process that begins check for changes beside its first read

What callers saw in the tests: entries that restart beside a store that takes 3 s or 5 s handle requests by a configuration that was replaced long ago. Cause: the first read shows the store as of its beginning, and only its response told after which version changes are to be asked for, so that such a process was two responses behind. A peer that sends its declarations also says up to which row it knows the table; checks ask for what follows it, beside the first read. Rows that come so are applied as those of a first read: their age is unknown.

Ruled out: to apply repeated first reads as well, as each is the whole table.

--- a/packages/wasabideck_base/wasabideck_base/gossip.py
+++ b/packages/wasabideck_base/wasabideck_base/gossip.py
@@ -177,11 +177,19 @@
             self._adopt_staleness(reply.entries, requested_at)
         self._merge_crashes(reply)
         for entry in reply.entries:
-            if entry.slot == TABLE and entry.scope in self.tables:
-                self.tables[entry.scope].note_newer_row(entry.ticket)
+            if entry.slot != TABLE or entry.scope not in self.tables:
+                continue
+            if applied and not skips_configuration:
+                self._begin_after(entry)
+            self.tables[entry.scope].note_newer_row(entry.ticket)
         for table in self.replicated_tables:
             self.tables[table].merge_rows(rows_of(table, reply.entries))
 
+    def _begin_after(self, entry: pb.Entry) -> None:
+        """Have a table whose declarations a peer sent begin with what follows them."""
+        if entry.scope not in self.replicated_tables:
+            self.tables[entry.scope].begin_after(entry.ticket)
+
     async def poll_reader(self, address: str, table: str) -> ReaderReply | None:
         """Ask a nearby entry whether it follows a table, and for anything newer.
 
--- a/packages/wasabideck_base/wasabideck_base/staleness_checks.py
+++ b/packages/wasabideck_base/wasabideck_base/staleness_checks.py
@@ -176,7 +176,7 @@
     def _seconds_until_due(self, now: float) -> float:
         """Return the time until the next check; none is left if it is due."""
         first_interval = self.times.first_interval
-        if self.watch.version < 0 or self.watch.is_retrying(now, first_interval):
+        if not self.watch.is_checkable or self.watch.is_retrying(now, first_interval):
             # The table's own calls show the same, as long as they fail at once.
             return first_interval
         return max(self._seconds_until_stale(now), self._seconds_until_next(now))
--- a/packages/wasabideck_base/wasabideck_base/table_watch.py
+++ b/packages/wasabideck_base/wasabideck_base/table_watch.py
@@ -231,7 +231,7 @@
             The store sent no usable response.
         """
         missing_since, max_age = self._missing_bounds()
-        version, requested_at = self.version, self.clock()
+        version, requested_at = self._checked_version, self.clock()
         try:
             with self._log_if_slow("check"):
                 changes = await self.store.wait_for_changes(self.table, version, 0.0)
@@ -244,6 +244,9 @@
             raise PlatformUnavailable(self.table, "stale response", False)
         self._note_response_time(requested_at)
         responded_at = self._record_response(changes, requested_at)
+        if self.version < 0:
+            self._apply_before_first_read(changes)
+            return False
         if changes.version < self.version:
             # The response to a later call was faster.
             return False
@@ -253,6 +256,35 @@
         self._note_complete(changes, requested_at)
         return newer
 
+    @property
+    def is_checkable(self) -> bool:
+        """Whether a version is known after which the store can be asked for changes."""
+        return self.version >= 0 or self.newest > 0
+
+    @property
+    def _checked_version(self) -> int:
+        """Version after which a check asks for changes.
+
+        Before the first read it is that of the rows that a peer has sent.
+        """
+        return self.version if self.version >= 0 else self.newest
+
+    def begin_after(self, newest: int) -> None:
+        """Record that a peer sent all that the table holds up to a version.
+
+        A first read shows what the store held when it began. Until its response is
+        here, checks bring what was written since.
+        """
+        if self.version < 0:
+            self.newest = max(self.newest, newest)
+
+    def _apply_before_first_read(self, changes: RowChanges) -> None:
+        """Apply newer rows of a check whose response was faster than the first read."""
+        newer = [row for row in changes.rows if row.version > self.newest]
+        if newer:
+            self.newest = max(row.version for row in newer)
+            self.on_rows(newer)
+
     def record_failed_check(self, exc: WasabideckError) -> None:
         """Record that the store did not respond to a check."""
         if not self._checks_fail:
