Show that a large configuration on a full link is delayed by checks (red)

The turns of one connection are 2 s apart then, so that 'no data for 0.2 s' says nothing. The test's store serves such a link.

--- a/tests/cluster_state/store_server.py
+++ b/tests/cluster_state/store_server.py
@@ -9,6 +9,11 @@
 
 __all__ = ["StoreServer"]
 
+# Bytes that a connection sends over a limited link before the next one's turn, and of
+# which it sends this much at a time.
+TURN_BYTES = 256 * 1024
+PIECE_BYTES = 16 * 1024
+
 
 class StoreServer:
     """Serves a store's rows; each response is as of the call's arrival, and late.
@@ -17,14 +22,18 @@
     ----------
     delay : float
         Seconds that a response takes once the store knows it.
-    silent : bool
-        Whether connections that are open now never carry a response again.
+    link_bytes_per_second : float or None
+        Bandwidth of the link that all responses share in turns; None for no limit.
+    sent_bytes : int
+        Bytes of responses sent so far.
     """
 
     def __init__(self, store):
         self.store, self.delay = store, 0.0
-        self.calls = []
+        self.link_bytes_per_second = None
+        self.calls, self.sent_bytes = [], 0
         self.connections = 0
+        self._turn = asyncio.Lock()
         self._silent_up_to = 0
         self._server = None
         self._serving = set()
@@ -65,7 +74,19 @@
                     await asyncio.Event().wait()
                 content = orjson.dumps(response)
                 head = f"HTTP/1.1 200 OK\r\nContent-Length: {len(content)}\r\n\r\n"
-                writer.write(head.encode() + content)
+                await self._send(writer, head.encode() + content)
+
+    async def _send(self, writer, data):
+        for start in range(0, len(data), TURN_BYTES):
+            async with self._turn:
+                turn = data[start : start + TURN_BYTES]
+                for at in range(0, len(turn), PIECE_BYTES):
+                    piece = turn[at : at + PIECE_BYTES]
+                    if self.link_bytes_per_second is not None:
+                        await asyncio.sleep(len(piece) / self.link_bytes_per_second)
+                    writer.write(piece)
+                    await writer.drain()
+                    self.sent_bytes += len(piece)
 
     async def _respond(self, method, target, body):
         url = urlsplit(target)
