Have checks beside a pending large row read the versions alone

Cause: a check asks for changes, and beside a response on its way the change is the whole row again. A link that is shared in turns shows no data for longer than a check waits, so that each entry transferred the row up to three times, and dropped the held call that had most of it.

A table says which of its rows stay small (the declared versions). While a call may bring a large one (64 KB), a check reads those, with the store's version: declared versions come at once, and a pending call is dropped only if the version moved and no data came since the check began, which a response in turn with others would have brought.

--- a/packages/wasabideck_base/wasabideck_base/staleness_checks.py
+++ b/packages/wasabideck_base/wasabideck_base/staleness_checks.py
@@ -138,8 +138,6 @@
     _jitter: float = 1.0
     _failed: bool = False
     _behind: bool = False
-    _data_arrived_at: float = float("-inf")
-    _received_bytes: int = 0
     _due_changed: asyncio.Event = field(factory=asyncio.Event)
 
     def __attrs_post_init__(self) -> None:
@@ -152,7 +150,6 @@
         try:
             while True:
                 now = self.clock()
-                self._note_data(now)
                 self._note_silence(now)
                 self._drop_silent_call(now)
                 remaining = self._seconds_until_due(now)
@@ -195,7 +192,7 @@
         elif self._behind and not self._pending:
             interval = self.times.first_interval
         if self._pending:
-            since = max(since, self._data_arrived_at)
+            since = max(since, self.watch.data_arrived_at(now))
         return since + interval - now
 
     @property
@@ -251,6 +248,8 @@
     @property
     def _max_pending(self) -> int:
         """Maximum number of checks that wait at the same time and are not late."""
+        if self.watch.awaits_large_rows:
+            return MAX_PENDING_CHECKS
         return max(1, MAX_PENDING_BYTES // max(1, self.watch.largest_row_bytes))
 
     def _backs_off(self, now: float) -> bool:
@@ -262,14 +261,10 @@
         self._behind = True
         self._due_changed.set()
 
-    def _note_data(self, now: float) -> None:
-        received = self.watch.store.received_bytes(self.watch.table)
-        if received != self._received_bytes:
-            self._received_bytes, self._data_arrived_at = received, now
-
     def _note_silence(self, now: float) -> None:
         """Have the store count as unresponsive when a check has waited for long."""
-        since = max(min(self._pending, default=now), self._data_arrived_at)
+        data_arrived_at = self.watch.data_arrived_at(now)
+        since = max(min(self._pending, default=now), data_arrived_at)
         longest = max(self.times.timeout, LATE_RATIO * self.watch.response_seconds)
         if now - since >= longest:
             self.watch.record_failed_check(
@@ -281,7 +276,7 @@
         return bool(self._pending) and self._is_late_since(min(self._pending), now)
 
     def _is_late_since(self, started_at: float, now: float) -> bool:
-        waited = now - max(started_at, self._data_arrived_at)
+        waited = now - max(started_at, self.watch.data_arrived_at(now))
         return waited >= max(
             MIN_JITTER * self.times.first_interval,
             LATE_RATIO * self.watch.response_seconds,
--- a/packages/wasabideck_base/wasabideck_base/state_sync.py
+++ b/packages/wasabideck_base/wasabideck_base/state_sync.py
@@ -286,6 +286,7 @@
     def _watch(
         self, table: str, on_rows: Callable, on_full_read: Callable
     ) -> TableWatch:
+        holds_declarations = table == self.deployment.declarations_table
         return TableWatch(
             self.store,
             table,
@@ -297,7 +298,10 @@
             self.clock,
             self.events,
             self.rng,
-            prefers_full_read=table == self.deployment.declarations_table,
+            prefers_full_read=holds_declarations,
+            small_rows_prefix=(
+                self.deployment.version_key_prefix if holds_declarations else ""
+            ),
         )
 
     # Declarations of the operators
--- a/packages/wasabideck_base/wasabideck_base/table_watch.py
+++ b/packages/wasabideck_base/wasabideck_base/table_watch.py
@@ -7,7 +7,7 @@
 import random
 from collections.abc import Callable, Iterable, Iterator
 
-from attrs import define, field, frozen
+from attrs import define, evolve, field, frozen
 from wasabideck_policy.outcomes import WasabideckError
 from wasabideck_policy.reader_selection import CONFIRMATION_VALID_SECONDS
 
@@ -29,6 +29,9 @@
 SETTLE_SECONDS = 0.4
 # Changes that follow each other within this interval form a burst.
 BURST_INTERVAL_SECONDS = 1.0
+# Size from which a row fills a region's link for a noticeable time: it is not
+# transferred again while it may be on its way.
+LARGE_ROW_BYTES = 64 * 1024
 # Maximum number of rows sent to a peer at once, which exceeds the number of servers
 # that leave or join at the same moment.
 MAX_ROWS_SENT = 64
@@ -117,6 +120,9 @@
         Called when a row that a peer knows stays missing here.
     prefers_full_read : bool
         Whether the whole table is small, and its rows are large and change often.
+    small_rows_prefix : str
+        Prefix of the keys of rows that stay small where others are large; empty for
+        none.
     version : int
         Version of the store that the copy reflects; -1 before the first read.
     newest : int
@@ -149,6 +155,7 @@
     events: Events
     rng: random.Random
     prefers_full_read: bool = False
+    small_rows_prefix: str = ""
     on_complete: Callable[[float], None] = lambda until: None
     on_behind: Callable[[], None] = lambda: None
     version: int = -1
@@ -178,6 +185,7 @@
     _failing_since: float = 0.0
     _needs_full_read: bool = True
     _pending_call: asyncio.Task | None = None
+    _is_reading: bool = False
     _missing_row: _MissingRow | None = None
 
     @property
@@ -232,9 +240,14 @@
         """
         missing_since, max_age = self._missing_bounds()
         version, requested_at = self._checked_version, self.clock()
+        reads_small_rows = self.awaits_large_rows
         try:
             with self._log_if_slow("check"):
-                changes = await self.store.wait_for_changes(self.table, version, 0.0)
+                if reads_small_rows:
+                    call = self.store.read(self.table, self.small_rows_prefix)
+                else:
+                    call = self.store.wait_for_changes(self.table, version, 0.0)
+                changes = await call
         except HistoryLost as exc:
             self.events.emit("watch.history-lost", table=self.table, why=str(exc))
             self._needs_full_read = self.first_read_unverified = True
@@ -251,11 +264,21 @@
             # The response to a later call was faster.
             return False
         self.written_since = max(missing_since, responded_at - max_age)
+        if reads_small_rows:
+            return self._apply_small_rows(changes, requested_at)
         newer = self._apply(changes)
         # How long an answer travelled is known only against a faster one.
         self._note_complete(changes, requested_at)
         return newer
 
+    def _apply_small_rows(self, changes: RowChanges, requested_at: float) -> bool:
+        """Apply the small rows of a table; return whether others have changed."""
+        self._apply_newer_rows(changes.rows)
+        if changes.version > self.version:
+            return True
+        self._note_complete(evolve(changes, rows=()), requested_at)
+        return False
+
     @property
     def is_checkable(self) -> bool:
         """Whether a version is known after which the store can be asked for changes."""
@@ -295,11 +318,14 @@
         """Drop a held call that began before a time; it is made again at once.
 
         Its connection may be unresponsive: nothing would arrive on it until it times
-        out. A read, which the store answers at once, times out soon.
+        out. A read of the whole table is repeated by the store's client.
         """
         if self._pending_call is None or self._requested_at >= before:
             return
-        if self._follow_started_at == float("inf"):
+        if self._is_reading:
+            return
+        if self.awaits_large_rows and self.data_arrived_at(self.clock()) >= before:
+            # The response is on its way, and would begin again.
             return
         self.events.emit("watch.call-dropped", table=self.table)
         self._drops_call = True
@@ -347,6 +373,24 @@
         """Size of the largest known row."""
         return max((len(row.value) for row in self._rows.values()), default=0)
 
+    @property
+    def awaits_large_rows(self) -> bool:
+        """Whether a pending call may bring rows that take long to transfer.
+
+        A check beside it reads only the small rows, with the store's version: its
+        response shows whether the pending call is unresponsive.
+        """
+        if not self.small_rows_prefix or self._pending_call is None:
+            return False
+        return self.largest_row_bytes >= LARGE_ROW_BYTES
+
+    def data_arrived_at(self, now: float) -> float:
+        """Return when data of the table last arrived, as far as was checked."""
+        received = self.store.received_bytes(self.table)
+        if received > self._bytes_received:
+            self._bytes_arrived_at, self._bytes_received = now, received
+        return self._bytes_arrived_at
+
     @property
     def _reflected_version(self) -> int:
         """Version up to which no row is missing; a full read has no removals."""
@@ -400,11 +444,8 @@
         An unresponsive connection looks like one on which nothing changes, until a
         response is overdue.
         """
-        received = self.store.received_bytes(self.table)
-        if received > self._bytes_received:
-            self._bytes_arrived_at, self._bytes_received = now, received
         last_activity_at = max(
-            self.last_response_at, self._requested_at, self._bytes_arrived_at
+            self.last_response_at, self._requested_at, self.data_arrived_at(now)
         )
         if (
             self.failing
@@ -462,7 +503,7 @@
         requested_at = self.clock()
         self.first_read_unverified = self.first_read_unverified or self.version < 0
         with self._log_if_slow("read"):
-            changes = await self._await_call(self.store.read(self.table))
+            changes = await self._await_call(self.store.read(self.table), True)
         if changes.version < self.version:
             # A response older than the copy would remove rows that were added since.
             await asyncio.sleep(self._next_backoff())
@@ -532,10 +573,10 @@
             return missing_since, MAX_BACKDATING_SECONDS
         return missing_since, MAX_BACKDATING_SECONDS + CONFIRMATION_VALID_SECONDS
 
-    async def _await_call(self, call: object) -> RowChanges:
+    async def _await_call(self, call: object, is_read: bool = False) -> RowChanges:
         """Return the response to a call, which other methods may cancel."""
         self._pending_call = asyncio.ensure_future(call)
-        self._drops_call = False
+        self._is_reading, self._drops_call = is_read, False
         self._requested_at = self.clock()
         try:
             return await self._pending_call
@@ -574,11 +615,14 @@
 
     def _apply(self, changes: RowChanges) -> bool:
         """Apply the rows of a response; return whether any was not yet known."""
-        newer = [r for r in changes.rows if r.version > self._known_version(r.key)]
+        self.newest = max([self.newest, *(row.version for row in changes.rows)])
+        self.version = max(self.version, changes.version)
+        return self._apply_newer_rows(changes.rows)
+
+    def _apply_newer_rows(self, rows: Iterable[Row]) -> bool:
+        newer = [row for row in rows if row.version > self._known_version(row.key)]
         for row in newer:
             self._rows[row.key] = row
-            self.newest = max(self.newest, row.version)
-        self.version = max(self.version, changes.version)
         if newer:
             self.on_rows(newer)
         return bool(newer)
--- a/tests/cluster_state/region_of_entries.py
+++ b/tests/cluster_state/region_of_entries.py
@@ -59,8 +59,10 @@
     def received_bytes(self, table):
         return 0
 
-    async def read(self, table):
-        return await self._changes(table, -1)
+    async def read(self, table, key_prefix=""):
+        changes = await self._changes(table, -1)
+        rows = tuple(row for row in changes.rows if row.key.startswith(key_prefix))
+        return RowChanges(rows, changes.version)
 
     async def wait_for_changes(self, table, after, wait):
         if table == "op":
--- a/tests/cluster_state/store_server.py
+++ b/tests/cluster_state/store_server.py
@@ -99,7 +99,10 @@
                 self.store.put(row["table"], row["key"], value)
             return {}
         if url.path == "/-/rows-get":
-            return self._changes(params["table"], -1)
+            first, end = params.get("from", ""), params.get("to", "\U0010ffff")
+            changes = self._changes(params["table"], -1)
+            changes["rows"] = [r for r in changes["rows"] if first <= r["key"] < end]
+            return changes
         return await self._wait_for_changes(params, now)
 
     async def _wait_for_changes(self, params, now):
