Leave large rows to the calls of readers, from their first bytes on

Cause: a process knew that rows are large only from its own copy of the table. Followers have none, so that each of their checks transferred the row; and the first large row was known as such when it had arrived. Now the size of a configuration that peers send counts, and so do bytes that have arrived since the call began; checks of followers read small rows too, and leave the others to the readers that they rely on.

Failing before: test_entries_share_readers_of_a_large_configuration[6] (all six late), and test_each_entry_receives_a_large_configuration_once from its first change on (4 sizes).

--- a/packages/wasabideck_base/wasabideck_base/staleness_checks.py
+++ b/packages/wasabideck_base/wasabideck_base/staleness_checks.py
@@ -248,7 +248,7 @@
     @property
     def _max_pending(self) -> int:
         """Maximum number of checks that wait at the same time and are not late."""
-        if self.watch.awaits_large_rows:
+        if self.watch.has_large_rows:
             return MAX_PENDING_CHECKS
         return max(1, MAX_PENDING_BYTES // max(1, self.watch.largest_row_bytes))
 
--- a/packages/wasabideck_base/wasabideck_base/state_sync.py
+++ b/packages/wasabideck_base/wasabideck_base/state_sync.py
@@ -377,6 +377,7 @@
             task.add_done_callback(self._notifications.discard)
 
     def _apply_configuration(self, declaration: Declaration) -> None:
+        self.operator_watch.heard_row_bytes = len(declaration.content)
         try:
             cfg = self.deployment.parse_configuration(declaration.content)
         except WasabideckError as exc:
--- a/packages/wasabideck_base/wasabideck_base/table_watch.py
+++ b/packages/wasabideck_base/wasabideck_base/table_watch.py
@@ -141,6 +141,8 @@
         Earliest time at which rows of the current response may have been written.
     adopted_version : int
         Version up to which a peer sent all that the table holds; -1 for none.
+    heard_row_bytes : int
+        Size of the newest row that peers sent in another form.
     first_read_unverified : bool
         Whether nothing has confirmed yet that the first read, or the one after lost
         history, was current: rows missing in it may be old.
@@ -171,12 +173,14 @@
     written_since: float = float("inf")
     adopted_version: int = -1
     first_read_unverified: bool = False
+    heard_row_bytes: int = 0
     _adopted_complete_until: float = float("-inf")
     _complete_until: float = float("-inf")
     _follow_started_at: float = float("inf")
     _requested_at: float = float("-inf")
     _bytes_arrived_at: float = float("-inf")
     _bytes_received: int = 0
+    _bytes_at_call: int = 0
     _rows: dict[str, Row] = field(factory=dict)
     _failures: int = 0
     _checks_fail: bool = False
@@ -240,7 +244,7 @@
         """
         missing_since, max_age = self._missing_bounds()
         version, requested_at = self._checked_version, self.clock()
-        reads_small_rows = self.awaits_large_rows
+        reads_small_rows = self.has_large_rows
         try:
             with self._log_if_slow("check"):
                 if reads_small_rows:
@@ -324,7 +328,7 @@
             return
         if self._is_reading:
             return
-        if self.awaits_large_rows and self.data_arrived_at(self.clock()) >= before:
+        if self.has_large_rows and self.data_arrived_at(self.clock()) >= before:
             # The response is on its way, and would begin again.
             return
         self.events.emit("watch.call-dropped", table=self.table)
@@ -370,19 +374,22 @@
 
     @property
     def largest_row_bytes(self) -> int:
-        """Size of the largest known row."""
-        return max((len(row.value) for row in self._rows.values()), default=0)
+        """Size of the largest row that this process or a peer has received."""
+        sizes = (len(row.value) for row in self._rows.values())
+        return max(self.heard_row_bytes, max(sizes, default=0))
 
     @property
-    def awaits_large_rows(self) -> bool:
-        """Whether a pending call may bring rows that take long to transfer.
+    def has_large_rows(self) -> bool:
+        """Whether a change may bring rows that take long to transfer.
 
-        A check beside it reads only the small rows, with the store's version: its
-        response shows whether the pending call is unresponsive.
+        A check then reads only the small rows, with the store's version: its response
+        shows whether the pending call, of this process or of a reader of its region, is
+        unresponsive.
         """
-        if not self.small_rows_prefix or self._pending_call is None:
+        if not self.small_rows_prefix:
             return False
-        return self.largest_row_bytes >= LARGE_ROW_BYTES
+        received = self.store.received_bytes(self.table) - self._bytes_at_call
+        return max(self.largest_row_bytes, received) >= LARGE_ROW_BYTES
 
     def data_arrived_at(self, now: float) -> float:
         """Return when data of the table last arrived, as far as was checked."""
@@ -576,6 +583,7 @@
     async def _await_call(self, call: object, is_read: bool = False) -> RowChanges:
         """Return the response to a call, which other methods may cancel."""
         self._pending_call = asyncio.ensure_future(call)
+        self._bytes_at_call = self.store.received_bytes(self.table)
         self._is_reading, self._drops_call = is_read, False
         self._requested_at = self.clock()
         try:
--- a/tests/cluster_state/test_large_rows.py
+++ b/tests/cluster_state/test_large_rows.py
@@ -11,6 +11,7 @@
     SERVERS_TABLE,
     run_regions,
 )
+from wasabideck_policy.reader_selection import READERS_PER_REGION
 
 # A region's link, and configurations of which each entry may receive one copy within
 # some two thirds of the time in which a change has to be in effect.
@@ -34,9 +35,7 @@
     async def scenario(region):
         padding = padding_for(size)
         region.server.link_bytes_per_second = LINK_BYTES_PER_SECOND
-        region.store.configure(2, padding=padding)
-        await asyncio.sleep(4 * HOLD_SECONDS)
-        for number in (3, 4, 5):
+        for number in (2, 3, 4, 5):
             sent = region.server.sent_bytes
             region.store.configure(number, padding=padding)
             await asyncio.sleep(DEADLINE_SECONDS)
@@ -46,7 +45,7 @@
             copies.append((region.server.sent_bytes - sent) / encoded / size)
 
     run_regions(scenario, (size,))
-    assert lags == [[number] * size for number in (3, 4, 5)]
+    assert lags == [[number] * size for number in (2, 3, 4, 5)]
     assert max(copies) <= MAX_COPIES_PER_ENTRY, copies
 
 
@@ -72,3 +71,24 @@
 
     run_regions(scenario, (size,))
     assert numbers == [(3, True)] * size
+
+
+@pytest.mark.parametrize("size", [6])
+def test_entries_share_readers_of_a_large_configuration(size):
+    # Guards against copies for each entry of a small region, which take longer over its
+    # link than the change may.
+    lags = []
+
+    async def scenario(region):
+        padding = padding_for(READERS_PER_REGION)
+        region.store.configure(2, padding=padding)
+        await asyncio.sleep(4 * HOLD_SECONDS)
+        region.server.link_bytes_per_second = LINK_BYTES_PER_SECOND
+        for number in (3, 4, 5):
+            region.store.configure(number, padding=padding)
+            await asyncio.sleep(DEADLINE_SECONDS)
+            lags.append([e.number for e in region.entries.values()])
+            await asyncio.sleep(HOLD_SECONDS)
+
+    run_regions(scenario, (size,))
+    assert lags == [[number] * size for number in (3, 4, 5)]
