--- a/tests/cluster_state/test_large_rows.py
+++ b/tests/cluster_state/test_large_rows.py
@@ -92,3 +92,24 @@
 
     run_regions(scenario, (size,))
     assert lags == [[number] * size for number in (3, 4, 5)]
+
+
+def test_versions_are_known_before_a_large_configuration_has_arrived():
+    # Guards against a declared version that waits for a configuration on a full link.
+    known = []
+
+    async def scenario(region):
+        padding = padding_for(1)
+        (entry,) = region.entries.values()
+        region.store.configure(2, padding=padding)
+        await asyncio.sleep(4 * HOLD_SECONDS)
+        region.server.link_bytes_per_second = LINK_BYTES_PER_SECOND / 2
+        region.store.configure(3, padding=padding)
+        await asyncio.sleep(0.1)
+        region.store.declare_version(2)
+        await asyncio.sleep(DEADLINE_SECONDS)
+        newest = entry.state_sync.cluster_state.newest_version("m")
+        known.append((entry.number, newest))
+
+    run_regions(scenario, (1,))
+    assert known == [(2, 2)]
--- a/tests/cluster_state/test_slow_store.py
+++ b/tests/cluster_state/test_slow_store.py
@@ -121,7 +121,7 @@
 
 
 @pytest.mark.parametrize("delay", [1.2, 1.47, 2.0, 5.0])
-@pytest.mark.parametrize("sizes", [(3,), (6,), (3, 6)])
+@pytest.mark.parametrize("sizes", [(3,), (6,), (3, 6), (2, 4, 6)])
 def test_changes_take_effect_in_time_while_the_store_is_slow(sizes, delay):
     # Guards against requests handled by a configuration that was replaced seconds ago:
     # a store that responds late is taken for one that does not respond.
