Clear a request for versions that entries have answered

Cause: VersionConfirmation waits for an event that a step sets. Where entries confirm the versions before the loop has seen the request, or while it reads, the event stays set: the loop has nothing to read, and each of its waits ends at once without a pause for other tasks, while the timer of each adds to the memory.

Ruled out: chunks held or being sent (no sources in the transfer), connections (10 open), the kind of machine. Other loops that wait for an event clear it at each wait.

Failing before: test_an_agent_whose_request_was_answered_by_entries_goes_on, both cases.

--- a/packages/wasabideck_base/wasabideck_base/version_confirmation.py
+++ b/packages/wasabideck_base/wasabideck_base/version_confirmation.py
@@ -106,6 +106,8 @@
         while True:
             if not self.requested and not self._is_overdue(self.clock()):
                 failures = 0
+                # Entries may have answered a request that was made meanwhile.
+                self._request.clear()
                 await self._wait_for_request(CHECK_INTERVAL_SECONDS)
                 continue
             self._request.clear()
--- a/tests/cluster_state/test_version_confirmation.py
+++ b/tests/cluster_state/test_version_confirmation.py
@@ -343,3 +343,42 @@
         assert len(store.reads) <= 8
 
     run_in_virtual_time(scenario())
+
+
+class CountedRandom(random.Random):
+    """Ends a loop that draws far more intervals than it can wait for."""
+
+    MAX_DRAWS = 100
+    draws = 0
+
+    def uniform(self, a, b):
+        self.draws += 1
+        assert self.draws < self.MAX_DRAWS, "a loop that never waits"
+        return super().uniform(a, b)
+
+
+@pytest.mark.parametrize("during_read", [False, True])
+def test_an_agent_whose_request_was_answered_by_entries_goes_on(store, during_read):
+    # Guards against an agent that spins until its memory is used up, when entries have
+    # confirmed the versions before it got to ask the store.
+    async def scenario():
+        now = asyncio.get_running_loop().time
+        async with agent_beside_stale_peer(store, now()) as state_sync:
+            cluster_state, confirmation = (
+                state_sync.cluster_state,
+                state_sync.confirmation,
+            )
+            confirmation.rng = CountedRandom(1)
+            await asyncio.sleep(0.1)
+            deadline = state_sync.cfg.limits.version_deadline_seconds
+            assert not confirmation.allows(now() + deadline, now())
+            if during_read:
+                store.seconds = 0.5
+                await asyncio.sleep(0.1)
+                cluster_state.mark_complete(now())
+                assert not confirmation.allows(now() + deadline + 1.0, now())
+                cluster_state.mark_complete(now() + 1.0)
+            cluster_state.mark_complete(now() + 1.0)
+            await asyncio.sleep(3.0)
+
+    run_in_virtual_time(scenario())
