Keep what a peer has sent apart from small rows before the first read

Fault of, found by reading: before its first read a process with large rows reads small ones, and took the newest of them for the row up to which it knows the table. A configuration written before that version would not have been asked for until the first read, and peers that begin would have been told the same.

Failing before: test_small_rows_do_not_hide_others_before_the_first_read.

--- a/packages/wasabideck_base/wasabideck_base/table_watch.py
+++ b/packages/wasabideck_base/wasabideck_base/table_watch.py
@@ -262,7 +262,7 @@
         self._note_response_time(requested_at)
         responded_at = self._record_response(changes, requested_at)
         if self.version < 0:
-            self._apply_before_first_read(changes)
+            self._apply_before_first_read(changes, reads_small_rows)
             return False
         if changes.version < self.version:
             # The response to a later call was faster.
@@ -305,12 +305,20 @@
         if self.version < 0:
             self.newest = max(self.newest, newest)
 
-    def _apply_before_first_read(self, changes: RowChanges) -> None:
-        """Apply newer rows of a check whose response was faster than the first read."""
+    def _apply_before_first_read(self, changes: RowChanges, partial: bool) -> None:
+        """Apply newer rows of a check whose response was faster than the first read.
+
+        Parameters
+        ----------
+        partial : bool
+            Whether only small rows were read, and others may be missing.
+        """
         newer = [row for row in changes.rows if row.version > self.newest]
-        if newer:
+        if not newer:
+            return
+        if not partial:
             self.newest = max(row.version for row in newer)
-            self.on_rows(newer)
+        self.on_rows(newer)
 
     def record_failed_check(self, exc: WasabideckError) -> None:
         """Record that the store did not respond to a check."""
@@ -512,7 +520,8 @@
         requested_at = self.clock()
         self.first_read_unverified = self.first_read_unverified or self.version < 0
         with self._log_if_slow("read"):
-            changes = await self._await_call(self.store.read(self.table), True)
+            read = self.store.read(self.table)
+            changes = await self._await_call(read, is_read=True)
         if changes.version < self.version:
             # A response older than the copy would remove rows that were added since.
             await asyncio.sleep(self._next_backoff())
@@ -630,6 +639,7 @@
         return self._apply_newer_rows(changes.rows)
 
     def _apply_newer_rows(self, rows: Iterable[Row]) -> bool:
+        """Apply rows that are newer than the known ones; return whether any is."""
         newer = [row for row in rows if row.version > self._known_version(row.key)]
         for row in newer:
             self._rows[row.key] = row
--- a/tests/cluster_state/test_table_watch.py
+++ b/tests/cluster_state/test_table_watch.py
@@ -7,7 +7,12 @@
 from wasabideck_base.events import Events, HybridClock
 from wasabideck_base.http_responses import PlatformUnavailable
 from wasabideck_base.rows import HistoryLost, Row, RowChanges
-from wasabideck_base.table_watch import STALLED_CALL_SECONDS, TablePosition, TableWatch
+from wasabideck_base.table_watch import (
+    LARGE_ROW_BYTES,
+    STALLED_CALL_SECONDS,
+    TablePosition,
+    TableWatch,
+)
 
 
 class ScriptedStore:
@@ -21,8 +26,8 @@
     def received_bytes(self, table):
         return self.bytes_received
 
-    async def read(self, table):
-        return await self._next("read")
+    async def read(self, table, key_prefix=""):
+        return await self._next(("read", key_prefix) if key_prefix else "read")
 
     async def wait_for_changes(self, table, after, wait):
         return await self._next(("follow", after))
@@ -455,3 +460,26 @@
         reading.cancel()
 
     asyncio.run(scenario())
+
+
+def test_small_rows_do_not_hide_others_before_the_first_read(recorder, clock):
+    # Guards against a configuration that a process which begins never asks for, because
+    # a version declared after it came first.
+    later = RowChanges((row("version/m", 13),), 13)
+    both = RowChanges((row("config", 12), row("version/m", 13)), 13)
+    store = ScriptedStore(later, both)
+    watch = watch_of(store, recorder, clock)
+    watch.small_rows_prefix = "version/"
+
+    async def scenario():
+        watch.begin_after(10)
+        watch.heard_row_bytes = LARGE_ROW_BYTES
+        await watch.check()
+        assert (watch.version, watch.newest) == (-1, 10)
+        watch.heard_row_bytes = 0
+        await watch.check()
+        assert (watch.version, watch.newest) == (-1, 13)
+
+    asyncio.run(scenario())
+    assert store.calls == [("read", "version/"), ("follow", 10)]
+    assert ("config", False) in recorder.rows
