--- a/packages/wasabideck_base/wasabideck_base/staleness_checks.py
+++ b/packages/wasabideck_base/wasabideck_base/staleness_checks.py
@@ -192,7 +192,7 @@
         elif self._behind and not self._pending:
             interval = self.times.first_interval
         if self._pending:
-            since = max(since, self.watch.data_arrived_at(now))
+            since = max(since, self.watch.arrivals.last_at(now))
         return since + interval - now
 
     @property
@@ -211,7 +211,7 @@
     def _start(self, now: float) -> None:
         """Start a check beside those that are pending."""
         # What has arrived by now does not count as arriving after the check.
-        self.watch.data_arrived_at(now)
+        self.watch.arrivals.last_at(now)
         if self._backs_off(now):
             self._backoff = min(2 * self._backoff, self.times.max_interval)
         self._started_at = now
@@ -265,8 +265,8 @@
 
     def _note_silence(self, now: float) -> None:
         """Have the store count as unresponsive when a check has waited for long."""
-        data_arrived_at = self.watch.data_arrived_at(now)
-        since = max(min(self._pending, default=now), data_arrived_at)
+        arrived_at = self.watch.arrivals.last_at(now)
+        since = max(min(self._pending, default=now), arrived_at)
         longest = max(self.times.timeout, LATE_RATIO * self.watch.response_seconds)
         if now - since >= longest:
             self.watch.record_failed_check(
@@ -278,7 +278,7 @@
         return bool(self._pending) and self._is_late_since(min(self._pending), now)
 
     def _is_late_since(self, started_at: float, now: float) -> bool:
-        waited = now - max(started_at, self.watch.data_arrived_at(now))
+        waited = now - max(started_at, self.watch.arrivals.last_at(now))
         return waited >= max(
             MIN_JITTER * self.times.first_interval,
             LATE_RATIO * self.watch.response_seconds,
--- a/packages/wasabideck_base/wasabideck_base/table_watch.py
+++ b/packages/wasabideck_base/wasabideck_base/table_watch.py
@@ -11,9 +11,11 @@
 from wasabideck_policy.outcomes import WasabideckError
 from wasabideck_policy.reader_selection import CONFIRMATION_VALID_SECONDS
 
+from .arrivals import Arrivals
 from .events import Events
 from .http_responses import PlatformRefused, PlatformUnavailable
 from .rows import HistoryLost, Row, RowChanges, RowStore
+from .transit_time import TransitTime
 
 __all__ = ["TablePosition", "TableWatch"]
 
@@ -47,8 +49,6 @@
 # Minimum age of a response, its transit included, where the store does not report when
 # it responded.
 MIN_TRANSIT_SECONDS = 0.1
-# Maximum drift between two steady clocks, in seconds per second.
-MAX_CLOCK_DRIFT_RATIO = 2e-4
 # A call that takes longer than this, beside the time for which the store may hold its
 # response, is logged.
 SLOW_CALL_SECONDS = 0.5
@@ -135,6 +135,8 @@
         Time that the store takes for a response which it does not hold.
     wait_seconds : float
         Maximum time for which the store may hold a response.
+    arrivals : Arrivals
+        When data of the table arrives.
     settle_seconds : float
         Delay after a response with changes, in which more of them are collected.
     written_since : float
@@ -164,8 +166,6 @@
     newest: int = 0
     _changed_at: float = float("-inf")
     responded_at: float = float("-inf")
-    _min_clock_offset: float = float("inf")
-    _clock_offset_at: float = float("-inf")
     last_response_at: float = float("-inf")
     response_seconds: float = 0.0
     wait_seconds: float = LONG_POLL_SECONDS
@@ -178,9 +178,8 @@
     _complete_until: float = float("-inf")
     _follow_started_at: float = float("inf")
     _requested_at: float = float("-inf")
-    _bytes_arrived_at: float = float("-inf")
-    _bytes_received: int = 0
-    _bytes_at_call: int = 0
+    arrivals: Arrivals = field(init=False)
+    _transit: TransitTime = field(factory=TransitTime)
     _rows: dict[str, Row] = field(factory=dict)
     _failures: int = 0
     _checks_fail: bool = False
@@ -192,6 +191,10 @@
     _is_reading: bool = False
     _missing_row: _MissingRow | None = None
 
+    def __attrs_post_init__(self) -> None:
+        """Observe what arrives of the table."""
+        self.arrivals = Arrivals(self.store, self.table)
+
     @property
     def failing(self) -> bool:
         """Whether the store did not respond to the last call or check."""
@@ -336,7 +339,7 @@
             return
         if self._is_reading:
             return
-        if self.has_large_rows and self.data_arrived_at(self.clock()) > before:
+        if self.has_large_rows and self.arrivals.last_at(self.clock()) > before:
             # The response is on its way, and would begin again.
             return
         self.events.emit("watch.call-dropped", table=self.table)
@@ -398,15 +401,8 @@
         """
         if not self.small_rows_prefix:
             return False
-        received = self.store.received_bytes(self.table) - self._bytes_at_call
-        return max(self.largest_row_bytes, received) >= LARGE_ROW_BYTES
-
-    def data_arrived_at(self, now: float) -> float:
-        """Return when data of the table last arrived, as far as was checked."""
-        received = self.store.received_bytes(self.table)
-        if received > self._bytes_received:
-            self._bytes_arrived_at, self._bytes_received = now, received
-        return self._bytes_arrived_at
+        known = max(self.largest_row_bytes, self.arrivals.bytes_since_call)
+        return known >= LARGE_ROW_BYTES
 
     @property
     def _reflected_version(self) -> int:
@@ -462,7 +458,7 @@
         response is overdue.
         """
         last_activity_at = max(
-            self.last_response_at, self._requested_at, self.data_arrived_at(now)
+            self.last_response_at, self._requested_at, self.arrivals.last_at(now)
         )
         if (
             self.failing
@@ -594,7 +590,7 @@
     async def _await_call(self, call: object, is_read: bool = False) -> RowChanges:
         """Return the response to a call, which other methods may cancel."""
         self._pending_call = asyncio.ensure_future(call)
-        self._bytes_at_call = self.store.received_bytes(self.table)
+        self.arrivals.begin_call()
         self._is_reading, self._drops_call = is_read, False
         self._requested_at = self.clock()
         try:
@@ -671,8 +667,8 @@
     def _record_response(self, changes: RowChanges, requested_at: float) -> float:
         """Record a response; return when the store sent it, seconds."""
         self.last_response_at = self.clock()
-        responded_at = self.last_response_at - self._transit_seconds(
-            changes, requested_at
+        responded_at = self.last_response_at - self._transit.excess(
+            changes.store_responded_at, requested_at, self.last_response_at
         )
         # A check and a pending call may be answered in any order.
         self.responded_at = max(self.responded_at, responded_at)
@@ -686,19 +682,6 @@
             self.on_recovery(outage_seconds)
         return responded_at
 
-    def _transit_seconds(self, changes: RowChanges, requested_at: float) -> float:
-        """Return a response's transit time in excess of the shortest one so far."""
-        if changes.store_responded_at is None:
-            return 0.0
-        offset = self.last_response_at - changes.store_responded_at
-        drift = MAX_CLOCK_DRIFT_RATIO * (self.last_response_at - self._clock_offset_at)
-        self._min_clock_offset = min(self._min_clock_offset + max(0.0, drift), offset)
-        self._clock_offset_at = self.last_response_at
-        if offset - self._min_clock_offset > self.last_response_at - requested_at:
-            # Longer than the whole call: the store's clock has changed.
-            self._min_clock_offset = offset
-        return offset - self._min_clock_offset
-
     def _record_failure(self, exc: WasabideckError) -> None:
         self._failures += 1
         if self._failures == 1:
