Answer calls that outlast the drain of the product's entry

What callers saw: a call that an entry took after its stop signal, or before, and whose deadline lies beyond the end of the drain (60 s; up to an hour may be asked for), was cut off without a response. Cause: nothing ends a call when the drain does. Two seconds before that, calls that still run end with the outcome unknown, with the reason EntryStopped: 504, or the last line of a stream. Later ones end at once.

--- a/packages/wasabideck_entry/wasabideck_entry/caller_endpoint.py
+++ b/packages/wasabideck_entry/wasabideck_entry/caller_endpoint.py
@@ -9,13 +9,14 @@
 from contextlib import aclosing
 
 import orjson
-from attrs import define
+from attrs import define, field
 from sanic import HTTPResponse, Request, Sanic
 from sanic.response import ResponseStream
 from wasabideck_base.metrics import Metrics
 from wasabideck_base.settings import EntrySettings, ServiceSettings
 from wasabideck_policy.outcomes import (
     Answered,
+    Failure,
     NotRun,
     Outcome,
     Unknown,
@@ -24,6 +25,7 @@
 
 from .authentication import organisation_of
 from .call_runner import Call, CallRunner, Completed, Started, StreamEvent
+from .running_calls import EntryStopped, RunningCalls
 
 __all__ = ["CallerEndpoint", "add_caller_routes", "problem_response"]
 
@@ -52,6 +54,7 @@
     cfg: EntrySettings
     caller: CallRunner
     metrics: Metrics
+    running_calls: RunningCalls = field(factory=RunningCalls)
 
     def service(self, name: str) -> ServiceSettings:
         """Return a service's settings; raise ``BadRequest`` if it is unknown."""
@@ -101,17 +104,25 @@
         response: ResponseStream | None = None
         outcome: Outcome | None = None
         started = Started(0, "", "")
-        # Closed as soon as the caller disconnects, so that the attempt is cancelled.
-        async with aclosing(endpoint.caller.run(call)) as items:
-            async for item in items:
-                if isinstance(item, Completed):
-                    outcome = item.outcome
-                elif isinstance(item, Started):
-                    started = item
-                elif isinstance(item, StreamEvent):
-                    if response is None:
-                        response = await _start_response(req, call, started)
-                    await response.send(_ndjson_line(_event_object(item.data)))
+        try:
+            # Closed as soon as the caller disconnects: the attempt is cancelled then.
+            async with (
+                endpoint.running_calls.track(),
+                aclosing(endpoint.caller.run(call)) as items,
+            ):
+                async for item in items:
+                    if isinstance(item, Completed):
+                        outcome = item.outcome
+                    elif isinstance(item, Started):
+                        started = item
+                    elif isinstance(item, StreamEvent):
+                        if response is None:
+                            response = await _start_response(req, call, started)
+                        await response.send(_ndjson_line(_event_object(item.data)))
+        except EntryStopped as exc:
+            # The attempt may have run.
+            failure = Failure(type(exc).__name__, str(exc))
+            outcome = outcome or Unknown(failure)
         _record_outcome(endpoint, call, outcome)
         if response is None:
             return _unstreamed_response(outcome)
--- a/packages/wasabideck_entry/wasabideck_entry/entry.py
+++ b/packages/wasabideck_entry/wasabideck_entry/entry.py
@@ -8,7 +8,7 @@
 from collections.abc import Callable
 
 import aiohttp
-from attrs import define
+from attrs import define, field
 from sanic import Request, Sanic
 from sanic.server import AsyncioServer
 from wasabideck_base.addresses import split_address
@@ -42,6 +42,7 @@
 from .http_server import HttpOptions, close_http, make_app, serve_http
 from .idle_connections import count_requests_in_progress
 from .operator_endpoint import OperatorEndpoint, add_operator_routes
+from .running_calls import RunningCalls
 from .status_watcher import StatusWatcher
 
 __all__ = ["serve_entry"]
@@ -52,6 +53,8 @@
 DRAIN_TIMEOUT_SECONDS = 60.0
 READINESS_DELAY_SECONDS = 1.0
 CANCEL_WAIT_SECONDS = 2.0
+# Time before the end of the drain at which calls that still run get their response.
+FINAL_RESPONSE_SECONDS = 2.0
 
 
 @define
@@ -72,6 +75,7 @@
     events_lost: Callable[[], int] = int
     next_head_poll_at: float = 0.0
     http: AsyncioServer | None = None
+    running_calls: RunningCalls = field(factory=RunningCalls)
 
     async def read_members(self) -> None:
         """Read the platform's list; keep the last one while it is unavailable."""
@@ -255,13 +259,20 @@
     entry.shutting_down = True
     entry.events.emit("process.leaving", kind=ENTRY)
     await asyncio.sleep(READINESS_DELAY_SECONDS)
+    drain = asyncio.get_running_loop().call_later(
+        max(0.0, DRAIN_TIMEOUT_SECONDS - FINAL_RESPONSE_SECONDS),
+        entry.running_calls.end_all,
+    )
     await close_http(entry.http, DRAIN_TIMEOUT_SECONDS)
+    drain.cancel()
     await entry.caller.wait_for_cancels(CANCEL_WAIT_SECONDS)
 
 
 def _make_entry_app(entry: Entry, options: HttpOptions) -> Sanic:
     app = make_app(options)
-    endpoint = CallerEndpoint(entry.cfg, entry.caller, entry.metrics)
+    endpoint = CallerEndpoint(
+        entry.cfg, entry.caller, entry.metrics, entry.running_calls
+    )
     add_caller_routes(app, endpoint)
     add_operator_routes(
         app,
--- a/tests/product/test_entry_drain.py
+++ b/tests/product/test_entry_drain.py
@@ -4,7 +4,7 @@
 
 import pytest
 from wasabideck_entry import entry as entry_module
-from wasabideck_entry.call_runner import CallRunner
+from wasabideck_entry.call_runner import CallRunner, StreamEvent
 
 CALLER = "sample-caller-token"
 
@@ -63,3 +63,19 @@
     monkeypatch.setattr(CallRunner, "run", run)
     monkeypatch.setattr(entry_module, "DRAIN_TIMEOUT_SECONDS", 0.5)
     assert sent_while_stopping(request("brief")).startswith(b"HTTP/1.1 50")
+
+
+def test_a_stream_that_outlasts_the_drain_ends_with_its_outcome(
+    sent_while_stopping, monkeypatch
+):
+    # Guards against streams that are cut off without a word at the end of the drain.
+    async def run(self, call):
+        yield StreamEvent(b"part")
+        await asyncio.Event().wait()
+
+    monkeypatch.setattr(CallRunner, "run", run)
+    monkeypatch.setattr(entry_module, "DRAIN_TIMEOUT_SECONDS", 0.5)
+    received = sent_while_stopping(request("brief"))
+    assert b"part" in received
+    assert b'"outcome":"unknown","reason":"EntryStopped"' in received
+    assert received.endswith(b"0\r\n\r\n")
