Answer requests that were read before a stopping entry closes a connection

What callers saw: of two requests that came in one write after the stop signal, one response. Cause: each response of an entry that stops closes its connection, and the server drops what it has read after the request. A response no longer closes the connection if another request has been read already; the last one does.

--- a/packages/wasabideck_entry/wasabideck_entry/entry.py
+++ b/packages/wasabideck_entry/wasabideck_entry/entry.py
@@ -289,9 +289,9 @@
 
 
 def _add_connection_close(app: Sanic, entry: Entry) -> None:
-    @app.on_request
-    async def close_after(req: Request) -> None:
+    @app.on_response
+    async def close_after(req: Request, _: object) -> None:
         # The response announces that the connection is closed, so that the caller does
-        # not send its next request on it.
-        if entry.shutting_down:
+        # not send its next request on it. One that has been read already is answered.
+        if entry.shutting_down and not req.protocol.recv_buffer:
             req.stream.keep_alive = False
