--- a/packages/wasabideck_base/wasabideck_base/table_watch.py
+++ b/packages/wasabideck_base/wasabideck_base/table_watch.py
@@ -235,10 +235,12 @@
     async def check(self) -> bool:
         """Ask the store for changes beside a pending call, and apply them.
 
+        Where rows are large only the small ones are read.
+
         Returns
         -------
         newer : bool
-            Whether there were changes that no other call had brought.
+            Whether there are changes that no other call has brought.
 
         Raises
         ------
@@ -247,14 +249,9 @@
         """
         missing_since, max_age = self._missing_bounds()
         version, requested_at = self._checked_version, self.clock()
-        reads_small_rows = self.has_large_rows
+        small_rows_only = self.has_large_rows
         try:
-            with self._log_if_slow("check"):
-                if reads_small_rows:
-                    call = self.store.read(self.table, self.small_rows_prefix)
-                else:
-                    call = self.store.wait_for_changes(self.table, version, 0.0)
-                changes = await call
+            changes = await self._call_for_check(version, small_rows_only)
         except HistoryLost as exc:
             self.events.emit("watch.history-lost", table=self.table, why=str(exc))
             self._needs_full_read = self.first_read_unverified = True
@@ -265,19 +262,25 @@
         self._note_response_time(requested_at)
         responded_at = self._record_response(changes, requested_at)
         if self.version < 0:
-            self._apply_before_first_read(changes, reads_small_rows)
+            self._apply_before_first_read(changes, small_rows_only)
             return False
         if changes.version < self.version:
             # The response to a later call was faster.
             return False
         self.written_since = max(missing_since, responded_at - max_age)
-        if reads_small_rows:
+        if small_rows_only:
             return self._apply_small_rows(changes, requested_at)
         newer = self._apply(changes)
         # How long an answer travelled is known only against a faster one.
         self._note_complete(changes, requested_at)
         return newer
 
+    async def _call_for_check(self, version: int, small_rows_only: bool) -> RowChanges:
+        with self._log_if_slow("check"):
+            if small_rows_only:
+                return await self.store.read(self.table, self.small_rows_prefix)
+            return await self.store.wait_for_changes(self.table, version, 0.0)
+
     def _apply_small_rows(self, changes: RowChanges, requested_at: float) -> bool:
         """Apply the small rows of a table; return whether others have changed."""
         self._apply_newer_rows(changes.rows)
@@ -308,18 +311,15 @@
         if self.version < 0:
             self.newest = max(self.newest, newest)
 
-    def _apply_before_first_read(self, changes: RowChanges, partial: bool) -> None:
-        """Apply newer rows of a check whose response was faster than the first read.
-
-        Parameters
-        ----------
-        partial : bool
-            Whether only small rows were read, and others may be missing.
-        """
+    def _apply_before_first_read(
+        self, changes: RowChanges, small_rows_only: bool
+    ) -> None:
+        """Apply newer rows of a check whose response was faster than the first read."""
         newer = [row for row in changes.rows if row.version > self.newest]
         if not newer:
             return
-        if not partial:
+        if not small_rows_only:
+            # Otherwise larger rows may be missing among them.
             self.newest = max(row.version for row in newer)
         self.on_rows(newer)
 
