Have sanic keep its code in all tests

test_server_clients.py, test_members.py and test_input_limits.py in this order hung at the second case of test_large_or_malformed_request_is_refused_and_entry_continues (5 of 5 tries). Cause: the first application of a process has sanic remove what it does not use; that of test_server_clients.py uses no signals, and the entry of the later test checks requests by signals, so that nothing refused a body that never came. Only the entry's fixture had turned that off. A program runs one application, so that it is not affected.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -45,6 +45,16 @@
     gc.collect()
 
 
+@pytest.fixture(autouse=True)
+def _leave_sanic_unchanged(monkeypatch):
+    """Have sanic keep its code as it is.
+
+    It removes what the first application of a process does not use, such as the
+    signals with which an entry checks requests: a second application would go without.
+    """
+    monkeypatch.setenv("SANIC_TOUCHUP", "false")
+
+
 @pytest.fixture
 def rng():
     return random.Random(7)
--- a/tests/product/conftest.py
+++ b/tests/product/conftest.py
@@ -153,10 +153,6 @@
 def run_entry(monkeypatch):
     """Return a context manager that runs an entry and stops it gracefully."""
 
-    # sanic rewrites its own code for the first application of a process, which fails
-    # for a second one.
-    monkeypatch.setenv("SANIC_TOUCHUP", "false")
-
     @contextlib.asynccontextmanager
     async def run(cfg):
         ready = asyncio.get_running_loop().create_future()
