Run the tests of region readers in virtual time

Five of them failed now and then beside a load of 20 and more (KNOWN-RED.txt), supposedly as real time passed while the one process of a test stood still.

--- a/tests/cluster_state/test_region_readers.py
+++ b/tests/cluster_state/test_region_readers.py
@@ -35,7 +35,7 @@
                 await asyncio.sleep(SETTLED_SECONDS)
             await scenario(store, readers, followers)
 
-        run_region(settled, size)
+        run_region(settled, size, virtual_time=True)
 
     return run
 
