--- a/packages/wasabideck_base/wasabideck_base/staleness_checks.py
+++ b/packages/wasabideck_base/wasabideck_base/staleness_checks.py
@@ -119,6 +119,9 @@
     made beside it, and beside earlier checks, on another connection. It is given up
     only when a later one has been answered.
 
+    A table with large rows is checked for its version: the rows come by the pending
+    call, which is made again if nothing of them has arrived meanwhile.
+
     Attributes
     ----------
     watch : TableWatch
