--- a/tests/cluster_state/test_slow_store.py
+++ b/tests/cluster_state/test_slow_store.py
@@ -156,6 +156,25 @@
     assert not late, late
 
 
+@pytest.mark.parametrize("seed", [1, 2, 3])
+@pytest.mark.parametrize("delay", [1.47, 2.0, 5.0])
+def test_changes_take_effect_in_time_in_three_regions_whose_entries_restart(
+    delay, seed
+):
+    # Guards against regions that learn of a change later than the one whose readers
+    # stay, while a process that begins knows what its region knew before.
+    late = []
+
+    async def scenario(region):
+        region.server.delay = delay
+        restarts = asyncio.create_task(restart_in_turn(region, seed))
+        await change_one_after_another(region, late, delay)
+        await restarts
+
+    run_regions(scenario, (2, 4, 6))
+    assert not late, late
+
+
 @pytest.mark.parametrize("delay", [0.005, 0.7, 1.2, 2.0])
 @pytest.mark.parametrize("size", [1, 3, 6])
 def test_change_takes_effect_in_time_after_open_connections_fell_silent(size, delay):
