--- a/review/standins/engine.py
+++ b/review/standins/engine.py
@@ -5,6 +5,7 @@
 import asyncio
 import hashlib
 import json
+import logging
 import time
 from collections.abc import Callable
 from dataclasses import dataclass, field
@@ -12,6 +13,9 @@
 from . import http
 from .weights import CHUNKS, LAYERS, digest, piece
 
+# A server that doesn't drop a request goes on writing to a closed connection.
+logging.getLogger("asyncio").setLevel(logging.ERROR)
+
 # One pass of the batch makes one event of each stream that is being written.
 PASS_SECONDS = 0.046
 PROMPT_TOKENS_PER_SECOND = 31_900.0
@@ -41,13 +45,17 @@
 
 @dataclass(eq=False)
 class Engine:
-    """A sound model server; faults are put in by ``fails``."""
+    """A sound model server; faults are put in by ``fails``.
+
+    Most servers drop a request when its connection closes; others go on with it.
+    """
 
     name: str
     model: str
     slots: int = 16
     load_seconds: float = 0.3
     version: int = 1
+    drops_closed: bool = True
     fails: Callable[[http.Request], bool] = lambda req: False
     born: int = field(default_factory=lambda: int(time.time() * 1000))
     runs: list[Run] = field(default_factory=list)
@@ -178,7 +186,7 @@
             int(headers.get("last-event-id", 0)) + 1,
             now + int(headers.get("x-deadline-ms", 60_000)) / 1000,
             now,
-            req.peer_left,
+            req.peer_left if self.drops_closed else lambda: False,
         )
         self.waiting.append(run)
         try:
