--- a/review/standins/engine.py
+++ b/review/standins/engine.py
@@ -47,7 +47,9 @@
 class Engine:
     """A sound model server; faults are put in by ``fails``.
 
-    Most servers drop a request when its connection closes; others go on with it.
+    Most servers drop a request when its connection closes; others go on with it. A
+    server that is silent for a while does nothing until then. It goes on with what it
+    has in hand, and with what waits there after it has seen who left.
     """
 
     name: str
@@ -56,6 +58,8 @@
     load_seconds: float = 0.3
     version: int = 1
     drops_closed: bool = True
+    silent_until: float = 0.0
+    first_pass_seconds: float = 0.0
     fails: Callable[[http.Request], bool] = lambda req: False
     born: int = field(default_factory=lambda: int(time.time() * 1000))
     runs: list[Run] = field(default_factory=list)
@@ -74,6 +78,7 @@
 
     async def handle(self, req: http.Request) -> http.Response | None:
         """Answer one call or request."""
+        await self._awake()
         if not req.path.startswith("/-/") and req.path != "/health":
             return await self._serve(req)
         if self.fails(req):
@@ -97,6 +102,11 @@
             return self._order(json.loads(req.body))
         return http.Response(404)
 
+    async def _awake(self) -> None:
+        """Return when the server is not silent."""
+        while (seconds := self.silent_until - time.monotonic()) > 0:
+            await asyncio.sleep(seconds)
+
     def _report(self) -> dict:
         return self.description() | {
             "busy": self.load is not None,
@@ -160,6 +170,10 @@
         await asyncio.sleep(self.load_seconds if version else 0.0)
         self.version, self.load = version, None
 
+    def reads_prompt(self) -> bool:
+        """Whether it has a request in hand that has not begun yet."""
+        return any(run.began_at is None for run in self.running)
+
     def spoil(self, indices: list[int]) -> None:
         """Have staged pieces turn bad."""
         for index in indices:
@@ -219,7 +233,10 @@
                     + b"Content-Length: 0\r\n\r\n"
                 )
             return
-        await asyncio.sleep(run.prompt_tokens / PROMPT_TOKENS_PER_SECOND)
+        await asyncio.sleep(
+            run.prompt_tokens / PROMPT_TOKENS_PER_SECOND + self.first_pass_seconds
+        )
+        await self._awake()
         run.began_at, run.version = time.monotonic(), self.version
         self.runs.append(run)
         writer.write(
@@ -228,6 +245,7 @@
             "Transfer-Encoding: chunked\r\n\r\n".encode()
         )
         for number in range(run.first_event, run.events + 1):
+            await self._awake()
             if run.left() or time.monotonic() > run.ends_at:
                 writer.close()
                 return
@@ -239,6 +257,9 @@
     async def _wait_for_slot(self, run: Run) -> bool:
         """Return whether the request may begin; it is dropped if its caller left."""
         while not run.left() and not run.refused and time.monotonic() < run.ends_at:
+            if time.monotonic() < self.silent_until:
+                await self._awake()
+                continue
             first = min(self.waiting, key=lambda r: (r.priority, r.arrived_at))
             free = len(self.running) < self.slots
             if first is run and free and self.load is None and self.version:
--- a/review/standins/fleet.py
+++ b/review/standins/fleet.py
@@ -117,6 +117,8 @@
         self.entries: list[Process] = []
         self.agents: list[Process] = []
         self.servers: list[asyncio.Server] = []
+        # How long the origin is down from each declaration on, where there is trouble.
+        self.origin_down_seconds = 0.0
         self.version = 1
         self.declared: list[tuple[float, int]] = []
         self.numbers = itertools.count()
--- a/review/standins/versions.py
+++ b/review/standins/versions.py
@@ -7,6 +7,7 @@
 import sys
 import time
 from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
 from pathlib import Path
 
 from .engine import Engine, Run
@@ -18,12 +19,21 @@
 ORIGIN_BYTES_PER_SECOND = 7.3e6 / 8
 RUN_SECONDS = 115
 PAUSE_SECONDS = 4.0
-# A burst of long streams, with a prompt of usual length each.
-BURST_BEFORE_SECONDS, BURST_SECONDS = 2.0, 0.45
-BURST_PER_ENGINE, PROMPT_TOKENS, ANSWER_TOKENS = 21, 700, 306
+PROMPT_TOKENS = 700
 CALM_INTERVAL_SECONDS = 0.1
 CALM_ANSWER_TOKENS = 60
 
+
+@dataclass
+class Burst:
+    """Many streams in a short time before the end of the time of older weights."""
+
+    before: float = 2.0
+    seconds: float = 0.45
+    per_engine: int = 21
+    answer_tokens: int = 306
+
+
 Trouble = Callable[[Fleet, Record], Awaitable[None]]
 
 
@@ -44,13 +54,13 @@
             await asyncio.sleep(CALM_INTERVAL_SECONDS)
 
 
-async def _send_burst(fleet: Fleet, record: Record) -> None:
-    count = BURST_PER_ENGINE * len(fleet.engines)
+async def _send_burst(fleet: Fleet, record: Record, burst: Burst) -> None:
+    count = burst.per_engine * len(fleet.engines)
     async with asyncio.TaskGroup() as group:
         for _ in range(count):
             ip = random.choice(fleet.entry_ips)
-            group.create_task(send(fleet, record, ip, ANSWER_TOKENS))
-            await asyncio.sleep(BURST_SECONDS / count)
+            group.create_task(send(fleet, record, ip, burst.answer_tokens))
+            await asyncio.sleep(burst.seconds / count)
 
 
 def waiting_on_older(fleet: Fleet) -> list[tuple[Process, str]]:
@@ -75,30 +85,37 @@
 
 
 async def _play_round(
-    fleet: Fleet, record: Record, trouble: Trouble | None, before: float
+    fleet: Fleet, record: Record, trouble: Trouble | None, before: float, burst: Burst
 ) -> None:
+    if trouble is not None:
+        fleet.origin.down_until = time.monotonic() + fleet.origin_down_seconds
     record.write("version declared", version=fleet.declare())
     ends_at = time.monotonic() + VERSION_SECONDS
-    await asyncio.sleep(ends_at - BURST_BEFORE_SECONDS - time.monotonic())
-    burst = asyncio.create_task(_send_burst(fleet, record))
+    await asyncio.sleep(ends_at - burst.before - time.monotonic())
+    sending = asyncio.create_task(_send_burst(fleet, record, burst))
     await asyncio.sleep(ends_at - before - time.monotonic())
     waiting = [len(engine.waiting) for engine in fleet.engines]
     versions = [engine.version for engine in fleet.engines]
     record.write("servers", waiting=waiting, versions=versions)
     if trouble is not None:
         await trouble(fleet, record)
-    await burst
+    await sending
 
 
 async def _play(
-    fleet: Fleet, record: Record, trouble: Trouble | None, before: float, rounds: int
+    fleet: Fleet,
+    record: Record,
+    trouble: Trouble | None,
+    before: float,
+    rounds: int,
+    burst: Burst,
 ) -> int:
     try:
         await fleet.start()
         await asyncio.sleep(2.5)
         calm = asyncio.create_task(_send_calm(fleet, record))
         for _ in range(rounds):
-            await _play_round(fleet, record, trouble, before)
+            await _play_round(fleet, record, trouble, before, burst)
             await asyncio.sleep(PAUSE_SECONDS)
             if late_runs(fleet):
                 break
@@ -132,7 +149,12 @@
 
 
 def run_case(
-    folder: Path, fleet: Fleet, trouble: Trouble | None, before: float, rounds: int
+    folder: Path,
+    fleet: Fleet,
+    trouble: Trouble | None,
+    before: float,
+    rounds: int,
+    burst: Burst | None = None,
 ) -> None:
     """Declare versions with trouble before the end of each one's time, and exit.
 
@@ -145,7 +167,7 @@
     """
     record = Record(folder)
     try:
-        playing = _play(fleet, record, trouble, before, rounds)
+        playing = _play(fleet, record, trouble, before, rounds, burst or Burst())
         code = asyncio.run(asyncio.wait_for(playing, RUN_SECONDS))
     except Exception as exc:
         record.write("could not run", why=repr(exc))
--- a/review/standins/weights.py
+++ b/review/standins/weights.py
@@ -5,6 +5,7 @@
 import asyncio
 import hashlib
 import random
+import time
 from functools import cache
 
 from . import http
@@ -31,10 +32,14 @@
 
     def __init__(self, model: str, bytes_per_second: float):
         self.model, self.rate = model, bytes_per_second
+        self.down_until = 0.0
         self._link = asyncio.Lock()
 
-    async def handle(self, req: http.Request) -> http.Response:
-        """Answer one call."""
+    async def handle(self, req: http.Request) -> http.Response | None:
+        """Answer one call; cut it off while the origin is down."""
+        if time.monotonic() < self.down_until:
+            req.writer.transport.abort()
+            return None
         version = int(req.query.get("version", 1))
         if req.path == f"/-/manifest/{self.model}":
             hashes = [digest(version, index) for index in range(CHUNKS)]
