Account for what all callers' connections of an entry hold together

What callers saw: an entry ran out of memory and ended when clients sent many requests ahead without reading answers, heads of thousands of short lines, or large bodies that stopped short of their end. A legal head of 16,184 bytes in lines of four was answered 431, and an answer before a close was lost where its caller had sent more.

Cause: what one read brought was parsed whole, whatever waited; each header line was kept as a tuple of two objects (some 180 bytes for a line of four); a body was a list of its pieces; a body had no time limit; nothing added up what connections hold, and no setting of memory or descriptors was read; a close with unread bytes resets.

Change: ConnectionBudget adds up, for the process, the bytes that each connection holds from the first byte read to the last byte written, and its sockets. Beyond the limits, which follow from memory-mb and max-fds, it turns away those that hold most without progress; the newest connection is never the one. Reading waits while aborted connections have not released their memory, and garbage is collected by the bytes in it. Input is parsed 1 KB at a time while requests wait, headers and bodies are kept in one block, a request and its body are not joined before they are sent, a served request's response counts until it is written. A rejected request is answered after those before it; the connection then lingers with its input discarded. The kernel's buffers of accepted connections are limited to 64 KB.

Ruled out: a smaller number of pipelined requests, a cap on header lines, a cap on connections: each leaves the product of the three, or refuses a legal request.

--- a/packages/wasabideck_base/wasabideck_base/event_kinds.py
+++ b/packages/wasabideck_base/wasabideck_base/event_kinds.py
@@ -55,6 +55,10 @@
         "the end of a claim could not be written yet",
         "check the table service; the write is retried",
     ),
+    "connection.turned-away": EventKind(
+        "a connection was closed because all connections held too much",
+        "nothing for a few; many: find the client, or raise the limits of the VM",
+    ),
     "drain.expired": EventKind(
         "an entry ended its `open` requests when its time to shut down was over",
         "many `open`: compare the grace period with the time limits of the routes",
--- a/packages/wasabideck_base/wasabideck_base/vm_process.py
+++ b/packages/wasabideck_base/wasabideck_base/vm_process.py
@@ -10,6 +10,7 @@
 import time
 from collections.abc import AsyncIterator, Callable, Coroutine
 from contextlib import asynccontextmanager
+from functools import partial
 
 import eliot
 from attrs import define, field
@@ -18,12 +19,14 @@
 
 from .bounded_log import BoundedLog
 from .channels import Channels, exchange_clock
+from .connection_budget import ConnectionBudget
 from .deployment import DeploymentAdapter
 from .events import Events, HybridClock
 from .gossip import GossipService
 from .http_pool import HttpPool
 from .inner_limits import InnerServer
 from .state_sync import StateSync
+from .turned_away_log import TurnedAwayLog
 from .vm_metrics import VMMetrics, serve_metrics
 from .vm_settings import VMSettings
 
@@ -38,6 +41,13 @@
 RESPONSE_WINDOW_BYTES = 4096
 # Ports of the metrics endpoints; an entry and an agent on one VM need different ones.
 METRICS_PORTS = {ENTRY: 9464, AGENT: 9465}
+# Share of a process's sockets for the connections that each listener accepts. Those of
+# callers include connections to backend servers. What remains is for connections to the
+# store, to peers and to the engine.
+SOCKET_SHARES = {
+    ENTRY: {"callers": 0.6, "health-checks": 0.05, "inner": 0.2, "metrics": 0.05},
+    AGENT: {"chunks": 0.4, "inner": 0.2, "metrics": 0.05},
+}
 
 
 @define
@@ -61,6 +71,7 @@
     rng: random.Random
     stop: asyncio.Event
     failed: bool = False
+    budget: ConnectionBudget = field(factory=ConnectionBudget)
     reload_listeners: list[Callable[[VMSettings], None]] = field(factory=list)
 
     def start_loop(self, coroutine: Coroutine) -> asyncio.Task:
@@ -114,7 +125,10 @@
         process = VMProcess(
             cfg, events, pool, channels, state_sync, loop.time, rng, stop
         )
-        inner = InnerServer([GossipService(state_sync.gossip), *services(process)])
+        budget = process.budget = _open_budget(cfg, kind, events)
+        process.reload_listeners.append(partial(_set_limits, budget))
+        peers = [GossipService(state_sync.gossip), *services(process)]
+        inner = InnerServer(peers)
         exchange_clock(inner, events.clock)
         await inner.start(cfg.ip, cfg.inner_port)
         metrics = VMMetrics()
@@ -158,6 +172,15 @@
             listener(process.cfg)
 
 
+def _open_budget(cfg: VMSettings, kind: str, events: Events) -> ConnectionBudget:
+    log = TurnedAwayLog(events)
+    return ConnectionBudget(cfg.process_limits, SOCKET_SHARES[kind], log)
+
+
+def _set_limits(budget: ConnectionBudget, cfg: VMSettings) -> None:
+    budget.limits = cfg.process_limits
+
+
 def _open_log(vm: str) -> Events:
     descriptor = sys.stdout.fileno()
     os.set_blocking(descriptor, False)
--- a/packages/wasabideck_base/wasabideck_base/vm_settings.py
+++ b/packages/wasabideck_base/wasabideck_base/vm_settings.py
@@ -4,6 +4,8 @@
 
 from attrs import field, frozen
 
+from .connection_budget import ProcessLimits
+
 __all__ = ["DeploymentLimits", "VMSettings", "StoreSettings"]
 
 
@@ -74,6 +76,8 @@
         Address of the backend server beside an agent, and its service.
     heartbeat_seconds : float
         Seconds between two heartbeats of a backend server to the store.
+    process_limits : ProcessLimits
+        Memory and descriptors of the process.
     """
 
     vm: str
@@ -91,6 +95,7 @@
     service: str = ""
     heartbeat_seconds: float = 1.0
     limits: DeploymentLimits = field(factory=DeploymentLimits)
+    process_limits: ProcessLimits = field(factory=ProcessLimits)
 
     @property
     def inner_address(self) -> str:
--- a/packages/wasabideck_forward/wasabideck_forward/attempts.py
+++ b/packages/wasabideck_forward/wasabideck_forward/attempts.py
@@ -63,6 +63,7 @@
     async def start(self, exchange: Exchange, backend: Backend) -> Attempt:
         """Send a request to a server; raises ``Unreachable``."""
         exchange.tried_servers.append(backend.server)
+        exchange.req.usage.add(sockets=1)
         backend.add_request(self._clock())
         backend.unread_prompts.add(exchange)
         conn = None
@@ -87,6 +88,7 @@
     def end(self, attempt: Attempt, answered: bool = False) -> None:
         """End an attempt; the server stops its work unless it has responded."""
         self._release(attempt.exchange, attempt.backend)
+        attempt.response.discard()
         self.in_flight.discard(attempt.in_flight_request)
         if answered:
             self.pool.release(attempt.backend, attempt.conn)
@@ -97,7 +99,9 @@
         self, exchange: Exchange, backend: Backend, conn: ServerConnection
     ) -> Attempt:
         response = ServerResponse(
-            exchange.req.head.request_id, exchange.req.method == b"HEAD"
+            exchange.req.head.request_id,
+            exchange.req.method == b"HEAD",
+            exchange.req.usage,
         )
         may_resume_elsewhere = partial(self.dispatcher.may_resume_elsewhere, exchange)
         in_flight_request = exchange.engine and InFlightRequest(
@@ -105,18 +109,19 @@
         )
         self._record_weights(exchange, backend)
         self.dispatcher.crash_detector.record_sent(exchange, backend)
-        message = self._message(exchange, backend)
+        head = self._head(exchange, backend)
         exchange.possibly_executed_by.add(backend.server)
-        conn.send(message, response)
+        conn.send(head, exchange.req.body, response)
         if in_flight_request:
             self.in_flight.add(in_flight_request)
         return Attempt(exchange, backend, conn, response, in_flight_request)
 
     def _release(self, exchange: Exchange, backend: Backend) -> None:
+        exchange.req.usage.add(sockets=-1)
         backend.in_progress -= 1
         backend.unread_prompts.discard(exchange)
 
-    def _message(self, exchange: Exchange, backend: Backend) -> bytes:
+    def _head(self, exchange: Exchange, backend: Backend) -> bytes:
         now = self._clock()
         time_left = None
         if exchange.caller_deadline is not None:
@@ -134,10 +139,7 @@
             version=version,
             priority=exchange.urgency,
         )
-        return (
-            self.head_codec.format_request_head(exchange.req, parameters)
-            + exchange.req.body
-        )
+        return self.head_codec.format_request_head(exchange.req, parameters)
 
     def _record_weights(self, exchange: Exchange, backend: Backend) -> None:
         """Record for the log which weights the server was known to hold at sending."""
--- a/packages/wasabideck_forward/wasabideck_forward/caller_connection.py
+++ b/packages/wasabideck_forward/wasabideck_forward/caller_connection.py
@@ -9,11 +9,17 @@
 from http import HTTPStatus
 
 import httptools
-from attrs import define
+from attrs import define, field, frozen
+from wasabideck_base.connection_budget import (
+    ACCEPTED_CONNECTION_BYTES,
+    RELEASE_SECONDS,
+    ConnectionBudget,
+    Usage,
+)
 from wasabideck_policy.configuration import CallerLimits
 
 from .early_callers import EarlyCallers
-from .http_heads import CallerRequest, HeadCodec, first_header
+from .http_heads import CallerRequest, HeadCodec, HeaderBlock, first_header
 
 __all__ = ["CallerConnection", "CallerEndpoint"]
 
@@ -22,6 +28,20 @@
 # Added to the idle timeout announced to callers, so that a request sent at the last
 # moment does not cross the close of the connection.
 IDLE_GRACE_SECONDS = 1.0
+# Bytes that are parsed at once. The parser cannot be paused, and this many may contain
+# dozens of requests.
+PARSED_BYTES = 1024
+# Memory of a parsed request beside its headers and body, and of one that is served.
+REQUEST_BYTES = 4096
+SERVED_REQUEST_BYTES = 24 * 1024
+# Time without a byte after which a body, or a response that is not read, is given up.
+STALL_SECONDS = 60.0
+# Maximum time and bytes for which input is discarded after the last response. A close
+# with unread bytes would reset the connection, and the caller might lose the response.
+LINGER_SECONDS = 10.0
+MAX_LINGER_BYTES = 16 * 1024 * 1024
+# Retry-After of a request that is refused because connections hold too much memory.
+OVERLOADED_RETRY_SECONDS = 1.0
 _BODYLESS_STATUSES = frozenset((204, 304))
 _CLOSED_POLL_EVENTS = select.POLLRDHUP | select.POLLHUP | select.POLLERR
 
@@ -42,6 +62,10 @@
         Callers that connected while this process was starting.
     closed : bool
         Whether nothing more is read on any connection.
+    budget : ConnectionBudget
+        Memory and sockets of all connections of the process.
+    listener : str
+        Name of the address in the budget.
     """
 
     head_codec: HeadCodec
@@ -52,6 +76,8 @@
     draining: bool = False
     early_callers: EarlyCallers | None = None
     closed: bool = False
+    budget: ConnectionBudget = field(factory=ConnectionBudget)
+    listener: str = "callers"
 
     def close(self) -> None:
         """Read no more; close each connection once it has its last response."""
@@ -67,6 +93,15 @@
             conn.check_timeouts(now, limits)
 
 
+@frozen
+class _Rejection:
+    """The error response to a request that could not be read."""
+
+    status: int
+    kind: str
+    retry_seconds: float
+
+
 class CallerConnection(asyncio.Protocol):
     """Reads a caller's requests one after the other and writes their responses.
 
@@ -84,19 +119,31 @@
         self._parser = httptools.HttpRequestParser(self)
         self._transport: asyncio.Transport | None = None
         self._pipelined: deque[CallerRequest] = deque()
+        self._current: CallerRequest | None = None
         self._task: asyncio.Task | None = None
+        self._usage: Usage | None = None
         self._idle_since = endpoint.clock()
         self._early_position: int | None = None
         self._reading_since: float | None = None
+        self._unparsed = b""
         self._in_headers = False
+        self._message_ended = False
         self._head_bytes = 0
-        self._body_bytes = 0
+        self._framing_bytes = 0
+        self._target = b""
+        self._headers = HeaderBlock()
+        self._content_length = 0
+        self._body = bytearray()
         self._writable = asyncio.Event()
         self._writable.set()
+        self._unwritten_bytes = 0
         self._chunked = False
         self._keep_alive = True
         self._http10 = False
-        self._rejected = False
+        self._input_ended = False
+        self._discarded_bytes = 0
+        self._rejection: _Rejection | None = None
+        self._lingering_since: float | None = None
         self.head_written = False
         self.close_announced = False
 
@@ -104,20 +151,27 @@
 
     def connection_made(self, transport: asyncio.Transport) -> None:  # noqa: D102
         self._transport = transport
-        self._endpoint.connections.add(self)
-        if self._endpoint.closed:
+        endpoint, now = self._endpoint, self._endpoint.clock()
+        endpoint.connections.add(self)
+        self._usage = endpoint.budget.open(
+            endpoint.listener, self._turn_away, now, self._report_now
+        )
+        if endpoint.closed:
             transport.close()
             return
-        early_callers = self._endpoint.early_callers
-        if early_callers is not None:
-            self._early_position = early_callers.assign_position(self._endpoint.clock())
+        if endpoint.early_callers is not None:
+            self._early_position = endpoint.early_callers.assign_position(now)
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Cancel the request that the caller no longer waits for."""
         self._endpoint.connections.discard(self)
+        self._drop_input()
         self._writable.set()
         if self._task:
             self._task.cancel()
+        # The task ends in the next iterations of the loop.
+        loop = asyncio.get_running_loop()
+        loop.call_later(RELEASE_SECONDS, self._endpoint.budget.release, self._usage)
 
     def eof_received(self) -> bool:
         """Cancel the current request: the caller has disconnected.
@@ -134,63 +188,145 @@
 
     def resume_writing(self) -> None:  # noqa: D102
         self._writable.set()
+        self._report(self._endpoint.clock())
 
     def data_received(self, data: bytes) -> None:
         """Parse received bytes; answer 400 and close if they are no HTTP request."""
-        if self._rejected:
+        now = self._endpoint.clock()
+        self._usage.progress_at = now
+        if self._input_ended:
+            self._discard(len(data))
+            return
+        self._unparsed = self._unparsed + data if self._unparsed else data
+        self._parse(now)
+        self._report(now)
+        if self._endpoint.budget.is_exhausted and not self._transport.is_closing():
+            self._transport.pause_reading()
+            loop = asyncio.get_running_loop()
+            loop.call_later(RELEASE_SECONDS, self._read_on)
+
+    def _read_on(self) -> None:
+        if self._transport.is_closing() or self._endpoint.closed:
+            return
+        if self._input_ended:
+            self._transport.resume_reading()
+        else:
+            self._parse(self._endpoint.clock())
+
+    def _parse(self, now: float) -> None:
+        """Parse what was received, until enough requests wait to be served."""
+        data, position = memoryview(self._unparsed), 0
+        while position < len(data) and self._may_parse():
+            size = min(len(data) - position, self._parsable_bytes())
+            self._parse_part(data[position : position + size], now)
+            position += size
+        if self._input_ended:
+            self._unparsed = b""
+            self._discard(len(data) - position)
+            return
+        if position:
+            self._unparsed = bytes(data[position:])
+        if self._transport.is_closing():
             return
+        if self._unparsed or not self._may_parse():
+            self._transport.pause_reading()
+        elif not self._endpoint.closed:
+            self._transport.resume_reading()
+
+    def _may_parse(self) -> bool:
+        return not self._input_ended and len(self._pipelined) < MAX_PIPELINED_REQUESTS
+
+    def _parsable_bytes(self) -> int:
+        """Return how many bytes cannot contain more than a few requests."""
+        if self._in_headers or self._reading_since is None:
+            return PARSED_BYTES
+        return max(PARSED_BYTES, self._content_length - len(self._body))
+
+    def _parse_part(self, data: bytes | memoryview, now: float) -> None:
         if self._reading_since is None:
             # Empty lines between requests belong to none (RFC 9112, section 2.2).
-            data = data.lstrip(b"\r\n")
+            data = bytes(data).lstrip(b"\r\n")
             if not data:
                 return
-            self._reading_since = self._endpoint.clock()
+            self._reading_since = now
             self._in_headers = True
-        if self._in_headers:
-            self._head_bytes += len(data)
+        self._message_ended = False
+        received = len(self._body)
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade:
             self._reject(400, "UpgradeNotOffered")
         except httptools.HttpParserError:
             self._reject(400, "MalformedRequest")
-        if (
-            self._in_headers
-            and self._head_bytes > self._endpoint.limits().max_header_bytes
-        ):
+        if self._input_ended or self._reading_since is None or self._message_ended:
+            return
+        self._count_overhead(len(data), len(self._body) - received)
+
+    def _count_overhead(self, size: int, body_bytes: int) -> None:
+        """Count bytes that belong to a head, or to the framing of a chunked body.
+
+        The parser keeps a trailer until its line ends, so this bounds it as well.
+        """
+        if self._in_headers:
+            self._head_bytes += size
+        elif body_bytes:
+            self._framing_bytes = 0
+        else:
+            self._framing_bytes += size
+        overhead = max(self._head_bytes, self._framing_bytes)
+        if overhead > self._endpoint.limits().max_header_bytes:
             self._reject(431, "HeadersTooLarge")
 
+    def _discard(self, size: int) -> None:
+        """Count input that is not used: the last request was read or rejected."""
+        self._discarded_bytes += size
+        if self._discarded_bytes <= MAX_LINGER_BYTES or self._transport.is_closing():
+            return
+        if self._lingering_since is not None:
+            self._abort()
+        else:
+            self._transport.pause_reading()
+
     # Callbacks of the parser
 
     def on_message_begin(self) -> None:  # noqa: D102
-        self._headers: list[tuple[bytes, bytes]] = []
+        if self._input_ended:
+            return
+        self._headers = HeaderBlock()
         self._target = b""
-        self._body_parts: list[bytes] = []
-        self._body_bytes = 0
+        self._body = bytearray()
+        self._content_length = 0
+        self._head_bytes = self._framing_bytes = 0
         self._in_headers = True
         if self._reading_since is None:
             self._reading_since = self._endpoint.clock()
 
     def on_url(self, url: bytes) -> None:  # noqa: D102
-        self._target += url
+        if not self._input_ended:
+            self._target += url
 
     def on_header(self, name: bytes, value: bytes) -> None:  # noqa: D102
         # Ignores trailers, which come after the head: they are not used.
-        if self._in_headers:
-            self._headers.append((name, value))
+        if self._in_headers and not self._input_ended:
+            self._headers.append(name, value)
 
     def on_headers_complete(self) -> None:  # noqa: D102
+        if self._input_ended:
+            return
         self._in_headers = False
         self._head_bytes = 0
-        size = sum(len(name) + len(value) + 4 for name, value in self._headers)
         limits = self._endpoint.limits()
-        if size + len(self._target) > limits.max_header_bytes:
+        if self._headers.size + len(self._target) > limits.max_header_bytes:
             self._reject(431, "HeadersTooLarge")
             return
         length = first_header(self._headers, b"content-length")
-        if length.isdigit() and int(length) > limits.max_body_bytes:
+        self._content_length = int(length) if length.isdigit() else 0
+        if self._content_length > limits.max_body_bytes:
             self._reject(413, "BodyTooLarge")
             return
+        if self._parser.should_upgrade():
+            self._reject(400, "UpgradeNotOffered")
+            return
         expects_continue = (
             first_header(self._headers, b"expect").lower() == b"100-continue"
         )
@@ -198,14 +334,15 @@
             self._transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
 
     def on_body(self, data: bytes) -> None:  # noqa: D102
-        self._body_bytes += len(data)
-        if self._body_bytes > self._endpoint.limits().max_body_bytes:
+        if self._input_ended:
+            return
+        if len(self._body) + len(data) > self._endpoint.limits().max_body_bytes:
             self._reject(413, "BodyTooLarge")
             return
-        self._body_parts.append(data)
+        self._body += data
 
     def on_message_complete(self) -> None:  # noqa: D102
-        if self._rejected:
+        if self._input_ended:
             return
         req = CallerRequest(
             method=self._parser.get_method(),
@@ -215,15 +352,15 @@
             arrived_at=self._arrival_time(),
             keep_alive=self._parser.should_keep_alive(),
             http10=self._parser.get_http_version() == "1.0",
-            body=b"".join(self._body_parts),
+            body=self._body,
         )
         self._reading_since = None
-        self._body_parts = []
+        self._message_ended = True
+        self._input_ended = not req.keep_alive
+        self._drop_message()
         self._pipelined.append(req)
         if self._task is None:
             self._serve_next()
-        elif len(self._pipelined) >= MAX_PIPELINED_REQUESTS:
-            self._transport.pause_reading()
 
     def _arrival_time(self) -> float:
         """Return when the current request came, even if the process could not read it.
@@ -273,6 +410,7 @@
         if self._chunked:
             data = b"%x\r\n%s\r\n" % (len(data), data)
         self._transport.write(data)
+        self._report(self._endpoint.clock())
         if not self._writable.is_set():
             await self._writable.wait()
 
@@ -296,22 +434,32 @@
             self._transport.pause_reading()
 
     def check_timeouts(self, now: float, limits: CallerLimits) -> None:
-        """Close the connection if it is idle, or its head incomplete, too long."""
-        if self._task is not None:
-            return
-        if self._reading_since is not None:
+        """Close the connection if it is idle, stalled, or its head incomplete."""
+        self._report(now)
+        stalled = now - self._usage.progress_at > STALL_SECONDS
+        if self._lingering_since is not None:
+            if now - self._lingering_since > LINGER_SECONDS:
+                self._abort()
+        elif stalled and self._unwritten_bytes:
+            self._abort()
+        elif self._task is None and self._reading_since is not None:
+            self._check_reading(now, limits, stalled)
+        elif self._task is None:
+            idle = now - self._idle_since
             if (
-                self._in_headers
-                and now - self._reading_since > limits.header_timeout_seconds
+                self._endpoint.draining
+                or idle > limits.idle_timeout_seconds + IDLE_GRACE_SECONDS
             ):
-                self._reject(408, "HeadersTooSlow")
-            return
-        idle = now - self._idle_since
+                self._transport.close()
+
+    def _check_reading(self, now: float, limits: CallerLimits, stalled: bool) -> None:
         if (
-            self._endpoint.draining
-            or idle > limits.idle_timeout_seconds + IDLE_GRACE_SECONDS
+            self._in_headers
+            and now - self._reading_since > limits.header_timeout_seconds
         ):
-            self._transport.close()
+            self._reject(408, "HeadersTooSlow")
+        elif stalled and not self._in_headers:
+            self._reject(408, "BodyTooSlow")
 
     def has_disconnected(self) -> bool:
         """Whether the caller has closed, even if the loop has not processed it yet.
@@ -336,47 +484,167 @@
     @property
     def _has_next(self) -> bool:
         """Whether another request has been read, or a part of one."""
-        return bool(self._pipelined) or self._reading_since is not None
+        received = bool(self._unparsed) or self._reading_since is not None
+        return bool(self._pipelined) or received
 
     def _serve_next(self) -> None:
-        req = self._pipelined.popleft()
-        if not self._endpoint.closed:
-            self._transport.resume_reading()
+        req = self._current = self._pipelined.popleft()
+        req.usage.on_change = self._report_now
         self.head_written = False
         self._keep_alive = req.keep_alive
         self._http10 = req.http10
-        self._task = asyncio.create_task(self._endpoint.serve(req, self))
+        self._task = asyncio.create_task(self._serve(req))
         self._task.add_done_callback(self._on_served)
 
+    async def _serve(self, req: CallerRequest) -> None:
+        await self._endpoint.serve(req, self)
+        # The next request is served once the caller reads.
+        await self._writable.wait()
+
     def _on_served(self, task: asyncio.Task) -> None:
-        self._task = None
+        self._task = self._current = None
         self._idle_since = self._endpoint.clock()
         failed = task.cancelled() or task.exception() is not None
         may_continue = self._keep_alive or self.close_announced
-        if failed or not may_continue or self._transport.is_closing():
-            self._transport.close()
-        elif self._pipelined:
-            self._serve_next()
-        elif not self._keep_alive or (self._endpoint.draining and not self._has_next):
+        if failed or self._transport.is_closing():
             self._transport.close()
+        elif not may_continue:
+            self._close_after_response()
+        else:
+            self._continue()
+        self._report(self._idle_since)
         if not task.cancelled() and task.exception() is not None:
             loop = task.get_loop()
             loop.call_exception_handler(
                 {"message": "a request's task failed", "exception": task.exception()}
             )
 
-    def _reject(self, status: int, kind: str) -> None:
-        """Answer a request that cannot be served with an error, and close."""
-        if self._rejected:
+    def _continue(self) -> None:
+        """Go on with what the caller sent after the request that was served."""
+        if self._pipelined:
+            self._serve_next()
+        if not self._input_ended:
+            self._parse(self._idle_since)
+        if self._task is not None:
             return
-        self._rejected = True
-        if self._task is None and not self._transport.is_closing():
-            body = b'{"error":"%s"}' % kind.encode()
-            self._keep_alive = False
-            headers = [(b"Content-Type", b"application/json")]
-            self.write_head(status, headers, len(body))
-            self._transport.write(body)
-        self._transport.close()
+        if self._rejection is not None:
+            self._answer_rejection()
+        elif not self._keep_alive or (self._endpoint.draining and not self._has_next):
+            self._close_after_response()
+
+    def _reject(self, status: int, kind: str, retry_seconds: float = 0.0) -> None:
+        """Answer a request that cannot be served with an error, and close.
+
+        Requests before it are answered first.
+        """
+        if self._input_ended:
+            return
+        self._input_ended = True
+        self._reading_since = None
+        self._drop_message()
+        self._rejection = _Rejection(status, kind, retry_seconds)
+        if self._task is None:
+            self._answer_rejection()
+
+    def _answer_rejection(self) -> None:
+        if self._transport.is_closing():
+            return
+        rejection = self._rejection
+        body = b'{"error":"%s"}' % rejection.kind.encode()
+        self._keep_alive = False
+        headers = [(b"Content-Type", b"application/json")]
+        if rejection.retry_seconds:
+            headers.append((b"Retry-After", b"%.2f" % rejection.retry_seconds))
+        self.write_head(rejection.status, headers, len(body))
+        self._transport.write(body)
+        self._close_after_response()
+
+    def _close_after_response(self) -> None:
+        """Close the connection so that the caller can read its last response."""
+        if self._transport.is_closing() or self._lingering_since is not None:
+            return
+        has_more_input = self._discarded_bytes > 0 or self._has_next
+        if not (has_more_input or self._rejection):
+            self._transport.close()
+            return
+        now = self._endpoint.clock()
+        self._lingering_since = now
+        self._input_ended = True
+        self._unparsed = b""
+        self._drop_message()
+        self._transport.write_eof()
+        self._transport.resume_reading()
+        self._report(now)
+
+    def _drop_message(self) -> None:
+        """Release what was read of a message."""
+        self._headers = HeaderBlock()
+        self._target = b""
+        self._body = bytearray()
+        self._content_length = 0
+
+    # The process's budget for connections
+
+    def _turn_away(self, lingers: bool) -> None:
+        """End the connection because all connections hold too much.
+
+        A request that is served may be running at a server, so the close promises
+        nothing. One that is being read has not run.
+        """
+        closing = self._transport.is_closing() or self._lingering_since is not None
+        if closing or self._task is not None:
+            self._abort()
+        elif self._reading_since is None:
+            self._transport.close()
+        else:
+            self._reject(503, "Overloaded", OVERLOADED_RETRY_SECONDS)
+            if not lingers:
+                self._close_or_abort()
+        self._report(self._endpoint.clock())
+
+    def _close_or_abort(self) -> None:
+        if self._transport.get_write_buffer_size():
+            self._abort()
+        else:
+            self._transport.close()
+
+    def _abort(self) -> None:
+        self._transport.abort()
+        self._drop_input()
+        self._endpoint.budget.abort(self._usage)
+
+    def _drop_input(self) -> None:
+        self._input_ended = True
+        self._unparsed = b""
+        self._pipelined.clear()
+        self._drop_message()
+
+    def _report_now(self) -> None:
+        self._report(self._endpoint.clock())
+
+    def _report(self, now: float) -> None:
+        """Report to the budget what the connection holds, and whether it stalls."""
+        usage, req = self._usage, self._current
+        unwritten = self._transport.get_write_buffer_size()
+        if unwritten < self._unwritten_bytes:
+            usage.progress_at = now
+        self._unwritten_bytes = unwritten
+        usage.waits_for_peer = req is None or unwritten > 0
+        held = ACCEPTED_CONNECTION_BYTES + unwritten + len(self._unparsed)
+        held += self._headers.size + len(self._target) + len(self._body)
+        held += sum(map(_request_bytes, self._pipelined))
+        sockets = 1
+        if req is not None:
+            held += SERVED_REQUEST_BYTES + _request_bytes(req) + req.usage.held_bytes
+            sockets += req.usage.sockets
+        budget = self._endpoint.budget
+        if sockets != usage.sockets:
+            budget.use_sockets(usage, sockets, now)
+        budget.report(usage, held, now)
+
+
+def _request_bytes(req: CallerRequest) -> int:
+    return REQUEST_BYTES + len(req.target) + req.headers.size + len(req.body)
 
 
 def _reason_phrase(status: int) -> bytes:
--- a/packages/wasabideck_forward/wasabideck_forward/delivery.py
+++ b/packages/wasabideck_forward/wasabideck_forward/delivery.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterator
+from contextlib import contextmanager
 from functools import partial
 from typing import TypeVar
 
@@ -16,7 +17,7 @@
 from .event_stream import Event, EventSplitter, EventTooLong
 from .exchange import DeliveryProgress, Exchange
 from .hedging import wait_ignoring_failover
-from .http_heads import ResponseHead, end_to_end_headers, first_header
+from .http_heads import ResponseHead, ResponseUsage, end_to_end_headers, first_header
 from .server_connection import AnswerBroken, FailoverRequested, ServerResponse
 
 __all__ = [
@@ -124,7 +125,7 @@
     if head.status >= 500:
         body, complete = await _read_buffered(response)
         if complete:
-            exchange.delivered.fallback = (head, body)
+            _keep_fallback(exchange, head, body)
         raise ServerFailed(head.status, refused=False)
 
 
@@ -173,24 +174,50 @@
     response: ServerResponse,
     caller: CallerConnection,
 ) -> None:
-    body, complete = await _read_buffered(response)
-    if not complete:
-        await _stream_plain(head, body, response, caller)
-        return
-    if head.status >= 500 and exchange.route.idempotent:
-        exchange.delivered.fallback = (head, body)
-        raise ServerFailed(head.status, refused=False)
-    await write_response(caller, head, body)
+    usage = exchange.req.usage
+    with _counting(usage) as held:
+        body, complete = await _read_buffered(response, held)
+        if not complete:
+            await _stream_plain(head, body, response, caller)
+            return
+        if head.status >= 500 and exchange.route.idempotent:
+            _keep_fallback(exchange, head, body)
+            raise ServerFailed(head.status, refused=False)
+        await write_response(caller, head, body)
+
+
+def _keep_fallback(exchange: Exchange, head: ResponseHead, body: bytearray) -> None:
+    exchange.delivered.fallback = (head, body)
+    exchange.req.usage.add(len(body))
+
+
+@contextmanager
+def _counting(usage: ResponseUsage) -> Iterator[Callable[[int], None]]:
+    """Count bytes as held until the block ends."""
+    held = 0
+
+    def count(size: int) -> None:
+        nonlocal held
+        held += size
+        usage.add(size)
+
+    try:
+        yield count
+    finally:
+        usage.add(-held)
 
 
-async def _read_buffered(response: ServerResponse) -> tuple[bytes, bool]:
+async def _read_buffered(
+    response: ServerResponse, count: Callable[[int], None] = lambda size: None
+) -> tuple[bytearray, bool]:
     """Return the body up to the buffer limit, and whether it is complete."""
     body = bytearray()
     while part := await response.read():
         body += part
+        count(len(part))
         if len(body) > MAX_BUFFERED_BYTES:
-            return bytes(body), False
-    return bytes(body), True
+            return body, False
+    return body, True
 
 
 def _is_event_stream(head: ResponseHead) -> bool:
--- a/packages/wasabideck_forward/wasabideck_forward/entry_process.py
+++ b/packages/wasabideck_forward/wasabideck_forward/entry_process.py
@@ -197,7 +197,12 @@
         return configuration.limits if configuration else CallerLimits()
 
     callers = CallerEndpoint(
-        deployment.head_codec, process.clock, current_limits, forwarder.serve, set()
+        deployment.head_codec,
+        process.clock,
+        current_limits,
+        forwarder.serve,
+        set(),
+        budget=process.budget,
     )
 
     async def answer_check(req: CallerRequest, caller: CallerConnection) -> None:
@@ -205,7 +210,13 @@
         caller.write_head(200 if is_ready else 503, (), 0)
 
     readiness = CallerEndpoint(
-        deployment.head_codec, process.clock, current_limits, answer_check, set()
+        deployment.head_codec,
+        process.clock,
+        current_limits,
+        answer_check,
+        set(),
+        budget=process.budget,
+        listener="health-checks",
     )
     return _Entry(process, callers, readiness, forwarder)
 
--- a/packages/wasabideck_forward/wasabideck_forward/http_heads.py
+++ b/packages/wasabideck_forward/wasabideck_forward/http_heads.py
@@ -6,12 +6,14 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Iterable, Iterator
 
 from attrs import define, field, frozen
 
 __all__ = [
+    "HeaderBlock",
     "ResponseHead",
+    "ResponseUsage",
     "CallerRequest",
     "Headers",
     "ServerLoad",
@@ -25,7 +27,10 @@
     "end_to_end_headers",
 ]
 
-Headers = Sequence[tuple[bytes, bytes]]
+Headers = Iterable[tuple[bytes, bytes]]
+
+# A response that holds less is not reported each time it changes.
+REPORTED_BYTES = 16 * 1024
 
 # Hop-by-hop headers (RFC 9110, section 7.6.1), and headers that this proxy writes
 # itself.
@@ -46,6 +51,34 @@
 )
 
 
+class HeaderBlock:
+    """Headers of a request in one block of bytes.
+
+    A tuple of two byte strings takes some 180 bytes for a line of four, and a request
+    keeps its headers until it is answered.
+    """
+
+    def __init__(self) -> None:
+        self._lines = bytearray()
+
+    def append(self, name: bytes, value: bytes) -> None:
+        """Append a header; a parser has checked that neither contains a line end."""
+        self._lines += name
+        self._lines += b":"
+        self._lines += value
+        self._lines += b"\n"
+
+    def __iter__(self) -> Iterator[tuple[bytes, bytes]]:
+        for line in bytes(self._lines).split(b"\n")[:-1]:
+            name, _, value = line.partition(b":")
+            yield name, value
+
+    @property
+    def size(self) -> int:
+        """The size in bytes, without the optional spaces of the lines received."""
+        return len(self._lines)
+
+
 @frozen
 class ServerLoad:
     """Running and queued requests of a server, and the maximum that it runs at once."""
@@ -93,6 +126,31 @@
         return self.prompt_parts[:-1]
 
 
+@define(eq=False)
+class ResponseUsage:
+    """Bytes of a response that are held until they are written to the caller.
+
+    Attributes
+    ----------
+    sockets : int
+        Connections to servers that the request uses.
+    on_change : callable
+        Called after each change, except for those of a few bytes.
+    """
+
+    held_bytes: int = 0
+    sockets: int = 0
+    on_change: Callable[[], None] = lambda: None
+
+    def add(self, held_bytes: int = 0, sockets: int = 0) -> None:
+        """Change what is held; negative numbers release it."""
+        before = self.held_bytes
+        self.held_bytes += held_bytes
+        self.sockets += sockets
+        if sockets or max(before, self.held_bytes) >= REPORTED_BYTES:
+            self.on_change()
+
+
 @define(eq=False)
 class CallerRequest:
     """A complete request as it was read.
@@ -101,6 +159,8 @@
     ----------
     arrived_at : float
         When its first byte was received, in seconds.
+    usage : ResponseUsage
+        What of the response is held for the caller.
     """
 
     method: bytes
@@ -110,7 +170,8 @@
     arrived_at: float
     keep_alive: bool = True
     http10: bool = False
-    body: bytes = b""
+    body: bytes | bytearray = b""
+    usage: ResponseUsage = field(factory=lambda: ResponseUsage())
 
     @property
     def path(self) -> str:
--- a/packages/wasabideck_forward/wasabideck_forward/server_connection.py
+++ b/packages/wasabideck_forward/wasabideck_forward/server_connection.py
@@ -13,6 +13,7 @@
 from .http_heads import (
     HeadCodec,
     ResponseHead,
+    ResponseUsage,
     announces_close,
     ends_with_connection,
     keep_alive_seconds,
@@ -70,9 +71,12 @@
         Why no more data will be received.
     """
 
-    def __init__(self, request_id: str, bodyless: bool):
+    def __init__(
+        self, request_id: str, bodyless: bool, usage: ResponseUsage | None = None
+    ):
         self.request_id = request_id
         self.bodyless = bodyless
+        self._usage = usage or ResponseUsage()
         self.head: ResponseHead | None = None
         self.started = False
         self.ended = False
@@ -111,6 +115,7 @@
         data = b"".join(self._parts)
         self._parts.clear()
         self._buffered_bytes = 0
+        self._usage.add(-len(data))
         self.resume_reading()
         return data
 
@@ -122,6 +127,7 @@
         self.started = True
         self._parts.append(data)
         self._buffered_bytes += len(data)
+        self._usage.add(len(data))
         self.wake()
         return self._buffered_bytes < MAX_BUFFERED_BYTES
 
@@ -139,6 +145,12 @@
             await self._wait()
         return data
 
+    def discard(self) -> None:
+        """Release what was received and not read."""
+        self._usage.add(-self._buffered_bytes)
+        self._parts.clear()
+        self._buffered_bytes = 0
+
     def request_failover(self) -> None:
         """Have the reader find another server, while this one continues."""
         self._failover_requested = True
@@ -195,12 +207,17 @@
 
     # Methods for the owner of the connection
 
-    def send(self, data: bytes, response: ServerResponse) -> None:
+    def send(
+        self, head: bytes, body: bytes | bytearray, response: ServerResponse
+    ) -> None:
         """Send a request, whose response is added to ``response``."""
         self._response = response
         self._bytes_before_head = 0
         response.resume_reading = self._resume_reading
-        self._transport.write(data)
+        self._transport.write(head)
+        if body:
+            # Not joined with the head, which would copy it.
+            self._transport.write(body)
 
     @property
     def usable(self) -> bool:
