Account for the connections of the metrics listener

What operators saw: idle connections to the metrics port took all descriptors of an entry or an agent, and nothing bounded how many there were. A response that was not read kept its connection open after the scrape's time limit.

Change: the server moves to monitoring_http, reports to the process's budget, and aborts a connection whose response was not read in time.

--- a/packages/wasabideck_base/wasabideck_base/vm_metrics.py
+++ b/packages/wasabideck_base/wasabideck_base/vm_metrics.py
@@ -4,12 +4,13 @@
 
 import asyncio
 from collections.abc import Mapping
-from functools import partial
 
 from aioprometheus import Counter, Gauge, Histogram, Registry, render
 from attrs import define, field
 
+from .connection_budget import ConnectionBudget
 from .events import Events
+from .monitoring_http import MonitoringResponse, serve_monitoring
 
 __all__ = ["VMMetrics", "serve_metrics"]
 
@@ -29,8 +30,6 @@
     4.0,
     6.0,
 )
-# Maximum duration of a scrape; the connection is closed after that.
-SCRAPE_TIMEOUT_SECONDS = 5.0
 
 
 @define
@@ -85,30 +84,17 @@
 
 
 async def serve_metrics(
-    metrics: VMMetrics, ip: str, port: int, events: Events
+    metrics: VMMetrics, ip: str, port: int, events: Events, budget: ConnectionBudget
 ) -> asyncio.Server | None:
     """Serve the metrics on a port; return None if the port is in use."""
+
+    def respond(path: str, accept: str) -> MonitoringResponse:
+        body, _ = render(metrics.registry, ["text/plain"])
+        headers = {"Content-Type": "text/plain; version=0.0.4"}
+        return MonitoringResponse(body, headers=headers)
+
     try:
-        return await asyncio.start_server(partial(_serve_scrape, metrics), ip, port)
+        return await serve_monitoring(respond, ip, port, budget)
     except OSError as exc:
         events.emit("metrics.unavailable", port=port, why=str(exc))
         return None
-
-
-async def _serve_scrape(
-    metrics: VMMetrics, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
-) -> None:
-    try:
-        async with asyncio.timeout(SCRAPE_TIMEOUT_SECONDS):
-            await reader.readuntil(b"\r\n\r\n")
-            body, _ = render(metrics.registry, ["text/plain"])
-            writer.write(
-                b"HTTP/1.1 200 OK\r\nContent-Type: text/plain; version=0.0.4\r\n"
-                b"Connection: close\r\nContent-Length: %d\r\n\r\n%s" % (len(body), body)
-            )
-            await writer.drain()
-    except (OSError, asyncio.IncompleteReadError, asyncio.LimitOverrunError):
-        # The client disconnected or sent no HTTP request: no response is expected.
-        return
-    finally:
-        writer.close()
--- a/packages/wasabideck_base/wasabideck_base/vm_process.py
+++ b/packages/wasabideck_base/wasabideck_base/vm_process.py
@@ -134,7 +134,7 @@
         metrics = VMMetrics()
         events.listeners.append(metrics.count)
         metrics_server = await serve_metrics(
-            metrics, cfg.ip, METRICS_PORTS[kind], events
+            metrics, cfg.ip, METRICS_PORTS[kind], events, budget
         )
         loops = [
             *state_sync.loops(),
