Account for the connections and streams of the inner protocol

What operators saw: a client of the inner port could fill the memory of an entry or an agent with open streams, messages that do not end, or a head in continuation frames, take all descriptors, or keep the process busy with pings, settings or streams that it opens and resets: no answer within 30 s.

Cause: grpclib and h2 parse all that a read brought (a thousand streams of some 40 KB each), keep streams of ended calls until ten more have begun, allow 4 MB of each connection to wait, remember 65,536 closed streams of a connection, and answer every ping. No limit held for the process.

Change: AccountedProtocol passes input on to a library's protocol 2 KB at a time, or as much as a message lacks, one part in each iteration of the loop, and reports what the protocol holds. A connection that sends over 500 control frames in a second, or a head over 16 KB, is closed. A peer of the platform's processes has 100 streams.

--- a/packages/wasabideck_base/wasabideck_base/inner_limits.py
+++ b/packages/wasabideck_base/wasabideck_base/inner_limits.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from collections.abc import Awaitable, Callable
 from typing import TypeVar
 
@@ -12,8 +13,13 @@
 from grpclib.exceptions import GRPCError, StreamTerminatedError
 from grpclib.protocol import H2Protocol
 from grpclib.server import Server
+from h2.connection import H2Connection
+from h2.events import PingReceived, RemoteSettingsChanged, StreamReset
 from h2.settings import SettingCodes
 
+from .accounted_protocol import PART_BYTES, AccountedProtocol
+from .connection_budget import ConnectionBudget
+
 __all__ = ["MAX_MESSAGE_BYTES", "MAX_CONCURRENT_STREAMS", "InnerChannel", "InnerServer"]
 
 M = TypeVar("M")
@@ -23,6 +29,21 @@
 MAX_MESSAGE_BYTES = 8 << 20
 # An entry opens one connection to each agent, with one stream for each request.
 MAX_CONCURRENT_STREAMS = 1000
+# Maximum size of a request's head, encoded and decoded. It takes a few hundred bytes.
+MAX_HEAD_BYTES = 16 * 1024
+# Streams that a connection remembers after they were closed; h2 keeps 65536 of them.
+MAX_CLOSED_STREAMS = 1000
+# Maximum pings, settings and resets of streams on one connection in a second. They cost
+# a peer a few bytes each and could keep this process busy.
+MAX_CONTROL_FRAMES_PER_SECOND = 500
+# Memory of a connection, and of a stream with its task, beside the bytes of messages.
+CONNECTION_BYTES = 32 * 1024
+STREAM_BYTES = 48 * 1024
+# Layout of a frame's header (RFC 9113, section 4.1).
+FRAME_HEADER_BYTES = 9
+FRAME_TYPE_INDEX = 3
+DATA_FRAME = 0
+LISTENER = "inner"
 
 
 class _ValidatingCodec(ProtoCodec):
@@ -37,13 +58,102 @@
 
 
 class InnerServer(Server):
-    """A grpclib server that rejects large or malformed messages and excess streams."""
+    """A grpclib server that rejects large or malformed messages and excess streams.
 
-    def __init__(self, handlers: list):
-        super().__init__(handlers, codec=_ValidatingCodec())
+    Parameters
+    ----------
+    budget : ConnectionBudget or None
+        Memory and sockets of all connections of the process.
+    max_streams : int
+        Maximum number of open streams of one connection.
+    """
 
-    def _protocol_factory(self) -> H2Protocol:
-        return _with_limits(super()._protocol_factory())
+    def __init__(
+        self,
+        handlers: list,
+        budget: ConnectionBudget | None = None,
+        max_streams: int = MAX_CONCURRENT_STREAMS,
+    ):
+        super().__init__(handlers, codec=_ValidatingCodec())
+        self._budget = budget or ConnectionBudget()
+        self._max_streams = max_streams
+
+    def _protocol_factory(self) -> AccountedProtocol:
+        protocol = _with_limits(
+            super()._protocol_factory(), max_streams=self._max_streams
+        )
+        frames = _ControlFrames(protocol)
+        return AccountedProtocol(
+            protocol,
+            self._budget,
+            LISTENER,
+            asyncio.get_running_loop().time,
+            lambda: _held_bytes(protocol),
+            frames.is_excessive,
+            lambda: _part_bytes(protocol),
+            # grpclib keeps the streams of ended calls until ten more have begun.
+            protocol.handler.__gc_collect__,
+        )
+
+
+class _ControlFrames:
+    """Counts frames of a connection that carry no request."""
+
+    def __init__(self, protocol: H2Protocol):
+        self._protocol = protocol
+        self._count = 0
+        self._second = 0
+        original_connection_made = protocol.connection_made
+
+        def connection_made(transport: asyncio.Transport) -> None:
+            original_connection_made(transport)
+            processors = protocol.processor.processors
+            for kind in (PingReceived, RemoteSettingsChanged, StreamReset):
+                processors[kind] = self._counting(processors[kind])
+
+        protocol.connection_made = connection_made
+
+    def is_excessive(self, now: float) -> bool:
+        """Whether the peer sent too many in this second, or a head without end."""
+        if int(now) != self._second:
+            self._second, self._count = int(now), 0
+        if self._count > MAX_CONTROL_FRAMES_PER_SECOND:
+            return True
+        head = self._protocol.connection._connection.incoming_buffer._headers_buffer
+        return sum(len(frame.data) for frame in head) > MAX_HEAD_BYTES
+
+    def _counting(self, process: Callable[[object], None]) -> Callable[[object], None]:
+        def process_counted(event: object) -> None:
+            self._count += 1
+            process(event)
+
+        return process_counted
+
+
+def _held_bytes(protocol: H2Protocol) -> int:
+    """Return the memory of a connection's streams and of what is not parsed yet."""
+    streams = protocol.processor.streams.values()
+    unparsed = len(protocol.connection._connection.incoming_buffer._data)
+    return (
+        CONNECTION_BYTES
+        + unparsed
+        + sum(STREAM_BYTES + stream.data_received for stream in streams)
+    )
+
+
+def _part_bytes(protocol: H2Protocol) -> int:
+    """Return how much input to parse at once: a few frames, or what a message lacks."""
+    frame = protocol.connection._connection.incoming_buffer._data
+    if len(frame) < FRAME_HEADER_BYTES or frame[FRAME_TYPE_INDEX] != DATA_FRAME:
+        return PART_BYTES
+    size = FRAME_HEADER_BYTES + int.from_bytes(frame[:FRAME_TYPE_INDEX], "big")
+    return max(PART_BYTES, size - len(frame))
+
+
+def _limit_state(connection: H2Connection) -> None:
+    """Limit what h2 keeps for a connection of its own accord."""
+    connection.decoder.max_header_list_size = MAX_HEAD_BYTES
+    connection._closed_streams._size_limit = MAX_CLOSED_STREAMS
 
 
 class InnerChannel(Channel):
@@ -64,7 +174,11 @@
         return _with_limits(super()._protocol_factory(), self._window_bytes)
 
 
-def _with_limits(protocol: H2Protocol, window_bytes: int = 0) -> H2Protocol:
+def _with_limits(
+    protocol: H2Protocol,
+    window_bytes: int = 0,
+    max_streams: int = MAX_CONCURRENT_STREAMS,
+) -> H2Protocol:
     """Add limits to each stream of a protocol, and return the protocol.
 
     grpclib itself trusts the announced length of a message, and acknowledges and
@@ -87,9 +201,10 @@
             return stream
 
         connection.create_stream = create_stream
-        settings = {SettingCodes.MAX_CONCURRENT_STREAMS: MAX_CONCURRENT_STREAMS}
+        settings = {SettingCodes.MAX_CONCURRENT_STREAMS: max_streams}
         if window_bytes:
             settings[SettingCodes.INITIAL_WINDOW_SIZE] = window_bytes
+        _limit_state(connection._connection)
         connection._connection.update_settings(settings)
         connection.flush()
 
--- a/packages/wasabideck_base/wasabideck_base/vm_process.py
+++ b/packages/wasabideck_base/wasabideck_base/vm_process.py
@@ -41,6 +41,8 @@
 RESPONSE_WINDOW_BYTES = 4096
 # Ports of the metrics endpoints; an entry and an agent on one VM need different ones.
 METRICS_PORTS = {ENTRY: 9464, AGENT: 9465}
+# Open streams of a peer's connection. A peer makes a few calls at a time.
+MAX_PEER_STREAMS = 100
 # Share of a process's sockets for the connections that each listener accepts. Those of
 # callers include connections to backend servers. What remains is for connections to the
 # store, to peers and to the engine.
@@ -128,7 +130,7 @@
         budget = process.budget = _open_budget(cfg, kind, events)
         process.reload_listeners.append(partial(_set_limits, budget))
         peers = [GossipService(state_sync.gossip), *services(process)]
-        inner = InnerServer(peers)
+        inner = InnerServer(peers, budget, MAX_PEER_STREAMS)
         exchange_clock(inner, events.clock)
         await inner.start(cfg.ip, cfg.inner_port)
         metrics = VMMetrics()
