Account for the connections of the chunk listener

What operators saw: idle connections to an agent's chunk port took all its descriptors, and requests sent ahead kept the agent busy for 20 s: another peer got no answer.

--- a/packages/wasabideck_agent/wasabideck_agent/chunk_http.py
+++ b/packages/wasabideck_agent/wasabideck_agent/chunk_http.py
@@ -15,7 +15,9 @@
 
 import httptools
 from google.protobuf.message import DecodeError, Message
+from wasabideck_base.accounted_protocol import AccountedProtocol
 from wasabideck_base.addresses import split_address
+from wasabideck_base.connection_budget import ConnectionBudget
 from wasabideck_base.http_pool import HttpPool, PooledClient
 from wasabideck_base.http_responses import PlatformRefused, PlatformUnavailable
 from wasabideck_wire import inner_pb2 as pb
@@ -34,6 +36,7 @@
 # Maximum response bytes that a peer has not read. The connection to a peer that sends
 # further requests without reading is closed.
 MAX_UNREAD_BYTES = 64 * 1024
+LISTENER = "chunks"
 
 
 def chunk_port(inner_port: int) -> int:
@@ -74,13 +77,19 @@
 
 
 async def listen_for_chunks(
-    service: ChunksService, ip: str, port: int
+    service: ChunksService, ip: str, port: int, budget: ConnectionBudget | None = None
 ) -> asyncio.Server:
     """Serve chunks to other agents on a port."""
     loop = asyncio.get_running_loop()
-    return await loop.create_server(
-        lambda: _ChunkProtocol(service), ip, port, backlog=BACKLOG
-    )
+    budget = budget or ConnectionBudget()
+
+    def factory() -> AccountedProtocol:
+        protocol = _ChunkProtocol(service)
+        return AccountedProtocol(
+            protocol, budget, LISTENER, loop.time, lambda: protocol.request_bytes
+        )
+
+    return await loop.create_server(factory, ip, port, backlog=BACKLOG)
 
 
 async def _call(pool: HttpPool, address: str, path: str, seconds: float) -> bytes:
@@ -118,7 +127,7 @@
         self._parser = httptools.HttpRequestParser(self)
         self._transport: asyncio.Transport | None = None
         self._url = b""
-        self._request_bytes = 0
+        self.request_bytes = 0
 
     def connection_made(self, transport: asyncio.Transport) -> None:
         """Store the transport."""
@@ -126,13 +135,13 @@
 
     def data_received(self, data: bytes) -> None:
         """Parse the received bytes; abort the connection if they are no request."""
-        self._request_bytes += len(data)
+        self.request_bytes += len(data)
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
             self._transport.abort()
             return
-        if self._request_bytes > MAX_REQUEST_BYTES:
+        if self.request_bytes > MAX_REQUEST_BYTES:
             self._transport.abort()
 
     # Callbacks of the parser
@@ -142,7 +151,7 @@
             self._url += url
 
     def on_message_complete(self) -> None:
-        url, self._url, self._request_bytes = self._url, b"", 0
+        url, self._url, self.request_bytes = self._url, b"", 0
         response = _respond(self._service, url)
         status = b"400 Bad Request" if response is None else b"200 OK"
         body = response.SerializeToString() if response is not None else b""
--- a/packages/wasabideck_agent/wasabideck_agent/engine_agent.py
+++ b/packages/wasabideck_agent/wasabideck_agent/engine_agent.py
@@ -109,7 +109,7 @@
         HttpPool(PEER_IDLE_TIMEOUT_SECONDS) as peer_pool,
     ):
         port = chunk_port(cfg.inner_port)
-        chunk_server = await listen_for_chunks(chunks, cfg.ip, port)
+        chunk_server = await listen_for_chunks(chunks, cfg.ip, port, process.budget)
         engine = deployment.open_engine(process.pool, cfg.server_address)
         agent = EngineAgent(
             process,
