Limit the log lines that clients' texts and slow readers make long

What operators saw: a request id of 16 KB makes log lines of 16 KB, 40 a second; while the pipe's reader was slow, the rest of partly written lines grew with every line.

Cause: texts were written as they came, and a new line was appended to the rest of the last one whatever its size.

Change: a text has 300 characters at most in a line, and lines are dropped and counted while 64 KB are unwritten.

--- a/packages/wasabideck_base/wasabideck_base/bounded_log.py
+++ b/packages/wasabideck_base/wasabideck_base/bounded_log.py
@@ -18,6 +18,11 @@
 RESERVED_LINES = 40.0
 # Kinds of events about a single request; all others report changes of cluster state.
 _REQUEST_KIND_PREFIXES = ("request.", "attempt.")
+# Bytes of lines that a slow reader of the pipe has not taken yet.
+MAX_UNWRITTEN_BYTES = 64 * 1024
+# Characters of a text that are written. Clients choose some texts, such as the id of a
+# request.
+MAX_TEXT_CHARACTERS = 300
 
 
 @define
@@ -42,8 +47,9 @@
         if not self._take_token(str(message.get("message_type", ""))):
             self.dropped += 1
             return
+        message = {name: _shortened(value) for name, value in message.items()}
         if self.dropped:
-            message = {**message, "dropped_before": self.dropped}
+            message["dropped_before"] = self.dropped
         line = orjson.dumps(message, default=str, option=orjson.OPT_NON_STR_KEYS)
         self._write(line + b"\n")
 
@@ -62,6 +68,9 @@
 
     def _write(self, line: bytes) -> None:
         data = self._unwritten + line
+        if len(data) > MAX_UNWRITTEN_BYTES:
+            self.dropped += 1
+            data = self._unwritten
         try:
             written = os.write(self.descriptor, data)
         except (BlockingIOError, BrokenPipeError):
@@ -72,3 +81,9 @@
         self._unwritten = data[written:]
         if not self._unwritten:
             self.dropped = 0
+
+
+def _shortened(value: object) -> object:
+    if isinstance(value, str) and len(value) > MAX_TEXT_CHARACTERS:
+        return value[:MAX_TEXT_CHARACTERS]
+    return value
