Keep no request while a server is probed, and limit the crashes that are kept

What callers saw: nothing yet. While a server whose connections failed is probed, for up to 0.3 s, the detector kept each failed request with its body, which no connection accounts for. A peer could report crashes of requests without end, and each was kept for ten minutes. The fingerprint of a request copied its body.

Change: a victim keeps the head, the fingerprint and the rounds that its evidence needs; the fingerprint is hashed part by part and is the same as before. 5000 requests and 64 crashes of each are kept, the oldest are dropped.

--- a/packages/wasabideck_forward/wasabideck_forward/crash_detector.py
+++ b/packages/wasabideck_forward/wasabideck_forward/crash_detector.py
@@ -12,7 +12,7 @@
 from wasabideck_policy.quarantine import Quarantine, fingerprint
 
 from .exchange import Exchange
-from .http_heads import ResponseHead, ends_with_connection
+from .http_heads import RequestHead, ResponseHead, ends_with_connection
 
 __all__ = ["CrashDetector"]
 
@@ -30,13 +30,19 @@
 class _Victim:
     """A request that was in progress at a server when its connection failed.
 
+    The request itself is not kept: its body may be large, and many may fail at once.
+
     Attributes
     ----------
+    known_rounds : dict of str to int
+        Rounds of crashes that were known for its prompt's parts when it was sent.
     answering_for : float or None
         Seconds since the server's first event; None if it has sent none.
     """
 
-    exchange: Exchange
+    head: RequestHead
+    fingerprint: str
+    known_rounds: dict[str, int]
     answering_for: float | None
 
     @property
@@ -135,11 +141,11 @@
         if answering_for >= MAX_ANSWERING_SECONDS or not ends_with_connection(
             head.headers
         ):
-            self._record_sound(exchange)
+            self._record_sound(exchange.req.head)
             return
         if self.parts.suspects.keys() & exchange.req.head.shared_parts:
             completed = self._probe_once(backend).completed
-            completed.append(_Victim(exchange, answering_for))
+            completed.append(_victim(exchange, backend, answering_for))
 
     def connection_failed(
         self, exchange: Exchange, backend: Backend, now: float
@@ -155,7 +161,8 @@
 
         Unless the probe shows a crash, it is no crash that the request met.
         """
-        victim = _Victim(exchange, exchange.answering_for(backend.server, now))
+        answering_for = exchange.answering_for(backend.server, now)
+        victim = _victim(exchange, backend, answering_for)
         self._probe_once(backend).failed.append(victim)
 
     def _request_is_quarantined(self, exchange: Exchange, now: float) -> bool:
@@ -184,10 +191,10 @@
             self._record_crash(backend, probe.failed + probe.completed)
             return
         for completed in probe.completed:
-            self._record_sound(completed.exchange)
+            self._record_sound(completed.head)
 
-    def _record_sound(self, exchange: Exchange) -> None:
-        shared_parts = exchange.req.head.shared_parts
+    def _record_sound(self, head: RequestHead) -> None:
+        shared_parts = head.shared_parts
         if self.parts.record_sound(shared_parts):
             self.on_evidence(shared_parts)
 
@@ -195,22 +202,19 @@
         self._log_crash(backend, victims)
         now = self.wall_clock()
         crash = f"{backend.server}/{backend.listed.started_at_ms}"
-        for name in {_fingerprint(victim.exchange) for victim in victims}:
+        for name in {victim.fingerprint for victim in victims}:
             self.quarantine.record_crash(name, crash, now)
         suspects = [victim for victim in victims if victim.may_be_cause]
         for victim in suspects:
-            self._record_suspect(victim.exchange, backend, crash, now)
+            self._record_suspect(victim, crash, now)
         self.on_evidence(_shared_parts(suspects))
 
-    def _record_suspect(
-        self, exchange: Exchange, backend: Backend, crash: str, now: float
-    ) -> None:
-        head = exchange.req.head
+    def _record_suspect(self, victim: _Victim, crash: str, now: float) -> None:
+        head = victim.head
         if not head.shared_parts:
             return
-        known_rounds = exchange.known_rounds.get(backend.server, {})
         self.parts.record_crash(
-            crash, head.shared_parts, head.prompt_parts[-1], known_rounds, now
+            crash, head.shared_parts, head.prompt_parts[-1], victim.known_rounds, now
         )
 
     def _log_crash(self, backend: Backend, victims: list[_Victim]) -> None:
@@ -220,15 +224,24 @@
             "server.died",
             server=backend.server,
             requests=len(victims),
-            ids=[v.exchange.req.head.request_id for v in victims[:MAX_LOGGED]],
+            ids=[v.head.request_id for v in victims[:MAX_LOGGED]],
             begun=len(begun),
             shortest=round(min(begun), 3) if begun else None,
             parts=sorted(_shared_parts(victims))[:MAX_LOGGED],
         )
 
 
+def _victim(
+    exchange: Exchange, backend: Backend, answering_for: float | None
+) -> _Victim:
+    known_rounds = exchange.known_rounds.get(backend.server, {})
+    return _Victim(
+        exchange.req.head, _fingerprint(exchange), known_rounds, answering_for
+    )
+
+
 def _shared_parts(victims: Iterable[_Victim]) -> set[str]:
-    return {part for v in victims for part in v.exchange.req.head.shared_parts}
+    return {part for v in victims for part in v.head.shared_parts}
 
 
 def _fingerprint(exchange: Exchange) -> str:
--- a/packages/wasabideck_policy/wasabideck_policy/quarantine.py
+++ b/packages/wasabideck_policy/wasabideck_policy/quarantine.py
@@ -11,12 +11,20 @@
 
 MAX_CRASHES = 2
 KEEP_SECONDS = 600.0
+# Maximum requests whose crashes are kept, and crashes of one request; the oldest are
+# dropped. Servers restart within seconds, so that few can crash in ``KEEP_SECONDS``.
+MAX_REQUESTS = 5000
+MAX_CRASHES_PER_REQUEST = 64
 
 
 def fingerprint(organisation: str, service: str, route: str, body: bytes) -> str:
     """Return the fingerprint of a request's content, the same at every entry."""
-    parts = (organisation.encode(), service.encode(), route.encode(), body)
-    return hashlib.sha256(b"\0".join(parts)).hexdigest()[:24]
+    digest = hashlib.sha256()
+    for part in (organisation, service, route):
+        digest.update(part.encode() + b"\0")
+    # Not joined with the other parts, which would copy it.
+    digest.update(body)
+    return digest.hexdigest()[:24]
 
 
 @define
@@ -76,3 +84,7 @@
     def _extend(self, name: str, crash: str, until: float) -> None:
         crashes = self.crashes.setdefault(name, {})
         crashes[crash] = max(crashes.get(crash, 0.0), until)
+        if len(crashes) > MAX_CRASHES_PER_REQUEST:
+            del crashes[min(crashes, key=crashes.get)]
+        if len(self.crashes) > MAX_REQUESTS:
+            del self.crashes[next(iter(self.crashes))]
--- a/tests/limits/test_client_chosen_state.py
+++ b/tests/limits/test_client_chosen_state.py
@@ -1,10 +1,21 @@
 """State that is kept under names, or in sizes, that a client chooses."""
 
+import asyncio
+import gc
 import os
+import weakref
 
 import orjson
 import pytest
+from wasabideck_adapter.head_codec import HEAD_CODEC
 from wasabideck_base.bounded_log import BoundedLog
+from wasabideck_base.events import Events, HybridClock
+from wasabideck_forward.crash_detector import CrashDetector
+from wasabideck_forward.exchange import Exchange
+from wasabideck_forward.http_heads import CallerRequest
+from wasabideck_policy.backends import Backend, ListedServer
+from wasabideck_policy.configuration import Kind, Route
+from wasabideck_policy.quarantine import Quarantine
 
 # More names than a deployment has models, or servers crash within ten minutes.
 MANY = 50_000
@@ -44,3 +55,35 @@
         with_room = os.read(reading, 4096)
     assert with_room
     assert len(log._unwritten) < UNWRITTEN_BYTES
+
+
+def exchange(**head):
+    headers = [(name.encode(), value) for name, value in head.items()]
+    req = CallerRequest(
+        b"POST",
+        b"/a",
+        headers,
+        HEAD_CODEC.parse_request_head(headers),
+        arrived_at=0.0,
+        body=bytearray(b"x" * 100),
+    )
+    route = Route("r", "h", "/", Kind.STREAM, 6.0, 0.4, (("s", 1.0),))
+    return Exchange(req, route, "s", 6.0, None)
+
+
+def test_a_probe_of_a_server_does_not_keep_the_requests_that_it_failed():
+    # Guards against large bodies that stay in memory while a server is probed.
+    async def body():
+        events = Events("vm", HybridClock(), lambda: 0.0)
+        detector = CrashDetector(Quarantine(), events, lambda: 0.0)
+        backend = Backend(ListedServer("i-0", "s", "127.0.0.1:1", "dc", 8))
+        failed = exchange()
+        kept = weakref.ref(failed.req)
+        detector.connection_failed(failed, backend, 1.0)
+        del failed
+        gc.collect()
+        is_kept = kept() is not None
+        await asyncio.gather(*detector._tasks)
+        return is_kept
+
+    assert not asyncio.run(body())
