Take no deadline beyond the route's timeout for that of a first try

What callers saw: after one request with a far X-Deadline-Ms, an entry took all later requests of the route for retries, sent them behind others and refused most of them under load, until it restarted.

Cause: a retry is recognised by the time that it has left, compared with the longest one seen on its route, which any caller could set.

Change: what counts as the longest is 1.1 times the route's timeout at most. Callers wait for about the timeout, so that a first try is still over 0.8 of that.

--- a/packages/wasabideck_forward/wasabideck_forward/dispatcher.py
+++ b/packages/wasabideck_forward/wasabideck_forward/dispatcher.py
@@ -64,6 +64,9 @@
 # A request whose remaining time is below this share of the longest one seen on its
 # route is taken for a retry. Those of first tries differ by up to a seventh.
 FIRST_TRY_MIN_RATIO = 0.8
+# A remaining time beyond this multiple of the route's timeout says nothing about other
+# callers, who wait for about that timeout.
+MAX_WAIT_RATIO = 1.1
 # Part of the time limit of a waiting request that is reserved for the server's work.
 RESERVED_WORK_SECONDS = 1.0
 # A request that has not been sent this long before its target time can't meet it: the
@@ -383,9 +386,10 @@
         time_left = exchange.req.head.wait_seconds
         if not time_left:
             return False
-        route = exchange.route.name
-        longest = self._longest_deadlines[route] = max(
-            time_left, self._longest_deadlines.get(route, 0.0)
+        route = exchange.route
+        longest = self._longest_deadlines[route.name] = min(
+            max(time_left, self._longest_deadlines.get(route.name, 0.0)),
+            MAX_WAIT_RATIO * route.timeout_seconds,
         )
         return time_left < FIRST_TRY_MIN_RATIO * longest
 
--- a/tests/limits/test_client_chosen_state.py
+++ b/tests/limits/test_client_chosen_state.py
@@ -3,6 +3,7 @@
 import asyncio
 import gc
 import os
+import random
 import weakref
 
 import orjson
@@ -11,9 +12,15 @@
 from wasabideck_base.bounded_log import BoundedLog
 from wasabideck_base.events import Events, HybridClock
 from wasabideck_forward.crash_detector import CrashDetector
+from wasabideck_forward.dispatcher import (
+    FIRST_TRY_MIN_RATIO,
+    Dispatcher,
+    DispatchLimits,
+)
 from wasabideck_forward.exchange import Exchange
 from wasabideck_forward.http_heads import CallerRequest
 from wasabideck_policy.backends import Backend, ListedServer
+from wasabideck_policy.cluster_state import ClusterState
 from wasabideck_policy.configuration import Kind, Route
 from wasabideck_policy.quarantine import Quarantine
 
@@ -87,3 +94,21 @@
         return is_kept
 
     assert not asyncio.run(body())
+
+
+@pytest.mark.parametrize("deadline", [b"60000", b"999999999999"])
+def test_a_far_deadline_does_not_make_later_requests_retries(deadline):
+    # Guards against one caller that has all others of its route treated as late.
+    events = Events("vm", HybridClock(), lambda: 0.0)
+    chosen = Dispatcher(
+        ClusterState(0.0),
+        DispatchLimits(0.2, 100.0, 10.0, 8.0, 8.0, 7.0, 7.0),
+        "dc",
+        lambda: 0.0,
+        random.Random(3),
+        CrashDetector(Quarantine(), events, lambda: 0.0),
+    )
+    chosen._is_caller_retry(exchange(**{"x-deadline-ms": deadline}))
+    assert not chosen._is_caller_retry(exchange(**{"x-deadline-ms": b"6050"}))
+    late = b"%d" % (6000 * FIRST_TRY_MIN_RATIO * 0.9)
+    assert chosen._is_caller_retry(exchange(**{"x-deadline-ms": late}))
