Limit the number of declared names that a process takes from peers

A peer that declares versions of ever new models had all of them kept for the lifetime of the process, and passed on. 1000 names are kept; known names go on to be updated.

--- a/packages/wasabideck_policy/wasabideck_policy/declarations.py
+++ b/packages/wasabideck_policy/wasabideck_policy/declarations.py
@@ -28,6 +28,11 @@
     return key.partition("/")[2]
 
 
+# Maximum number of keys: the configuration, and the models of a deployment. A peer that
+# sends further keys is faulty.
+MAX_KEYS = 1000
+
+
 @frozen
 class Declaration:
     """The complete new state of one key, as it was declared.
@@ -49,6 +54,8 @@
 class Declarations:
     """The newest declaration of each key; its number never decreases.
 
+    Keys beyond ``MAX_KEYS`` are ignored.
+
     The merge is commutative, idempotent and monotonic: stale reads of the store,
     duplicates and gossip messages may arrive in any order and revert nothing.
     """
@@ -60,6 +67,8 @@
         newer = []
         for declaration in received:
             known = self._newest.get(declaration.key)
+            if known is None and len(self._newest) >= MAX_KEYS:
+                continue
             if known is None or declaration.number > known.number:
                 self._newest[declaration.key] = declaration
                 newer.append(declaration)
--- a/tests/limits/test_client_chosen_state.py
+++ b/tests/limits/test_client_chosen_state.py
@@ -22,6 +22,7 @@
 from wasabideck_policy.backends import Backend, ListedServer
 from wasabideck_policy.cluster_state import ClusterState
 from wasabideck_policy.configuration import Kind, Route
+from wasabideck_policy.declarations import Declaration, Declarations
 from wasabideck_policy.quarantine import Quarantine
 
 # More names than a deployment has models, or servers crash within ten minutes.
@@ -112,3 +113,25 @@
     assert not chosen._is_caller_retry(exchange(**{"x-deadline-ms": b"6050"}))
     late = b"%d" % (6000 * FIRST_TRY_MIN_RATIO * 0.9)
     assert chosen._is_caller_retry(exchange(**{"x-deadline-ms": late}))
+
+
+def test_crashes_of_very_many_requests_are_not_all_kept():
+    # Guards against a peer that reports crashes of requests without end.
+    quarantine = Quarantine()
+    for number in range(MANY):
+        quarantine.merge_crash(f"name-{number}", "vm/1", 600.0 + number, float(number))
+    assert len(quarantine.crashes) <= MAX_KEPT
+    newest = f"name-{MANY - 1}"
+    assert newest in quarantine.crashes
+
+
+def test_declarations_of_very_many_names_are_not_all_kept():
+    # Guards against a peer that declares versions of models without end.
+    declarations = Declarations()
+    known = Declaration("configuration", 1, b"{}")
+    declarations.merge([known])
+    for number in range(MANY):
+        declarations.merge([Declaration(f"version/{number}", 1, b"{}")])
+    assert len(declarations) <= MAX_KEPT
+    newer = Declaration("configuration", 2, b"{}")
+    assert declarations.merge([newer]) == [newer]
