Account for the connections of the product's own entry and agent

What callers saw: `wasabideck serve` took all descriptors for idle connections, grew to 327 MB with 250 bodies of 1 MiB that stopped short of their end, and to 392 MB with streams of the inner protocol, where 256 MB are set; requests for /metrics sent ahead kept it busy, and an ordinary call got no answer within 30 s.

Cause: the limit on connections counts those of an authenticated organisation only, and none adds up what they hold. sanic keeps a chunked body as a list of its chunks, and a connection's task goes on with the next chunk or request while its buffer holds one.

Change: process.memory_mb (256) and process.max_descriptors (the operating system's) set the budget. sanic's protocol is accounted for by AccountedProtocol; a body is one block; other connections have their turn before each request and after 256 chunks. The agent's /metrics and /ready use the small server of monitoring_http, which answers one request on a connection, in place of aiohttp's, which parses all that was sent ahead.

The test starts the entry as it is installed: SANIC_TOUCHUP, which the tests set for entries in their own process, is not passed on.

--- a/packages/wasabideck_agent/wasabideck_agent/serving.py
+++ b/packages/wasabideck_agent/wasabideck_agent/serving.py
@@ -6,12 +6,13 @@
 import time
 
 import aiohttp
-from aiohttp import web
 from wasabideck_base.addresses import split_address
 from wasabideck_base.channels import exchange_clock
+from wasabideck_base.connection_budget import ConnectionBudget
 from wasabideck_base.events import EventFile, open_events
 from wasabideck_base.inner_limits import InnerServer
 from wasabideck_base.metrics import render_metrics
+from wasabideck_base.monitoring_http import MonitoringResponse, serve_monitoring
 from wasabideck_base.process import (
     announce_ready,
     cancel_and_wait,
@@ -21,6 +22,7 @@
 )
 from wasabideck_base.settings import AgentSettings
 from wasabideck_base.tls import TlsContexts
+from wasabideck_base.turned_away_log import TurnedAwayLog
 from wasabideck_policy.membership import AGENT
 
 from .agent import Agent
@@ -29,6 +31,8 @@
 
 __all__ = ["serve_agent"]
 
+# Share of the process's sockets for the connections that each listener accepts.
+SOCKET_SHARES = {"inner": 0.7, "metrics": 0.1}
 MAX_DRAIN_SECONDS = 60.0
 DRAIN_POLL_INTERVAL_SECONDS = 0.02
 # Entries with an open status stream are notified at once. The minimum is for entries
@@ -44,13 +48,16 @@
     async with aiohttp.ClientSession() as session:
         agent = assemble_agent(cfg, events, session, keys)
         events.listeners.append(agent.metrics.count)
-        server = InnerServer(inner_services(agent))
+        budget = ConnectionBudget(
+            cfg.process.limits, SOCKET_SHARES, TurnedAwayLog(events)
+        )
+        server = InnerServer(inner_services(agent), budget)
         exchange_clock(server, events.clock)
         count_live_traffic(server, agent.links)
         host, port = split_address(cfg.process.inner)
         with convert_bind_errors(cfg.process.inner):
             await server.start(host, port, ssl=keys and keys.inner_server)
-        http = await _serve_http(agent, file, keys)
+        http = await _serve_http(agent, file, keys, budget)
         inner = server._server.sockets[0].getsockname()
         events.emit("process.ready", kind=AGENT)
         agent.runner.at_most_once.holder.address = f"{inner[0]}:{inner[1]}"
@@ -85,26 +92,30 @@
     await agent.delivery_rows.write()
 
 
-async def _serve_http(agent: Agent, file: EventFile, keys: TlsContexts | None) -> str:
+async def _serve_http(
+    agent: Agent, file: EventFile, keys: TlsContexts | None, budget: ConnectionBudget
+) -> str:
     """Serve /metrics and /ready; return the bound address."""
 
-    async def metrics(req: web.Request) -> web.Response:
+    def metrics(accept: str) -> MonitoringResponse:
         agent.metrics.in_progress.set({}, len(agent.runner.attempts.in_progress()))
         agent.metrics.events_lost.set({}, file.lost_events)
         agent.update_link_metrics()
-        body, headers = render_metrics(agent.metrics, req.headers.get("accept", ""))
-        return web.Response(body=body, headers=headers)
+        body, headers = render_metrics(agent.metrics, accept)
+        return MonitoringResponse(body, headers=headers)
+
+    def respond(path: str, accept: str) -> MonitoringResponse:
+        if path == "/metrics":
+            return metrics(accept)
+        if path != "/ready":
+            return MonitoringResponse(status=404)
+        return MonitoringResponse(
+            status=200 if agent.runner.admission.accepting else 503
+        )
 
-    async def ready(req: web.Request) -> web.Response:
-        return web.Response(status=200 if agent.runner.admission.accepting else 503)
-
-    app = web.Application()
-    app.add_routes([web.get("/metrics", metrics), web.get("/ready", ready)])
-    runner = web.AppRunner(app, access_log=None)
-    await runner.setup()
     host, port = split_address(agent.cfg.process.http)
-    site = web.TCPSite(runner, host, port, ssl_context=keys and keys.caller_server)
+    ssl_context = keys and keys.caller_server
     with convert_bind_errors(agent.cfg.process.http):
-        await site.start()
-    bound = runner.addresses[0]
+        server = await serve_monitoring(respond, host, port, budget, ssl_context)
+    bound = server.sockets[0].getsockname()
     return f"{bound[0]}:{bound[1]}"
--- a/packages/wasabideck_base/wasabideck_base/settings.py
+++ b/packages/wasabideck_base/wasabideck_base/settings.py
@@ -9,6 +9,7 @@
 from attrs import field, frozen
 from attrs.validators import deep_mapping, instance_of
 
+from .connection_budget import BYTES_PER_MB, ProcessLimits
 from .settings_validators import (
     at_least,
     choice,
@@ -55,6 +56,10 @@
         ``host:port`` for callers, operators and metrics.
     events : str
         File to which events are appended; empty for standard error.
+    memory_mb : int
+        Resident memory that the process may use, in megabytes.
+    max_descriptors : int
+        Descriptors that the process may open; 0 for the operating system's limit.
     """
 
     vm: str = field(validator=is_name)
@@ -63,6 +68,13 @@
     inner: str = field(default="127.0.0.1:0", validator=is_address)
     http: str = field(default="127.0.0.1:0", validator=is_address)
     events: str = ""
+    memory_mb: int = field(default=256, validator=at_least(1))
+    max_descriptors: int = field(default=0, validator=at_least(0))
+
+    @property
+    def limits(self) -> ProcessLimits:
+        """Return the limits on what the connections of the process may use."""
+        return ProcessLimits(self.memory_mb * BYTES_PER_MB, self.max_descriptors)
 
 
 @frozen
--- /dev/null
+++ b/packages/wasabideck_entry/wasabideck_entry/accounted_http.py
@@ -0,0 +1,66 @@
+"""Accounts for what the connections of the entry's HTTP server hold."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from collections.abc import Callable
+
+from sanic import Request
+from sanic.server import HttpProtocol
+from wasabideck_base.accounted_protocol import AccountedProtocol
+from wasabideck_base.connection_budget import ConnectionBudget
+
+__all__ = ["LISTENER", "EntryRequest", "protocol_factory"]
+
+LISTENER = "http"
+# Memory of a connection's task, and of a request for each byte of its head: a header of
+# a few bytes becomes several strings.
+TASK_BYTES = 32 * 1024
+HEAD_COST_RATIO = 75
+# Chunks of a body that are read before other connections have their turn.
+CHUNKS_AT_ONCE = 256
+
+
+class EntryRequest(Request):
+    """A request whose body is kept in one piece while it is received."""
+
+    async def receive_body(self) -> None:
+        """Receive the body; it may come in chunks of a few bytes."""
+        if self.body:
+            return
+        body = bytearray()
+        count = 0
+        async for data in self.stream:
+            body += data
+            count += 1
+            if count % CHUNKS_AT_ONCE == 0:
+                await asyncio.sleep(0)
+        self.body = bytes(body)
+
+
+def protocol_factory(budget: ConnectionBudget) -> Callable[..., AccountedProtocol]:
+    """Return a function that creates the protocol of an accepted connection."""
+
+    def create(**options: object) -> AccountedProtocol:
+        conn = HttpProtocol(**options)
+        return AccountedProtocol(
+            conn,
+            budget,
+            LISTENER,
+            time.monotonic,
+            lambda: _held_bytes(conn),
+            # The connection itself pauses reading while its buffer is full.
+            part_bytes=None,
+        )
+
+    return create
+
+
+def _held_bytes(conn: HttpProtocol) -> int:
+    held = TASK_BYTES + len(conn.recv_buffer)
+    http = conn.http
+    if http is None or http.request is None:
+        return held
+    received = (http.request_bytes or 0) - (http.request_bytes_left or 0)
+    return held + HEAD_COST_RATIO * len(http.request.head) + received
--- a/packages/wasabideck_entry/wasabideck_entry/entry.py
+++ b/packages/wasabideck_entry/wasabideck_entry/entry.py
@@ -13,6 +13,7 @@
 from sanic.server import AsyncioServer
 from wasabideck_base.addresses import split_address
 from wasabideck_base.channels import CALL_FAILURES, Channels, exchange_clock
+from wasabideck_base.connection_budget import ConnectionBudget
 from wasabideck_base.events import Events, open_events
 from wasabideck_base.http_responses import PlatformUnavailable
 from wasabideck_base.inner_limits import InnerServer
@@ -29,6 +30,7 @@
 from wasabideck_base.settings import EntrySettings
 from wasabideck_base.ticket_replication import PeersService, TicketReplication
 from wasabideck_base.tls import TlsContexts
+from wasabideck_base.turned_away_log import TurnedAwayLog
 from wasabideck_policy.load_balancing import POLICIES
 from wasabideck_policy.membership import ENTRY, Member, head_pollers
 from wasabideck_wire import inner_pb2 as pb
@@ -47,6 +49,8 @@
 
 __all__ = ["serve_entry"]
 
+# Share of the process's sockets for the connections that each listener accepts.
+SOCKET_SHARES = {"http": 0.6, "inner": 0.2}
 HEAD_POLL_INTERVAL_SECONDS = 0.5
 MAX_HEAD_AGE_SECONDS = 2.0
 SYNC_INTERVAL_SECONDS = 1.0
@@ -172,14 +176,17 @@
         entry = _assemble(cfg, events, session, keys)
         entry.events_lost = lambda: event_file.lost_events
         events.listeners.append(entry.metrics.count)
-        server = InnerServer([entry.peers])
+        budget = ConnectionBudget(
+            cfg.process.limits, SOCKET_SHARES, TurnedAwayLog(events)
+        )
+        server = InnerServer([entry.peers], budget)
         exchange_clock(server, events.clock)
         host, port = split_address(cfg.process.inner)
         with convert_bind_errors(cfg.process.inner):
             await server.start(host, port, ssl=keys and keys.inner_server)
         inner_address = server._server.sockets[0].getsockname()
         await entry.read_members()
-        options = HttpOptions(cfg, entry.ready, entry.current_metrics, keys)
+        options = HttpOptions(cfg, entry.ready, entry.current_metrics, keys, budget)
         # A load balancer may send requests as soon as HTTP is served, so the servers'
         # status must be known before.
         await entry.fleet.query_all()
--- a/packages/wasabideck_entry/wasabideck_entry/http_server.py
+++ b/packages/wasabideck_entry/wasabideck_entry/http_server.py
@@ -8,12 +8,14 @@
 import time
 from collections.abc import Callable
 
-from attrs import frozen
+from attrs import field, frozen
 from sanic import HTTPResponse, Request, Sanic
 from sanic.exceptions import PayloadTooLarge, SanicException
 from sanic.models.server_types import ConnInfo
 from sanic.server import AsyncioServer
 from wasabideck_base.addresses import split_address
+from wasabideck_base.connection_budget import ConnectionBudget
+from wasabideck_base.kernel_buffers import limit_buffers
 from wasabideck_base.metrics import Metrics, render_metrics
 from wasabideck_base.process import convert_bind_errors
 from wasabideck_base.settings import EntrySettings
@@ -21,6 +23,7 @@
 from wasabideck_policy.outcomes import WasabideckError
 from wasabideck_policy.tickets import MAX_TICKET_BYTES
 
+from .accounted_http import EntryRequest, protocol_factory
 from .authentication import authenticate
 from .caller_endpoint import problem_response
 from .connection_limits import ConnectionLimiter
@@ -48,19 +51,22 @@
         Returns whether the platform's load balancer may send requests here.
     current_metrics : callable
         Returns the current metrics.
+    budget : ConnectionBudget
+        Memory and sockets of all connections of the process.
     """
 
     cfg: EntrySettings
     ready: Callable[[], bool]
     current_metrics: Callable[[], Metrics]
     keys: TlsContexts | None = None
+    budget: ConnectionBudget = field(factory=ConnectionBudget)
 
 
 def make_app(options: HttpOptions) -> Sanic:
     """Return an application with the request checks and the process's own routes."""
     # sanic allows fewer characters in a name than a VM's name may have.
     vm = re.sub(r"[^A-Za-z0-9]", "_", options.cfg.process.vm)
-    app = Sanic(f"wasabideck_{vm}", configure_logging=False)
+    app = Sanic(f"wasabideck_{vm}", configure_logging=False, request_class=EntryRequest)
     app.config.update(
         {
             "MOTD": False,
@@ -84,8 +90,10 @@
     address = options.cfg.process.http
     with convert_bind_errors(address):
         sock = socket.create_server(split_address(address))
+    limit_buffers(sock)
     server = await app.create_server(
         sock=sock,
+        protocol=protocol_factory(options.budget),
         ssl=options.keys.caller_server if options.keys else None,
         return_asyncio_server=True,
         access_log=False,
@@ -119,6 +127,8 @@
     # refused before the body is received.
     @app.signal("http.routing.after")
     async def admit(request: Request, **_: object) -> None:
+        # Other connections have their turn before the next request that was sent ahead.
+        await asyncio.sleep(0)
         request.ctx.principal = authenticate(options.cfg, request.path, request.headers)
         connections.acquire(request.conn_info.ctx, request.ctx.principal)
         request.stream.request_max_size = max_bytes = _max_body_bytes(
--- a/tests/limits/test_product_entry.py
+++ b/tests/limits/test_product_entry.py
@@ -23,6 +23,8 @@
 LIMITED = """
 import os, resource, sys
 resource.setrlimit(resource.RLIMIT_NOFILE, (int(sys.argv[1]),) * 2)
+# Set for entries that run in the process of the tests; this one runs as installed.
+os.environ.pop("SANIC_TOUCHUP", None)
 os.execv(sys.argv[2], sys.argv[2:])
 """
 
