--- /dev/null
+++ b/tests/forward/test_refused_input.py
@@ -0,0 +1,80 @@
+"""Requests that are refused while they are read, and answers before them."""
+
+import asyncio
+
+from wasabideck_base.connection_budget import (
+    BYTES_PER_MB,
+    ConnectionBudget,
+    ProcessLimits,
+)
+
+from .conftest import Entry, answers, configuration, route
+
+# Leaves all connections 8 MB.
+SMALL = ProcessLimits(80 * BYTES_PER_MB, 1000)
+BODY_BYTES = 4 << 20
+HEAD = b"POST /a HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: large\r\n"
+
+
+def entry_with_small_budget():
+    entry = Entry(configuration(route(timeout_seconds=5.0)))
+    entry.caller_endpoint.budget = ConnectionBudget(SMALL)
+    return entry
+
+
+def test_a_request_that_is_turned_away_was_not_sent_and_its_refusal_says_so(play):
+    # Guards against a refusal that promises that a request has not run although a
+    # server has it, and against one that its caller cannot read.
+    async def scenario():
+        entry = entry_with_small_budget()
+        server = await entry.add_server(answers(), answers())
+        stalled = await entry.caller()
+        head = HEAD + b"Content-Length: %d\r\n\r\n" % BODY_BYTES
+        stalled.writer.write(head + b"x" * (BODY_BYTES - 1))
+        await stalled.writer.drain()
+        while entry.caller_endpoint.budget.held_bytes < BODY_BYTES - 1:
+            await asyncio.sleep(0.01)
+        await asyncio.sleep(0.3)
+        large = await entry.caller()
+        large.writer.write(head + b"x" * BODY_BYTES)
+        status, headers, _ = await stalled.read_response()
+        assert status == 503
+        assert float(headers[b"retry-after"]) > 0
+        assert (await large.read_response())[0] == 200
+        assert len(server.requests) == 1
+
+    play(scenario)
+
+
+def test_requests_before_a_malformed_one_are_answered_first(play):
+    # Guards against a malformed request that cancels the one before it, which may run.
+    async def scenario():
+        entry = Entry(configuration(route()))
+        await entry.add_server(answers(b"first"))
+        caller = await entry.caller()
+        await caller.send()
+        caller.writer.write(b"no request\r\n\r\n")
+        assert (await caller.read_response())[0] == 200
+        status, headers, body = await caller.read_response()
+        assert (status, headers[b"connection"]) == (400, b"close")
+        assert body == b'{"error":"MalformedRequest"}'
+        assert await caller.reader.read() == b""
+
+    play(scenario)
+
+
+def test_folded_lines_and_large_trailers_are_refused(play):
+    # Guards against parts of a message that no limit covers.
+    async def scenario():
+        entry = Entry(configuration(route()))
+        folded = await entry.caller()
+        folded.writer.write(b"GET /a HTTP/1.1\r\na: b\r\n c\r\n\r\n")
+        assert (await folded.read_response())[0] == 400
+        trailer = await entry.caller()
+        trailer.writer.write(
+            HEAD + b"Transfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\na: "
+        )
+        trailer.writer.write(b"x" * 20_000)
+        assert (await trailer.read_response())[0] == 431
+
+    play(scenario)
