Count no end of a head as framing of the body behind it

With a limit of 512 bytes a legal head and a chunk's line that came in one read were answered 431: both counted as framing. The new test failed before, and passes now.

--- a/packages/wasabideck_forward/wasabideck_forward/caller_connection.py
+++ b/packages/wasabideck_forward/wasabideck_forward/caller_connection.py
@@ -251,7 +251,7 @@
             self._reading_since = now
             self._in_headers = True
         self._message_ended = False
-        received = len(self._body)
+        began_in_head, received = self._in_headers, len(self._body)
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade:
@@ -260,7 +260,8 @@
             self._reject(400, "MalformedRequest")
         if self._input_ended or self._reading_since is None or self._message_ended:
             return
-        self._count_overhead(len(data), len(self._body) - received)
+        if self._in_headers or not began_in_head:
+            self._count_overhead(len(data), len(self._body) - received)
 
     def _count_overhead(self, size: int, body_bytes: int) -> None:
         """Count bytes that belong to a head, or to the framing of a chunked body.
--- a/tests/forward/test_refused_input.py
+++ b/tests/forward/test_refused_input.py
@@ -7,12 +7,14 @@
     ConnectionBudget,
     ProcessLimits,
 )
+from wasabideck_policy.configuration import CallerLimits
 
 from .conftest import Entry, answers, configuration, route
 
 # Leaves all connections 8 MB.
 SMALL = ProcessLimits(80 * BYTES_PER_MB, 1000)
 BODY_BYTES = 4 << 20
+LIMITS = CallerLimits(max_header_bytes=512)
 HEAD = b"POST /a HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: large\r\n"
 
 
@@ -63,6 +65,23 @@
     play(scenario)
 
 
+def test_the_largest_legal_head_and_a_chunk_line_in_one_piece_are_accepted(play):
+    # Guards against counting the end of a head as framing of the body behind it.
+    async def scenario():
+        lines = b"Transfer-Encoding: chunked\r\na: "
+        padding = b"x" * (LIMITS.max_header_bytes - len(HEAD + lines) - 4)
+        entry = Entry(configuration(route(), limits=LIMITS))
+        await entry.add_server(answers())
+        caller = await entry.caller()
+        caller.writer.write(HEAD + lines + padding + b"\r\n\r\n00000001;a=b\r\n")
+        await caller.writer.drain()
+        await asyncio.sleep(0.05)
+        caller.writer.write(b"x\r\n0\r\n\r\n")
+        assert (await caller.read_response())[0] == 200
+
+    play(scenario)
+
+
 def test_folded_lines_and_large_trailers_are_refused(play):
     # Guards against parts of a message that no limit covers.
     async def scenario():
