--- a/tests/limits/test_product_entry.py
+++ b/tests/limits/test_product_entry.py
@@ -20,6 +20,7 @@
 FEW_DESCRIPTORS = LIMITS | {"max-fds": 360}
 SERVICES = [{"name": "orders", "kind": "plain", "repeatable": True}]
 BODY_BYTES = 1 << 20
+HEAD_BYTES = 8192
 LIMITED = """
 import os, resource, sys
 resource.setrlimit(resource.RLIMIT_NOFILE, (int(sys.argv[1]),) * 2)
@@ -30,14 +31,20 @@
 
 
 class LimitedLab(LabFleet):
-    """A lab that starts the entry with a limited number of descriptors."""
+    """A lab that starts a program with a limited number of descriptors.
 
-    descriptors = 0
+    Attributes
+    ----------
+    descriptors : dict of str to int
+        Limits by the name of the program's binary.
+    """
+
+    descriptors = {}
 
     async def _start_process(self, vm, binary, settings, program=()):
-        if binary == "wasabideck":
+        if limit := self.descriptors.get(binary):
             path = str(Path(sys.executable).with_name(binary))
-            program = (sys.executable, "-c", LIMITED, str(self.descriptors), path)
+            program = (sys.executable, "-c", LIMITED, str(limit), path)
         return await super()._start_process(vm, binary, settings, program)
 
 
@@ -68,7 +75,7 @@
     def play(listener, limits, count, payload):
         async def body():
             lab = LimitedLab(tmp_path)
-            lab.descriptors = limits["max-fds"]
+            lab.descriptors = {"wasabideck": limits["max-fds"]}
             organisations = [
                 {"organisation": f"crowd-{n}", "token": f"sample-crowd-token-{n}"}
                 for n in range(4)
@@ -106,6 +113,43 @@
     return host, int(port)
 
 
+@pytest.fixture
+def run_calm(tmp_path):
+    """Send one request in pieces to an entry without other clients."""
+
+    async def send(address, payload, size):
+        async with asyncio.timeout(HANG_SECONDS):
+            reader, writer = await asyncio.open_connection(*address)
+            for start in range(0, len(payload), size):
+                writer.write(payload[start : start + size])
+                await asyncio.sleep(0)
+                await writer.drain()
+            status = await reader.readline()
+            writer.close()
+            return int(status.split()[1])
+
+    def play(payload, size):
+        async def body():
+            lab = LimitedLab(tmp_path)
+            await lab.start_platform()
+            try:
+                entry = await lab.start_entry("entry-1", SERVICES)
+                await lab.start_plain_service_vm("order-1", "orders")
+                address = _split(entry.http_address)
+                async with asyncio.timeout(HANG_SECONDS):
+                    while (await call(address))[0] != 200:
+                        await asyncio.sleep(0.05)
+                status = await send(address, payload, size)
+                Process(entry.subprocess, LIMITS).check()
+            finally:
+                await lab.close()
+            return status
+
+        return asyncio.run(body())
+
+    return play
+
+
 @pytest.mark.parametrize("listener", ["http", "inner"])
 def test_connections_beyond_the_descriptors(run, listener):
     # Guards against idle connections that leave no descriptor to an ordinary caller.
@@ -135,3 +179,20 @@
 def test_peers_that_open_streams(run):
     # Guards against a client of the inner protocol that fills the memory.
     run("inner", LIMITS, 100, inner_crowd.open_streams(400, 400))
+
+
+@pytest.mark.parametrize("size", [1, 65536])
+@pytest.mark.parametrize("kind", ["head", "body", "chunks"])
+def test_the_largest_legal_request_is_served_alone(run_calm, kind, size):
+    # Guards against limits that a single legal request meets, however it is sent.
+    lines, body = b"", b"ab" * (BODY_BYTES // 2)
+    if kind == "head":
+        lines, body = b"a:\r\n" * ((HEAD_BYTES - 200) // 4), b"ab"
+    if kind == "chunks":
+        payload = head(b"transfer-encoding: chunked\r\n\r\n")
+        payload += b"2\r\nab\r\n" * (BODY_BYTES // 2) + b"0\r\n\r\n"
+    else:
+        payload = head(lines, b"content-length: %d\r\n\r\n" % len(body)) + body
+    if len(payload) > HEAD_BYTES:
+        size = max(size, 4096)
+    assert run_calm(payload, size) == 200
