Keep answered connections beside a crowd that only connects; count what is closed

What callers saw: an ordinary caller's kept connection, idle for a moment, was closed when 500 others connected and sent nothing: it was idle longest. What operators saw: one line a second that did not say which limit closed a connection, and no counter.

Cause: sockets were freed by time without progress alone.

Change: while connections that were never answered use over half of a listener's sockets, they make room first; otherwise the longest idle does, so that a crowd that is answered once and stays does not displace newcomers. Each connection that is closed for a limit is counted by listener and limit (memory, sockets, size, time, rate), and logged once a second for each.

--- a/packages/wasabideck_agent/wasabideck_agent/chunk_http.py
+++ b/packages/wasabideck_agent/wasabideck_agent/chunk_http.py
@@ -86,7 +86,12 @@
     def factory() -> AccountedProtocol:
         protocol = _ChunkProtocol(service)
         return AccountedProtocol(
-            protocol, budget, LISTENER, loop.time, lambda: protocol.request_bytes
+            protocol,
+            budget,
+            LISTENER,
+            loop.time,
+            lambda: protocol.request_bytes,
+            is_answered=lambda: protocol.answered,
         )
 
     return await loop.create_server(factory, ip, port, backlog=BACKLOG)
@@ -128,6 +133,7 @@
         self._transport: asyncio.Transport | None = None
         self._url = b""
         self.request_bytes = 0
+        self.answered = False
 
     def connection_made(self, transport: asyncio.Transport) -> None:
         """Store the transport."""
@@ -152,6 +158,7 @@
 
     def on_message_complete(self) -> None:
         url, self._url, self.request_bytes = self._url, b"", 0
+        self.answered = True
         response = _respond(self._service, url)
         status = b"400 Bad Request" if response is None else b"200 OK"
         body = response.SerializeToString() if response is not None else b""
--- a/packages/wasabideck_agent/wasabideck_agent/serving.py
+++ b/packages/wasabideck_agent/wasabideck_agent/serving.py
@@ -49,7 +49,9 @@
         agent = assemble_agent(cfg, events, session, keys)
         events.listeners.append(agent.metrics.count)
         budget = ConnectionBudget(
-            cfg.process.limits, SOCKET_SHARES, TurnedAwayLog(events)
+            cfg.process.limits,
+            SOCKET_SHARES,
+            TurnedAwayLog(events, agent.metrics.registry),
         )
         server = InnerServer(inner_services(agent), budget)
         exchange_clock(server, events.clock)
--- a/packages/wasabideck_base/wasabideck_base/accounted_protocol.py
+++ b/packages/wasabideck_base/wasabideck_base/accounted_protocol.py
@@ -9,6 +9,7 @@
     ACCEPTED_CONNECTION_BYTES,
     RELEASE_SECONDS,
     ConnectionBudget,
+    Limit,
     Usage,
 )
 
@@ -33,6 +34,8 @@
     part_bytes : callable or None
         Returns how much input is passed on at once; None for all of it, to a protocol
         that pauses reading itself.
+    is_answered : callable
+        Returns whether a request on the connection has been answered.
     release : callable
         Releases what the other protocol still holds after its connection was lost.
     """
@@ -46,6 +49,7 @@
         held_bytes: Callable[[], int],
         is_excessive: Callable[[float], bool] = lambda now: False,
         part_bytes: Callable[[], int] | None = lambda: PART_BYTES,
+        is_answered: Callable[[], bool] = lambda: False,
         release: Callable[[], object] = lambda: None,
     ):
         self._protocol = protocol
@@ -55,6 +59,7 @@
         self._held_bytes = held_bytes
         self._is_excessive = is_excessive
         self._part_bytes = part_bytes
+        self._is_answered = is_answered
         self._release = release
         self._input = bytearray()
         self._usage: Usage | None = None
@@ -107,7 +112,9 @@
             # The other protocol may pause reading itself.
             self._transport.resume_reading()
         self._protocol.data_received(part)
-        if self._is_excessive(self._clock()):
+        now = self._clock()
+        if self._is_excessive(now):
+            self._budget.on_turned_away(self._usage, Limit.RATE, now)
             self._turn_away(False)
         else:
             self.report()
@@ -130,6 +137,8 @@
         if unwritten < self._unwritten_bytes:
             self._usage.progress_at = now
         self._unwritten_bytes = unwritten
+        if self._is_answered():
+            self._budget.record_answered(self._usage)
         held = ACCEPTED_CONNECTION_BYTES + unwritten + len(self._input)
         held += self._held_bytes()
         self._budget.report(self._usage, held, now)
--- a/packages/wasabideck_base/wasabideck_base/connection_budget.py
+++ b/packages/wasabideck_base/wasabideck_base/connection_budget.py
@@ -10,7 +10,9 @@
 
 import gc
 import resource
+from collections import Counter
 from collections.abc import Callable, Mapping
+from enum import Enum
 
 from attrs import define, field, frozen
 
@@ -21,6 +23,7 @@
     "RELEASE_SECONDS",
     "RESERVED_DESCRIPTORS",
     "ConnectionBudget",
+    "Limit",
     "ProcessLimits",
     "Usage",
 ]
@@ -50,10 +53,23 @@
 # Time within which the tasks of an aborted connection end. Reading waits that long if
 # connections hold too much meanwhile.
 RELEASE_SECONDS = 0.01
+# Share of a listener's sockets beyond which connections that were never answered make
+# room first: a crowd that only connects must not displace callers' kept connections.
+UNANSWERED_RATIO = 0.5
 # Minimum time without progress, so that what is held counts at once.
 MIN_STALL_SECONDS = 0.1
 
 
+class Limit(Enum):
+    """Kind of limit for which a connection is closed."""
+
+    MEMORY = "memory"
+    SOCKETS = "sockets"
+    SIZE = "size"
+    TIME = "time"
+    RATE = "rate"
+
+
 @frozen
 class ProcessLimits:
     """Limits of one process.
@@ -108,6 +124,8 @@
         When its peer last sent or received anything, in seconds.
     waits_for_peer : bool
         Whether the peer has to act next.
+    answered : bool
+        Whether a request on the connection has been answered.
     turned_away : bool
         Whether the connection is being closed.
     aborted_bytes : int
@@ -121,6 +139,7 @@
     held_bytes: int = 0
     sockets: int = 1
     waits_for_peer: bool = True
+    answered: bool = False
     turned_away: bool = False
     aborted_bytes: int = 0
 
@@ -141,16 +160,18 @@
     shares : mapping of str to float
         Share of the sockets that the connections of a listener may use, by its name.
     on_turned_away : callable
-        Called with the usage of each connection that is turned away, and the time.
+        Called with the usage of each connection that is closed for a limit, the limit,
+        and the time.
     """
 
     limits: ProcessLimits = field(factory=ProcessLimits)
     shares: Mapping[str, float] = field(factory=dict)
-    on_turned_away: Callable[[Usage, float], None] = lambda usage, now: None
+    on_turned_away: Callable[[Usage, Limit, float], None] = lambda *closed: None
     held_bytes: int = 0
     aborted_bytes: int = 0
     _uncollected_bytes: int = 0
-    _sockets: dict[str, int] = field(factory=dict)
+    _sockets: Counter = field(factory=Counter)
+    _unanswered: Counter = field(factory=Counter)
     _usages: set[Usage] = field(factory=set)
     _is_freeing: bool = False
 
@@ -163,7 +184,7 @@
     ) -> Usage:
         """Account for an accepted connection, turning others away for it if need be."""
         usage = Usage(turn_away, listener, now, refresh, ACCEPTED_CONNECTION_BYTES)
-        self._sockets[listener] = self._sockets.get(listener, 0) + 1
+        self._count_sockets(usage, 1)
         self._free_sockets(listener, now)
         self.held_bytes += usage.held_bytes
         self._usages.add(usage)
@@ -188,18 +209,24 @@
         if usage not in self._usages:
             return
         added = sockets - usage.sockets
-        self._sockets[usage.listener] += added
+        self._count_sockets(usage, added)
         usage.sockets = sockets
         if added > 0:
             self._free_sockets(usage.listener, now)
 
+    def record_answered(self, usage: Usage) -> None:
+        """Record that a request on the connection has been answered."""
+        if usage in self._usages and not usage.answered:
+            self._unanswered[usage.listener] -= usage.sockets
+        usage.answered = True
+
     def close(self, usage: Usage) -> None:
         """Stop accounting for a connection that is closed; safe to repeat."""
         if usage not in self._usages:
             return
         self._usages.discard(usage)
         self.held_bytes -= usage.held_bytes
-        self._sockets[usage.listener] -= usage.sockets
+        self._count_sockets(usage, -usage.sockets)
         usage.held_bytes = usage.sockets = 0
 
     def abort(self, usage: Usage) -> None:
@@ -231,6 +258,11 @@
         """Return how many sockets the connections of a listener may use."""
         return max(1, int(self.limits.max_sockets * self.shares.get(listener, 1.0)))
 
+    def _count_sockets(self, usage: Usage, added: int) -> None:
+        self._sockets[usage.listener] += added
+        if not usage.answered:
+            self._unanswered[usage.listener] += added
+
     def _free_memory(self, target: int, now: float) -> None:
         for usage in list(self._usages):
             usage.refresh()
@@ -245,26 +277,34 @@
             if self.held_bytes <= target:
                 return
             if usage in self._usages:
-                self._turn_away(usage, now)
+                self._turn_away(usage, Limit.MEMORY, now)
 
     def _free_sockets(self, listener: str, now: float) -> None:
         limit = self.max_sockets(listener)
         if self._sockets[listener] <= limit:
             return
         target = int(limit * SOCKETS_LOW_WATER_RATIO)
+        unanswered_first = self._unanswered[listener] > limit * UNANSWERED_RATIO
         # Connections that are already being closed only wait for their peers to read.
         candidates = sorted(
             (u for u in self._usages if u.listener == listener),
-            key=lambda u: (u.turned_away, u.stall_seconds(now), -u.progress_at),
+            key=lambda u: (
+                u.turned_away,
+                u.answered != unanswered_first,
+                u.stall_seconds(now),
+                -u.progress_at,
+            ),
             reverse=True,
         )
         for usage in candidates:
             if self._sockets[listener] <= target:
                 return
-            self._turn_away(usage, now, lingers=False)
+            self._turn_away(usage, Limit.SOCKETS, now, lingers=False)
             self.close(usage)
 
-    def _turn_away(self, usage: Usage, now: float, lingers: bool = True) -> None:
+    def _turn_away(
+        self, usage: Usage, limit: Limit, now: float, lingers: bool = True
+    ) -> None:
         usage.turned_away = True
-        self.on_turned_away(usage, now)
+        self.on_turned_away(usage, limit, now)
         usage.turn_away(lingers)
--- a/packages/wasabideck_base/wasabideck_base/inner_limits.py
+++ b/packages/wasabideck_base/wasabideck_base/inner_limits.py
@@ -91,6 +91,7 @@
             lambda: _held_bytes(protocol),
             frames.is_excessive,
             lambda: _part_bytes(protocol),
+            lambda: protocol.connection.streams_succeeded > 0,
             # grpclib keeps the streams of ended calls until ten more have begun.
             protocol.handler.__gc_collect__,
         )
--- a/packages/wasabideck_base/wasabideck_base/vm_process.py
+++ b/packages/wasabideck_base/wasabideck_base/vm_process.py
@@ -127,14 +127,18 @@
         process = VMProcess(
             cfg, events, pool, channels, state_sync, loop.time, rng, stop
         )
-        budget = process.budget = _open_budget(cfg, kind, events)
+        metrics = VMMetrics()
+        events.listeners.append(metrics.count)
+        budget = process.budget = ConnectionBudget(
+            cfg.process_limits,
+            SOCKET_SHARES[kind],
+            TurnedAwayLog(events, metrics.registry),
+        )
         process.reload_listeners.append(partial(_set_limits, budget))
         peers = [GossipService(state_sync.gossip), *services(process)]
         inner = InnerServer(peers, budget, MAX_PEER_STREAMS)
         exchange_clock(inner, events.clock)
         await inner.start(cfg.ip, cfg.inner_port)
-        metrics = VMMetrics()
-        events.listeners.append(metrics.count)
         metrics_server = await serve_metrics(
             metrics, cfg.ip, METRICS_PORTS[kind], events, budget
         )
@@ -174,11 +178,6 @@
             listener(process.cfg)
 
 
-def _open_budget(cfg: VMSettings, kind: str, events: Events) -> ConnectionBudget:
-    log = TurnedAwayLog(events)
-    return ConnectionBudget(cfg.process_limits, SOCKET_SHARES[kind], log)
-
-
 def _set_limits(budget: ConnectionBudget, cfg: VMSettings) -> None:
     budget.limits = cfg.process_limits
 
--- a/packages/wasabideck_entry/wasabideck_entry/accounted_http.py
+++ b/packages/wasabideck_entry/wasabideck_entry/accounted_http.py
@@ -52,6 +52,7 @@
             lambda: _held_bytes(conn),
             # The connection itself pauses reading while its buffer is full.
             part_bytes=None,
+            is_answered=lambda: conn.state["requests_count"] > 0,
         )
 
     return create
--- a/packages/wasabideck_entry/wasabideck_entry/entry.py
+++ b/packages/wasabideck_entry/wasabideck_entry/entry.py
@@ -177,7 +177,9 @@
         entry.events_lost = lambda: event_file.lost_events
         events.listeners.append(entry.metrics.count)
         budget = ConnectionBudget(
-            cfg.process.limits, SOCKET_SHARES, TurnedAwayLog(events)
+            cfg.process.limits,
+            SOCKET_SHARES,
+            TurnedAwayLog(events, entry.metrics.registry),
         )
         server = InnerServer([entry.peers], budget)
         exchange_clock(server, events.clock)
--- a/packages/wasabideck_forward/wasabideck_forward/caller_connection.py
+++ b/packages/wasabideck_forward/wasabideck_forward/caller_connection.py
@@ -14,6 +14,7 @@
     ACCEPTED_CONNECTION_BYTES,
     RELEASE_SECONDS,
     ConnectionBudget,
+    Limit,
     Usage,
 )
 from wasabideck_policy.configuration import CallerLimits
@@ -42,6 +43,8 @@
 MAX_LINGER_BYTES = 16 * 1024 * 1024
 # Retry-After of a request that is refused because connections hold too much memory.
 OVERLOADED_RETRY_SECONDS = 1.0
+# Limits that requests are rejected for, by the status of the error response.
+LIMIT_OF_STATUS = {408: Limit.TIME, 413: Limit.SIZE, 431: Limit.SIZE}
 _BODYLESS_STATUSES = frozenset((204, 304))
 _CLOSED_POLL_EVENTS = select.POLLRDHUP | select.POLLHUP | select.POLLERR
 
@@ -442,6 +445,7 @@
             if now - self._lingering_since > LINGER_SECONDS:
                 self._abort()
         elif stalled and self._unwritten_bytes:
+            self._record_limit(Limit.TIME)
             self._abort()
         elif self._task is None and self._reading_since is not None:
             self._check_reading(now, limits, stalled)
@@ -512,6 +516,7 @@
         elif not may_continue:
             self._close_after_response()
         else:
+            self._endpoint.budget.record_answered(self._usage)
             self._continue()
         self._report(self._idle_since)
         if not task.cancelled() and task.exception() is not None:
@@ -544,6 +549,8 @@
         self._reading_since = None
         self._drop_message()
         self._rejection = _Rejection(status, kind, retry_seconds)
+        if limit := LIMIT_OF_STATUS.get(status):
+            self._record_limit(limit)
         if self._task is None:
             self._answer_rejection()
 
@@ -603,6 +610,10 @@
                 self._close_or_abort()
         self._report(self._endpoint.clock())
 
+    def _record_limit(self, limit: Limit) -> None:
+        now = self._endpoint.clock()
+        self._endpoint.budget.on_turned_away(self._usage, limit, now)
+
     def _close_or_abort(self) -> None:
         if self._transport.get_write_buffer_size():
             self._abort()
--- a/tests/limits/test_connection_budget.py
+++ b/tests/limits/test_connection_budget.py
@@ -74,6 +74,27 @@
     assert limit not in connections.turned_away
 
 
+def test_connections_that_were_never_answered_make_room_first(connections):
+    # Guards against a crowd that only connects and displaces callers' kept connections.
+    connections.open("kept", 0.0)
+    connections.budget.record_answered(connections.usages["kept"])
+    for number in range(200):
+        connections.open(number, 1.0 + number)
+    assert "kept" not in connections.turned_away
+
+
+def test_new_connections_are_not_displaced_by_kept_ones(connections):
+    # Guards against a crowd that is answered once, keeps its connections, and leaves
+    # newcomers no time to send a request.
+    for number in range(100):
+        connections.open(number, float(number))
+        connections.budget.record_answered(connections.usages[number])
+    connections.open("newcomer", 200.0)
+    for number in range(5):
+        connections.open(f"next-{number}", 201.0)
+    assert "newcomer" not in connections.turned_away
+
+
 def test_a_listener_takes_no_sockets_from_another_one(connections):
     # Guards against a crowd of callers that closes the connections of peers.
     connections.open("peer", 0.0, listener="inner")
