Do not wait for stalled requests during a shutdown, and refuse them

What callers and operators saw: one body that had stopped short of its end kept an entry from ending until its time to shut down was over (6.7 s after SIGTERM instead of 3 s), and its caller was then cut off without an answer.

Cause: a connection counted as busy while any part of a request had been read, however long ago; one that lingers after a rejection kept that state too.

Change: a request of which no byte came for 2 s is not waited for. What is still being read at the end gets 503 ShuttingDown, which is true: it was not sent to any server.

--- a/packages/wasabideck_forward/wasabideck_forward/caller_connection.py
+++ b/packages/wasabideck_forward/wasabideck_forward/caller_connection.py
@@ -43,6 +43,10 @@
 MAX_LINGER_BYTES = 16 * 1024 * 1024
 # Retry-After of a request that is refused because connections hold too much memory.
 OVERLOADED_RETRY_SECONDS = 1.0
+# Time without a byte after which a shutdown does not wait for a request any longer, and
+# the Retry-After of its refusal: other entries can take it immediately.
+DRAIN_STALL_SECONDS = 2.0
+SHUTDOWN_RETRY_SECONDS = 0.1
 # Limits that requests are rejected for, by the status of the error response.
 LIMIT_OF_STATUS = {408: Limit.TIME, 413: Limit.SIZE, 431: Limit.SIZE}
 _BODYLESS_STATUSES = frozenset((204, 304))
@@ -88,6 +92,11 @@
         for conn in list(self.connections):
             conn.close_when_served()
 
+    def is_busy(self) -> bool:
+        """Whether a request is being read or answered on any connection."""
+        now = self.clock()
+        return any(conn.is_busy(now) for conn in self.connections)
+
     def sweep(self) -> None:
         """Close connections that are idle, or sending a request head, for too long."""
         now = self.clock()
@@ -129,6 +138,7 @@
         self._early_position: int | None = None
         self._reading_since: float | None = None
         self._unparsed = b""
+        self._reading_paused = False
         self._in_headers = False
         self._message_ended = False
         self._head_bytes = 0
@@ -204,7 +214,7 @@
         self._parse(now)
         self._report(now)
         if self._endpoint.budget.is_exhausted and not self._transport.is_closing():
-            self._transport.pause_reading()
+            self._pause_reading()
             loop = asyncio.get_running_loop()
             loop.call_later(RELEASE_SECONDS, self._read_on)
 
@@ -212,7 +222,7 @@
         if self._transport.is_closing() or self._endpoint.closed:
             return
         if self._input_ended:
-            self._transport.resume_reading()
+            self._resume_reading()
         else:
             self._parse(self._endpoint.clock())
 
@@ -232,9 +242,9 @@
         if self._transport.is_closing():
             return
         if self._unparsed or not self._may_parse():
-            self._transport.pause_reading()
+            self._pause_reading()
         elif not self._endpoint.closed:
-            self._transport.resume_reading()
+            self._resume_reading()
 
     def _may_parse(self) -> bool:
         return not self._input_ended and len(self._pipelined) < MAX_PIPELINED_REQUESTS
@@ -289,7 +299,7 @@
         if self._lingering_since is not None:
             self._abort()
         else:
-            self._transport.pause_reading()
+            self._pause_reading()
 
     # Callbacks of the parser
 
@@ -430,12 +440,16 @@
 
     def close_when_served(self) -> None:
         """Read no more, and close after the response to the last request read."""
+        if self._task is None and self._reading_since is not None:
+            self._reject(503, "ShuttingDown", SHUTDOWN_RETRY_SECONDS)
+            return
         if self._task is None:
-            self._transport.close()
+            if self._lingering_since is None:
+                self._transport.close()
             return
         self._reading_since = None
         if not self._transport.is_closing():
-            self._transport.pause_reading()
+            self._pause_reading()
 
     def check_timeouts(self, now: float, limits: CallerLimits) -> None:
         """Close the connection if it is idle, stalled, or its head incomplete."""
@@ -481,10 +495,11 @@
         )
         return bool(poll.poll(0))
 
-    @property
-    def busy(self) -> bool:
-        """Whether a request is being read or answered."""
-        return self._task is not None or self._reading_since is not None
+    def is_busy(self, now: float) -> bool:
+        """Whether a request is being answered, or read without a stall."""
+        stalled = now - self._usage.progress_at > DRAIN_STALL_SECONDS
+        is_read = self._reading_since is not None and not stalled
+        return self._task is not None or is_read
 
     @property
     def _has_next(self) -> bool:
@@ -578,10 +593,11 @@
         now = self._endpoint.clock()
         self._lingering_since = now
         self._input_ended = True
+        self._reading_since = None
         self._unparsed = b""
         self._drop_message()
         self._transport.write_eof()
-        self._transport.resume_reading()
+        self._resume_reading()
         self._report(now)
 
     def _drop_message(self) -> None:
@@ -591,6 +607,14 @@
         self._body = bytearray()
         self._content_length = 0
 
+    def _pause_reading(self) -> None:
+        self._reading_paused = True
+        self._transport.pause_reading()
+
+    def _resume_reading(self) -> None:
+        self._reading_paused = False
+        self._transport.resume_reading()
+
     # The process's budget for connections
 
     def _turn_away(self, lingers: bool) -> None:
--- a/packages/wasabideck_forward/wasabideck_forward/entry_process.py
+++ b/packages/wasabideck_forward/wasabideck_forward/entry_process.py
@@ -152,7 +152,7 @@
                 # The connections accepted last have not been read yet.
                 server.close()
                 continue
-            if not any(conn.busy for conn in self.callers.connections):
+            if not self.callers.is_busy():
                 break
         server.close()
         await self._close_callers()
--- a/tests/forward/test_refused_input.py
+++ b/tests/forward/test_refused_input.py
@@ -97,3 +97,36 @@
         assert (await trailer.read_response())[0] == 431
 
     play(scenario)
+
+
+def test_a_stalled_body_does_not_delay_a_shutdown_and_is_refused(play):
+    # Guards against a process that waits for a body that does not come until its time
+    # to shut down is over, and then closes without an answer.
+    async def scenario():
+        entry = Entry(configuration(route()))
+        endpoint = entry.caller_endpoint
+        caller = await entry.caller()
+        caller.writer.write(HEAD + b"Content-Length: 10\r\n\r\nshort")
+        while not endpoint.is_busy():
+            await asyncio.sleep(0.01)
+        now = endpoint.clock()
+        endpoint.clock = lambda: now + 3.0
+        assert not endpoint.is_busy()
+        endpoint.close()
+        status, _, body = await caller.read_response()
+        assert (status, body) == (503, b'{"error":"ShuttingDown"}')
+
+    play(scenario)
+
+
+def test_a_connection_that_waits_for_its_caller_to_read_is_not_busy(play):
+    # Guards against a shutdown that waits for a caller that was refused and goes on
+    # sending.
+    async def scenario():
+        entry = Entry(configuration(route()))
+        caller = await entry.caller()
+        caller.writer.write(b"no request\r\n\r\n" + b"x" * 100_000)
+        assert (await caller.read_response())[0] == 400
+        assert not entry.caller_endpoint.is_busy()
+
+    play(scenario)
