--- a/packages/wasabideck_base/wasabideck_base/kernel_buffers.py
+++ b/packages/wasabideck_base/wasabideck_base/kernel_buffers.py
@@ -7,7 +7,7 @@
 
 import socket
 
-__all__ = ["limit_buffers"]
+__all__ = ["KERNEL_BUFFER_BYTES", "limit_buffers"]
 
 # Buffers of the kernel for each direction of an accepted connection. A round trip
 # between regions takes 6 ms, so that this allows some 10 MB a second.
--- a/packages/wasabideck_forward/wasabideck_forward/caller_connection.py
+++ b/packages/wasabideck_forward/wasabideck_forward/caller_connection.py
@@ -17,6 +17,7 @@
     Limit,
     Usage,
 )
+from wasabideck_base.kernel_buffers import KERNEL_BUFFER_BYTES
 from wasabideck_policy.configuration import CallerLimits
 
 from .early_callers import EarlyCallers
@@ -669,6 +670,8 @@
         held = ACCEPTED_CONNECTION_BYTES + unwritten + len(self._unparsed)
         held += self._headers.size + len(self._target) + len(self._body)
         held += sum(map(_request_bytes, self._pipelined))
+        if self._reading_paused:
+            held += KERNEL_BUFFER_BYTES
         sockets = 1
         if req is not None:
             held += SERVED_REQUEST_BYTES + _request_bytes(req) + req.usage.held_bytes
--- a/tests/forward/test_refused_input.py
+++ b/tests/forward/test_refused_input.py
@@ -7,9 +7,10 @@
     ConnectionBudget,
     ProcessLimits,
 )
+from wasabideck_base.kernel_buffers import KERNEL_BUFFER_BYTES
 from wasabideck_policy.configuration import CallerLimits
 
-from .conftest import Entry, answers, configuration, route
+from .conftest import Entry, answers, configuration, hangs, route
 
 # Leaves all connections 8 MB.
 SMALL = ProcessLimits(80 * BYTES_PER_MB, 1000)
@@ -130,3 +131,17 @@
         assert not entry.caller_endpoint.is_busy()
 
     play(scenario)
+
+
+def test_unread_input_of_the_kernel_counts_while_reading_is_paused(play):
+    # Guards against connections whose unread input fills the memory of the machine.
+    async def scenario():
+        entry = entry_with_small_budget()
+        await entry.add_server(hangs)
+        caller = await entry.caller()
+        one = b"GET /a HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: a\r\n\r\n"
+        caller.writer.write(one * 5)
+        await asyncio.sleep(0.1)
+        assert entry.caller_endpoint.budget.held_bytes > KERNEL_BUFFER_BYTES
+
+    play(scenario)
