Limit and count the kernel's buffers at every listener

The kernel's buffers of connections from peers, for chunks and for metrics grew to megabytes, and unread input of connections whose reading is paused was counted for callers only. All listeners are opened by open_listener now, and AccountedProtocol counts the buffer of a paused connection.

Evidence: test_each_listener_of_a_process_limits_its_buffers failed before: the peers', chunks' and metrics' listeners had the kernel's own sizes.

--- a/packages/wasabideck_agent/wasabideck_agent/chunk_http.py
+++ b/packages/wasabideck_agent/wasabideck_agent/chunk_http.py
@@ -20,6 +20,7 @@
 from wasabideck_base.connection_budget import ConnectionBudget
 from wasabideck_base.http_pool import HttpPool, PooledClient
 from wasabideck_base.http_responses import PlatformRefused, PlatformUnavailable
+from wasabideck_base.kernel_buffers import open_listener
 from wasabideck_wire import inner_pb2 as pb
 
 from .chunks_service import ChunksService
@@ -94,7 +95,8 @@
             is_answered=lambda: protocol.answered,
         )
 
-    return await loop.create_server(factory, ip, port, backlog=BACKLOG)
+    listener = open_listener(ip, port, BACKLOG)
+    return await loop.create_server(factory, sock=listener, backlog=BACKLOG)
 
 
 async def _call(pool: HttpPool, address: str, path: str, seconds: float) -> bytes:
--- a/packages/wasabideck_base/wasabideck_base/accounted_protocol.py
+++ b/packages/wasabideck_base/wasabideck_base/accounted_protocol.py
@@ -12,6 +12,7 @@
     Limit,
     Usage,
 )
+from .kernel_buffers import KERNEL_BUFFER_BYTES
 
 __all__ = ["PART_BYTES", "AccountedProtocol"]
 
@@ -65,6 +66,7 @@
         self._usage: Usage | None = None
         self._transport: asyncio.Transport | None = None
         self._unwritten_bytes = 0
+        self._reading_paused = False
 
     def connection_made(self, transport: asyncio.Transport) -> None:  # noqa: D102
         self._transport = transport
@@ -99,18 +101,18 @@
             return
         loop = asyncio.get_running_loop()
         if self._budget.is_exhausted:
-            self._transport.pause_reading()
+            self._pause_reading()
             loop.call_later(RELEASE_SECONDS, self._pass_on)
             return
         size = self._part_bytes() if self._part_bytes else len(self._input)
         part = bytes(self._input[:size])
         del self._input[:size]
         if self._input:
-            self._transport.pause_reading()
+            self._pause_reading()
             loop.call_soon(self._pass_on)
         else:
             # The other protocol may pause reading itself.
-            self._transport.resume_reading()
+            self._resume_reading()
         self._protocol.data_received(part)
         now = self._clock()
         if self._is_excessive(now):
@@ -119,6 +121,14 @@
         else:
             self.report()
 
+    def _pause_reading(self) -> None:
+        self._reading_paused = True
+        self._transport.pause_reading()
+
+    def _resume_reading(self) -> None:
+        self._reading_paused = False
+        self._transport.resume_reading()
+
     def eof_received(self) -> bool | None:  # noqa: D102
         return self._protocol.eof_received()
 
@@ -141,6 +151,8 @@
             self._budget.record_answered(self._usage)
         held = ACCEPTED_CONNECTION_BYTES + unwritten + len(self._input)
         held += self._held_bytes()
+        if self._reading_paused:
+            held += KERNEL_BUFFER_BYTES
         self._budget.report(self._usage, held, now)
 
     def _turn_away(self, lingers: bool) -> None:
--- a/packages/wasabideck_base/wasabideck_base/inner_limits.py
+++ b/packages/wasabideck_base/wasabideck_base/inner_limits.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import ssl
 from collections.abc import Awaitable, Callable
 from typing import TypeVar
 
@@ -19,6 +20,7 @@
 
 from .accounted_protocol import PART_BYTES, AccountedProtocol
 from .connection_budget import ConnectionBudget
+from .kernel_buffers import open_listener
 
 __all__ = ["MAX_MESSAGE_BYTES", "MAX_CONCURRENT_STREAMS", "InnerChannel", "InnerServer"]
 
@@ -78,6 +80,12 @@
         self._budget = budget or ConnectionBudget()
         self._max_streams = max_streams
 
+    async def start(
+        self, host: str, port: int, *, ssl: ssl.SSLContext | None = None
+    ) -> None:
+        """Listen at an address; raises ``OSError`` if that is not possible."""
+        await super().start(sock=open_listener(host, port), ssl=ssl)
+
     def _protocol_factory(self) -> AccountedProtocol:
         protocol = _with_limits(
             super()._protocol_factory(), max_streams=self._max_streams
--- a/packages/wasabideck_base/wasabideck_base/kernel_buffers.py
+++ b/packages/wasabideck_base/wasabideck_base/kernel_buffers.py
@@ -7,7 +7,7 @@
 
 import socket
 
-__all__ = ["KERNEL_BUFFER_BYTES", "limit_buffers"]
+__all__ = ["KERNEL_BUFFER_BYTES", "limit_buffers", "open_listener"]
 
 # Buffers of the kernel for each direction of an accepted connection. A round trip
 # between regions takes 6 ms, so that this allows some 10 MB a second.
@@ -21,3 +21,14 @@
     """
     for option in (socket.SO_RCVBUF, socket.SO_SNDBUF):
         listener.setsockopt(socket.SOL_SOCKET, option, KERNEL_BUFFER_BYTES)
+
+
+def open_listener(host: str, port: int, backlog: int = 128) -> socket.socket:
+    """Return a listening socket whose connections have limited buffers.
+
+    Raises ``OSError`` if the address cannot be listened on.
+    """
+    listener = socket.create_server((host, port), backlog=backlog)
+    limit_buffers(listener)
+    listener.setblocking(False)
+    return listener
--- a/packages/wasabideck_base/wasabideck_base/monitoring_http.py
+++ b/packages/wasabideck_base/wasabideck_base/monitoring_http.py
@@ -11,6 +11,7 @@
 from attrs import field, frozen
 
 from .connection_budget import ACCEPTED_CONNECTION_BYTES, ConnectionBudget
+from .kernel_buffers import open_listener
 
 __all__ = ["LISTENER", "MonitoringResponse", "serve_monitoring"]
 
@@ -44,7 +45,7 @@
     """Serve responses at an address; raises ``OSError`` if it is in use."""
     serve = partial(_serve_connection, respond, budget)
     return await asyncio.start_server(
-        serve, host, port, limit=MAX_HEAD_BYTES, ssl=ssl_context
+        serve, sock=open_listener(host, port), limit=MAX_HEAD_BYTES, ssl=ssl_context
     )
 
 
--- a/packages/wasabideck_entry/wasabideck_entry/http_server.py
+++ b/packages/wasabideck_entry/wasabideck_entry/http_server.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import re
-import socket
 import time
 from collections.abc import Callable
 
@@ -15,7 +14,7 @@
 from sanic.server import AsyncioServer
 from wasabideck_base.addresses import split_address
 from wasabideck_base.connection_budget import ConnectionBudget
-from wasabideck_base.kernel_buffers import limit_buffers
+from wasabideck_base.kernel_buffers import open_listener
 from wasabideck_base.metrics import Metrics, render_metrics
 from wasabideck_base.process import convert_bind_errors
 from wasabideck_base.settings import EntrySettings
@@ -89,8 +88,7 @@
     """
     address = options.cfg.process.http
     with convert_bind_errors(address):
-        sock = socket.create_server(split_address(address))
-    limit_buffers(sock)
+        sock = open_listener(*split_address(address))
     server = await app.create_server(
         sock=sock,
         protocol=protocol_factory(options.budget),
