Count connections before their TLS handshake is complete

What callers saw: with TLS, 500 connections that began no handshake took all descriptors of an entry, and an ordinary caller's connection was reset.

Cause: a server with a TLS context tells its protocol of a connection after the handshake only, so that no budget counted it, for up to 60 s.

Change: listeners accept plain connections. HandshakeProtocol counts each, takes its socket over before anything is read, and runs the handshake on it with loop.connect_accepted_socket, for 10 s at most.

Ruled out: loop.start_tls in the same place. With uvloop the client's first bytes are read before it runs, although reading is paused, and the handshake ends by its time-out (seen with 0 to 500 other connections). It also reports no failure when the connection was aborted meanwhile.

--- a/packages/wasabideck_base/wasabideck_base/inner_limits.py
+++ b/packages/wasabideck_base/wasabideck_base/inner_limits.py
@@ -21,6 +21,7 @@
 from .accounted_protocol import PART_BYTES, AccountedProtocol
 from .connection_budget import ConnectionBudget
 from .kernel_buffers import open_listener
+from .tls_handshake import HandshakeProtocol
 
 __all__ = ["MAX_MESSAGE_BYTES", "MAX_CONCURRENT_STREAMS", "InnerChannel", "InnerServer"]
 
@@ -79,14 +80,27 @@
         super().__init__(handlers, codec=_ValidatingCodec())
         self._budget = budget or ConnectionBudget()
         self._max_streams = max_streams
+        self._tls_context: ssl.SSLContext | None = None
 
     async def start(
         self, host: str, port: int, *, ssl: ssl.SSLContext | None = None
     ) -> None:
         """Listen at an address; raises ``OSError`` if that is not possible."""
-        await super().start(sock=open_listener(host, port), ssl=ssl)
+        self._tls_context = ssl
+        await super().start(sock=open_listener(host, port))
+
+    def _protocol_factory(self) -> asyncio.Protocol:
+        if self._tls_context is None:
+            return self._accounted_protocol()
+        return HandshakeProtocol(
+            self._accounted_protocol,
+            self._tls_context,
+            self._budget,
+            LISTENER,
+            asyncio.get_running_loop().time,
+        )
 
-    def _protocol_factory(self) -> AccountedProtocol:
+    def _accounted_protocol(self) -> AccountedProtocol:
         protocol = _with_limits(
             super()._protocol_factory(), max_streams=self._max_streams
         )
--- a/packages/wasabideck_base/wasabideck_base/monitoring_http.py
+++ b/packages/wasabideck_base/wasabideck_base/monitoring_http.py
@@ -12,6 +12,7 @@
 
 from .connection_budget import ACCEPTED_CONNECTION_BYTES, ConnectionBudget
 from .kernel_buffers import open_listener
+from .tls_handshake import HandshakeProtocol
 
 __all__ = ["LISTENER", "MonitoringResponse", "serve_monitoring"]
 
@@ -43,10 +44,21 @@
     ssl_context: ssl.SSLContext | None = None,
 ) -> asyncio.Server:
     """Serve responses at an address; raises ``OSError`` if it is in use."""
+    loop = asyncio.get_running_loop()
     serve = partial(_serve_connection, respond, budget)
-    return await asyncio.start_server(
-        serve, sock=open_listener(host, port), limit=MAX_HEAD_BYTES, ssl=ssl_context
-    )
+
+    def create_protocol() -> asyncio.Protocol:
+        reader = asyncio.StreamReader(limit=MAX_HEAD_BYTES)
+        return asyncio.StreamReaderProtocol(reader, serve)
+
+    def accept() -> asyncio.Protocol:
+        if ssl_context is None:
+            return create_protocol()
+        return HandshakeProtocol(
+            create_protocol, ssl_context, budget, LISTENER, loop.time
+        )
+
+    return await loop.create_server(accept, sock=open_listener(host, port))
 
 
 async def _serve_connection(
--- a/packages/wasabideck_entry/wasabideck_entry/accounted_http.py
+++ b/packages/wasabideck_entry/wasabideck_entry/accounted_http.py
@@ -3,13 +3,16 @@
 from __future__ import annotations
 
 import asyncio
+import ssl
 import time
 from collections.abc import Callable
+from functools import partial
 
 from sanic import Request
 from sanic.server import HttpProtocol
 from wasabideck_base.accounted_protocol import AccountedProtocol
 from wasabideck_base.connection_budget import ConnectionBudget
+from wasabideck_base.tls_handshake import HandshakeProtocol
 
 __all__ = ["LISTENER", "EntryRequest", "protocol_factory"]
 
@@ -39,10 +42,20 @@
         self.body = bytes(body)
 
 
-def protocol_factory(budget: ConnectionBudget) -> Callable[..., AccountedProtocol]:
+def protocol_factory(
+    budget: ConnectionBudget, context: ssl.SSLContext | None
+) -> Callable[..., asyncio.Protocol]:
     """Return a function that creates the protocol of an accepted connection."""
 
-    def create(**options: object) -> AccountedProtocol:
+    def create(**options: object) -> asyncio.Protocol:
+        if context is None:
+            return create_accounted(**options)
+        create_protocol = partial(create_accounted, **options)
+        return HandshakeProtocol(
+            create_protocol, context, budget, LISTENER, time.monotonic
+        )
+
+    def create_accounted(**options: object) -> AccountedProtocol:
         conn = HttpProtocol(**options)
         return AccountedProtocol(
             conn,
--- a/packages/wasabideck_entry/wasabideck_entry/http_server.py
+++ b/packages/wasabideck_entry/wasabideck_entry/http_server.py
@@ -89,10 +89,10 @@
     address = options.cfg.process.http
     with convert_bind_errors(address):
         sock = open_listener(*split_address(address))
+    context = options.keys.caller_server if options.keys else None
     server = await app.create_server(
         sock=sock,
-        protocol=protocol_factory(options.budget),
-        ssl=options.keys.caller_server if options.keys else None,
+        protocol=protocol_factory(options.budget, context),
         return_asyncio_server=True,
         access_log=False,
     )
