Limit the models and versions whose ages are kept

A peer that tells ages of versions and models without end had all of them kept for the lifetime of the process, beside the limit on declared names.

Change: 1000 models and the newest 200 versions of each are kept.

--- a/packages/wasabideck_policy/wasabideck_policy/cluster_state.py
+++ b/packages/wasabideck_policy/wasabideck_policy/cluster_state.py
@@ -11,6 +11,10 @@
 
 # Default of the time within which a declared configuration has to be in effect.
 CONFIGURATION_DEADLINE_SECONDS = 2.0
+# Maximum models, and versions of one model, whose declaration times are kept. Models in
+# excess are ignored, and the oldest versions are dropped: all but a few have expired.
+MAX_MODELS = 1000
+MAX_VERSIONS_PER_MODEL = 200
 
 
 @define
@@ -149,8 +153,7 @@
             return False
         declared_by = since if declared_by is None else declared_by
         declared = DeclaredVersion(number, since, declaration_time_known, declared_by)
-        self._versions.setdefault(model, []).append(declared)
-        return True
+        return self._add_version(model, declared)
 
     def record_declaration_time(
         self,
@@ -180,12 +183,21 @@
             unknown. It then replaces no earlier one, and any real bound replaces it.
         """
         latest = earliest if latest is None else latest
-        versions = self._versions.setdefault(model, [])
+        versions = self._versions.get(model, [])
         known = next((v for v in versions if v.number == number), None)
         if known is not None:
             return known.narrow(earliest, latest, is_estimate)
-        versions.append(DeclaredVersion(number, earliest, True, latest, is_estimate))
-        versions.sort(key=lambda declared: declared.number)
+        declared = DeclaredVersion(number, earliest, True, latest, is_estimate)
+        return self._add_version(model, declared)
+
+    def _add_version(self, model: str, declared: DeclaredVersion) -> bool:
+        """Add a version unless there are too many models; drop the oldest of many."""
+        if model not in self._versions and len(self._versions) >= MAX_MODELS:
+            return False
+        versions = self._versions.setdefault(model, [])
+        versions.append(declared)
+        versions.sort(key=lambda version: version.number)
+        del versions[:-MAX_VERSIONS_PER_MODEL]
         return True
 
     def declaration_time_unknown(self, model: str) -> bool:
--- a/tests/limits/test_client_chosen_state.py
+++ b/tests/limits/test_client_chosen_state.py
@@ -135,3 +135,16 @@
     assert len(declarations) <= MAX_KEPT
     newer = Declaration("configuration", 2, b"{}")
     assert declarations.merge([newer]) == [newer]
+
+
+def test_ages_of_very_many_versions_and_models_are_not_all_kept():
+    # Guards against a peer that tells ages of versions and models without end.
+    state = ClusterState(0.0)
+    state.record_declaration_time("known", 1, 5.0)
+    for number in range(20_000):
+        state.record_declaration_time(f"model-{number}", 1, 5.0)
+    for number in range(2, 5_000):
+        state.record_declaration_time("known", number, 5.0)
+    assert len(state._versions) <= MAX_KEPT
+    assert len(state.versions("known")) <= MAX_KEPT // 10
+    assert state.newest_version("known") == 4_999
