End a shutdown without waiting for callers that have their refusal

Cause: _close_callers waited for all connections to be gone, and one that lingers with its response written stays until its caller closes.

The test checks the state, not the time: no response is being made or written while the refused caller's connection is open; without the change there is nothing to ask for that.

--- a/packages/wasabideck_forward/wasabideck_forward/caller_connection.py
+++ b/packages/wasabideck_forward/wasabideck_forward/caller_connection.py
@@ -98,6 +98,10 @@
         now = self.clock()
         return any(conn.is_busy(now) for conn in self.connections)
 
+    def is_answering(self) -> bool:
+        """Whether a response has not been written completely on any connection."""
+        return any(conn.is_answering for conn in self.connections)
+
     def sweep(self) -> None:
         """Close connections that are idle, or sending a request head, for too long."""
         now = self.clock()
@@ -502,6 +506,11 @@
         is_read = self._reading_since is not None and not stalled
         return self._task is not None or is_read
 
+    @property
+    def is_answering(self) -> bool:
+        """Whether a request is served, or its response has not been written."""
+        return self._task is not None or self._transport.get_write_buffer_size() > 0
+
     @property
     def _has_next(self) -> bool:
         """Whether another request has been read, or a part of one."""
--- a/packages/wasabideck_forward/wasabideck_forward/entry_process.py
+++ b/packages/wasabideck_forward/wasabideck_forward/entry_process.py
@@ -164,7 +164,11 @@
         clock, drain = self.process.clock, self.forwarder.drain
         self.callers.close()
         flushed_by = max(clock(), drain.ends_at) + FLUSH_SECONDS
-        while self.callers.connections and clock() < flushed_by:
+        while self.callers.is_answering() and clock() < flushed_by:
+            await asyncio.sleep(0.01)
+        # Callers that were refused while they sent may still read the response.
+        lingering_until = min(clock() + FLUSH_SECONDS, flushed_by)
+        while self.callers.connections and clock() < lingering_until:
             await asyncio.sleep(0.01)
 
 
--- a/tests/forward/test_refused_input.py
+++ b/tests/forward/test_refused_input.py
@@ -116,6 +116,9 @@
         endpoint.close()
         status, _, body = await caller.read_response()
         assert (status, body) == (503, b'{"error":"ShuttingDown"}')
+        # The caller has read its answer and stays: the process need not wait for it.
+        assert endpoint.connections
+        assert not endpoint.is_answering()
 
     play(scenario)
 
