Notice that a caller has left while nothing is read from it

What callers and servers saw: a caller with five requests sent ahead left, and its request went on at a server until the route's timeout; 1300 such callers of a crowd left 626 descriptors in use 3 s after they were gone.

Cause: reading is paused while four requests wait, and a close is noticed by reading only.

Evidence: test_a_caller_that_leaves_while_its_input_waits_ends_its_request timed out before.

--- a/packages/wasabideck_forward/wasabideck_forward/caller_connection.py
+++ b/packages/wasabideck_forward/wasabideck_forward/caller_connection.py
@@ -473,6 +473,9 @@
         elif stalled and self._unwritten_bytes:
             self._record_limit(Limit.TIME)
             self._abort()
+        elif self._reading_paused and self.has_disconnected():
+            # Its close is not noticed otherwise while nothing is read.
+            self._abort()
         elif self._task is None and self._reading_since is not None:
             self._check_reading(now, limits, stalled)
         elif self._task is None:
--- a/tests/forward/test_refused_input.py
+++ b/tests/forward/test_refused_input.py
@@ -148,3 +148,25 @@
         assert entry.caller_endpoint.budget.held_bytes > KERNEL_BUFFER_BYTES
 
     play(scenario)
+
+
+def test_a_caller_that_leaves_while_its_input_waits_ends_its_request(play):
+    # Guards against servers that work on for a caller whose close is not noticed, since
+    # nothing is read from a connection on which enough requests wait.
+    async def scenario():
+        entry = Entry(configuration(route(timeout_seconds=8.0)))
+        server = await entry.add_server(hangs)
+        caller = await entry.caller()
+        one = b"GET /a HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: a\r\n\r\n"
+        caller.writer.write(one * 20)
+        while not server.requests:
+            await asyncio.sleep(0.01)
+        caller.writer.close()
+        await caller.writer.wait_closed()
+        await asyncio.sleep(0.05)
+        entry.caller_endpoint.sweep()
+        await asyncio.wait_for(server.closed.wait(), 2)
+        while entry.caller_endpoint.connections:
+            await asyncio.sleep(0.01)
+
+    play(scenario)
