Send without delay on connections of listeners that are opened here

Cause: asyncio sets TCP_NODELAY on accepted connections only if their socket's protocol number is IPPROTO_TCP, which it is for listeners that the event loop creates. open_listener creates its own, with the number 0. Small answers then wait up to 40 ms for the peer's acknowledgement; in the tests' virtual time nothing waits for that, and calls time out. Programs run on uvloop, which sets the option on every connection (measured: 0 on asyncio, 1 on uvloop), so that callers saw nothing of it.

Ruled out: the sizes of the buffers. The tests fail in the same way with a listener that has none set, and with either of them.

Change: listeners set the option, which accepted connections inherit.

--- a/packages/wasabideck_base/wasabideck_base/early_listener.py
+++ b/packages/wasabideck_base/wasabideck_base/early_listener.py
@@ -14,7 +14,7 @@
 import time
 
 from .addresses import split_address
-from .kernel_buffers import limit_buffers
+from .kernel_buffers import set_connection_options
 
 __all__ = ["LISTEN_BACKLOG", "EarlyListener"]
 
@@ -42,7 +42,7 @@
         self.sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         try:
             self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-            limit_buffers(self.sock)
+            set_connection_options(self.sock)
             self.sock.setblocking(False)
             self.sock.bind((host, port))
             self.sock.listen(LISTEN_BACKLOG)
--- a/packages/wasabideck_base/wasabideck_base/kernel_buffers.py
+++ b/packages/wasabideck_base/wasabideck_base/kernel_buffers.py
@@ -1,4 +1,4 @@
-"""Limits on the kernel's buffers of accepted connections.
+"""Options of listening sockets, which accepted connections inherit.
 
 This module imports only modules that load quickly.
 """
@@ -7,20 +7,22 @@
 
 import socket
 
-__all__ = ["KERNEL_BUFFER_BYTES", "limit_buffers", "open_listener"]
+__all__ = ["KERNEL_BUFFER_BYTES", "open_listener", "set_connection_options"]
 
 # Buffers of the kernel for each direction of an accepted connection. A round trip
 # between regions takes 6 ms, so that this allows some 10 MB a second.
 KERNEL_BUFFER_BYTES = 64 * 1024
 
 
-def limit_buffers(listener: socket.socket) -> None:
-    """Limit the kernel's buffers of the connections that a socket accepts.
+def set_connection_options(listener: socket.socket) -> None:
+    """Limit the kernel's buffers of accepted connections, and send without delay.
 
-    They grow to megabytes for a peer that sends ahead or reads nothing.
+    The buffers grow to megabytes for a peer that sends ahead or reads nothing. Event
+    loops disable Nagle's algorithm only for sockets that they create themselves.
     """
     for option in (socket.SO_RCVBUF, socket.SO_SNDBUF):
         listener.setsockopt(socket.SOL_SOCKET, option, KERNEL_BUFFER_BYTES)
+    listener.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
 
 
 def open_listener(host: str, port: int, backlog: int = 128) -> socket.socket:
@@ -29,6 +31,6 @@
     Raises ``OSError`` if the address cannot be listened on.
     """
     listener = socket.create_server((host, port), backlog=backlog)
-    limit_buffers(listener)
+    set_connection_options(listener)
     listener.setblocking(False)
     return listener
--- a/tests/limits/test_kernel_buffers.py
+++ b/tests/limits/test_kernel_buffers.py
@@ -24,6 +24,16 @@
                     assert size <= 2 * KERNEL_BUFFER_BYTES
 
 
+def test_a_small_answer_is_sent_without_delay():
+    # Guards against answers that wait up to 40 ms for an acknowledgement.
+    with open_listener("127.0.0.1", 0) as listener:
+        listener.setblocking(True)
+        with socket.create_connection(listener.getsockname()):
+            accepted, _ = listener.accept()
+            with accepted:
+                assert accepted.getsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY)
+
+
 @pytest.mark.skipif(not shutil.which("ss"), reason="ss, of iproute2, is not installed")
 @pytest.mark.parametrize("kind", ["entry", "agent"])
 def test_each_listener_of_a_process_limits_its_buffers(tmp_path, kind):
