--- a/packages/wasabideck_base/wasabideck_base/event_kinds.py
+++ b/packages/wasabideck_base/wasabideck_base/event_kinds.py
@@ -56,7 +56,7 @@
         "check the table service; the write is retried",
     ),
     "connection.turned-away": EventKind(
-        "a connection was closed because all connections held too much",
+        "connections exceeded the `limit` of memory, sockets, size, time or rate",
         "nothing for a few; many: find the client, or raise the limits of the VM",
     ),
     "drain.expired": EventKind(
