Verify a staged chunk again if the write that repairs it failed

Cause: Staging.repair recorded the time of a chunk's check before it had compared and rewritten it. When the write failed, the step ended and the next one, within REUSED_CHECK_AGE_SECONDS (1 s), passed over the chunk as just verified.

Ruled out: the age that verify looks at (it is the same record), and a record by store_staged, which is made for intact chunks only.

Change: the time is recorded after the chunk was found intact or rewritten. The time itself is still that before the read.

--- a/packages/wasabideck_agent/wasabideck_agent/staging.py
+++ b/packages/wasabideck_agent/wasabideck_agent/staging.py
@@ -121,12 +121,13 @@
             ):
                 continue
             staged = await self.engine.staged_chunk(manifest.model, index)
-            self._verified_at[index] = now
             if not _intact(staged, digest):
                 repaired += 1
                 await self.engine.stage_chunk(
                     manifest.model, index, self.store.get(digest)
                 )
+            # If that write fails, the chunk counts as unverified.
+            self._verified_at[index] = now
         if repaired:
             self.events.emit(
                 "staging.mended", version=manifest.version, pieces=repaired
--- a/tests/adapter/test_agent.py
+++ b/tests/adapter/test_agent.py
@@ -54,6 +54,28 @@
     assert engine.chunks[3] == chunk_bytes(1, 3)
 
 
+@pytest.mark.parametrize("is_written", [False, True], ids=["lost", "written"])
+def test_a_chunk_whose_repair_failed_is_verified_again(agent, engine, is_written):
+    # Guards against an order right after the write of an intact chunk has failed.
+    stage = engine.stage_chunk
+    failed = []
+
+    async def stage_and_fail(model, index, data):
+        if engine.chunks.get(index) == b"rotten!!" and not failed:
+            failed.append(index)
+            if is_written:
+                await stage(model, index, data)
+            raise PlatformUnavailable("engine", "HTTP 500", False)
+        await stage(model, index, data)
+        if len(engine.chunks) == CHUNKS and not failed:
+            engine.chunks[3] = b"rotten!!"
+
+    engine.stage_chunk = stage_and_fail
+    step_until_through_outages(agent, holds(engine, 1))
+    assert failed == [3]
+    assert engine.chunks[3] == chunk_bytes(1, 3)
+
+
 def test_a_corrupt_chunk_of_the_origin_is_read_again(agent, engine, origin):
     origin.corrupt_chunks = {(1, 2), (1, 5)}
     step_until(agent, holds(engine, 1))
