Give other connections their turn while a caller's small chunks are parsed

Repeated with the crowd still sending: 5 of 10 ordinary requests refused beside 40 connections, 10 of 10 beside 200 (5 of 10 with a limit of 112 MB).

Cause: a connection parsed all that one read had brought, some 128 KB, at once. That is 20,000 chunks, each a call from the parser. With 40 connections one iteration of the loop takes longer than the 0.3 s after which a connection to a server is given up, so that its timer runs before its socket is looked at, and the server counts as unreachable.

Ruled out: memory and descriptors (99 MB and 64 of them at most), and the test's own server, whose listener accepts in the kernel.

Change: a connection parses 256 headers or chunks, and goes on in the next iteration of the loop; if memory has to be released first, 10 ms later. What is unparsed counts as before. A shutdown drops the rest of a request that it no longer serves.

--- a/packages/wasabideck_forward/wasabideck_forward/caller_connection.py
+++ b/packages/wasabideck_forward/wasabideck_forward/caller_connection.py
@@ -39,6 +39,9 @@
 # Bytes that are parsed at once. The parser cannot be paused, and this many may contain
 # dozens of requests.
 PARSED_BYTES = 1024
+# Headers and chunks that are parsed before other connections have their turn. Each of
+# them may have a few bytes only.
+MAX_PARTS_AT_ONCE = 256
 # Memory of a parsed request beside its headers and body, and of one that is served.
 REQUEST_BYTES = 10 * 1024
 SERVED_REQUEST_BYTES = 24 * 1024
@@ -150,6 +153,8 @@
         self._reading_since: float | None = None
         self._unparsed = b""
         self._reading_paused = False
+        self._parts = 0
+        self._reads_on = False
         self._in_headers = False
         self._message_ended = False
         self._head_bytes = 0
@@ -226,21 +231,35 @@
         self._report(now)
         if self._endpoint.budget.is_exhausted and not self._transport.is_closing():
             self._pause_reading()
-            loop = asyncio.get_running_loop()
-            loop.call_later(RELEASE_SECONDS, self._read_on)
+            self._read_on_later()
+
+    def _read_on_later(self) -> None:
+        """Go on when other connections had their turn, and released their memory."""
+        if self._reads_on:
+            return
+        self._reads_on = True
+        seconds = RELEASE_SECONDS if self._endpoint.budget.is_exhausted else 0.0
+        asyncio.get_running_loop().call_later(seconds, self._read_on)
 
     def _read_on(self) -> None:
+        self._reads_on = False
         if self._transport.is_closing() or self._endpoint.closed:
             return
         if self._input_ended:
             self._resume_reading()
-        else:
-            self._parse(self._endpoint.clock())
+        now = self._endpoint.clock()
+        self._parse(now)
+        self._report(now)
 
     def _parse(self, now: float) -> None:
-        """Parse what was received, until enough requests wait to be served."""
+        """Parse a part of what was received, until enough requests wait."""
         data, position = memoryview(self._unparsed), 0
-        while position < len(data) and self._may_parse():
+        self._parts = 0
+        while (
+            position < len(data)
+            and self._may_parse()
+            and self._parts < MAX_PARTS_AT_ONCE
+        ):
             size = min(len(data) - position, self._parsable_bytes())
             self._parse_part(data[position : position + size], now)
             position += size
@@ -254,6 +273,8 @@
             return
         if self._unparsed or not self._may_parse():
             self._pause_reading()
+            if self._may_parse():
+                self._read_on_later()
         elif not self._endpoint.closed:
             self._resume_reading()
 
@@ -331,6 +352,7 @@
             self._target += url
 
     def on_header(self, name: bytes, value: bytes) -> None:  # noqa: D102
+        self._parts += 1
         # Ignores trailers, which come after the head: they are not used.
         if self._in_headers and not self._input_ended:
             self._headers.append(name, value)
@@ -359,6 +381,7 @@
             self._transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
 
     def on_body(self, data: bytes) -> None:  # noqa: D102
+        self._parts += 1
         if self._input_ended:
             return
         if len(self._body) + len(data) > self._endpoint.limits().max_body_bytes:
@@ -460,6 +483,9 @@
                 self._transport.close()
             return
         self._reading_since = None
+        if self._may_parse():
+            # The rest of a request that is not served any more.
+            self._unparsed = b""
         if not self._transport.is_closing():
             self._pause_reading()
 
@@ -692,7 +718,8 @@
         if unwritten < self._unwritten_bytes:
             usage.progress_at = now
         self._unwritten_bytes = unwritten
-        usage.waits_for_peer = req is None or unwritten > 0
+        waits_here = req is not None or self._reads_on
+        usage.waits_for_peer = unwritten > 0 or not waits_here
         held = ACCEPTED_CONNECTION_BYTES + unwritten + len(self._unparsed)
         held += self._headers.size + len(self._target) + len(self._body)
         if self._pipelined:
--- a/tests/limits/test_entry_beside_crowds.py
+++ b/tests/limits/test_entry_beside_crowds.py
@@ -65,6 +65,39 @@
     assert asyncio.run(body()) == [200, 200, 200]
 
 
+SMALL_PARTS = {
+    "chunks": b"POST /plain/a HTTP/1.1\r\n"
+    + HOST
+    + b"Transfer-Encoding: chunked\r\n\r\n"
+    + b"1\r\na\r\n" * 2_000_000,
+    "lines": (b"GET /none HTTP/1.1\r\n" + HOST + b"a:\r\n" * 4000 + b"\r\n") * 200,
+}
+SENDERS, ORDINARY_REQUESTS = 200, 5
+
+
+@pytest.mark.parametrize("kind", SMALL_PARTS)
+def test_ordinary_requests_are_answered_while_a_crowd_sends_small_parts(tmp_path, kind):
+    # Guards against parsing all that a crowd has sent before anybody else has a turn.
+    async def body():
+        ip, limits = "127.0.52.7", MEMORY_LIMITS
+        async with platform_process(tmp_path, "entry", ip, limits) as process:
+            with Crowd() as crowd:
+                sending = asyncio.create_task(
+                    crowd.send(process.front, SENDERS, SMALL_PARTS[kind])
+                )
+                while len(crowd.connections) < SENDERS:
+                    await asyncio.sleep(0.05)
+                statuses = [
+                    (await request(process.front, body=b"ordinary"))[0]
+                    for _ in range(ORDINARY_REQUESTS)
+                ]
+                process.check()
+                sending.cancel()
+            return statuses
+
+    assert asyncio.run(body()) == [200] * ORDINARY_REQUESTS
+
+
 def test_the_counter_and_the_log_tell_which_limit_closed_connections(tmp_path):
     # Guards against connections that are closed without a trace of the reason.
     async def body():
