Count unread heads at what they will cost when the product's entry parses them

Seen in a trial: wasabideck serve (256 MB by its settings) beside connections that send requests with heads of 1500 short lines ahead. Its peak was 217 MB with 200 connections, 302 with 400 and 364 with 600: over its limit, at which it would be ended.

Cause: sanic parses a head in the task of its connection, after the connection has reported what it holds. The bytes of an unread head counted as bytes; parsed, each costs 75 times that. Hundreds of connections that read in the same iteration of the loop had their heads parsed before any of them reported again.

Ruled out: the requests themselves (most are refused, over their organisation's limit) and the unread responses, which are counted.

Change: what is not read yet counts as a head of its size, up to the largest one, unless a body is being read. The platform's entry keeps heads as blocks of bytes and is not concerned; its programs do not use this module.

--- a/packages/wasabideck_entry/wasabideck_entry/accounted_http.py
+++ b/packages/wasabideck_entry/wasabideck_entry/accounted_http.py
@@ -14,9 +14,11 @@
 from wasabideck_base.connection_budget import ConnectionBudget
 from wasabideck_base.tls_handshake import HandshakeProtocol
 
-__all__ = ["LISTENER", "EntryRequest", "protocol_factory"]
+__all__ = ["LISTENER", "MAX_HEADER_BYTES", "EntryRequest", "protocol_factory"]
 
 LISTENER = "http"
+# Maximum size of a request's head.
+MAX_HEADER_BYTES = 8192
 # Memory of a connection's task, and of a request for each byte of its head: a header of
 # a few bytes becomes several strings.
 TASK_BYTES = 32 * 1024
@@ -72,9 +74,13 @@
 
 
 def _held_bytes(conn: HttpProtocol) -> int:
-    held = TASK_BYTES + len(conn.recv_buffer)
-    http = conn.http
-    if http is None or http.request is None:
-        return held
-    received = (http.request_bytes or 0) - (http.request_bytes_left or 0)
-    return held + HEAD_COST_RATIO * len(http.request.head) + received
+    http, unread = conn.http, len(conn.recv_buffer)
+    held, head = TASK_BYTES + unread, 0
+    if http is not None and http.request is not None:
+        received = (http.request_bytes or 0) - (http.request_bytes_left or 0)
+        held, head = held + received, len(http.request.head)
+    if http is None or not http.request_body:
+        # What is not read yet begins with a head, which may be parsed before the
+        # connection reports again.
+        head = max(head, min(unread, MAX_HEADER_BYTES))
+    return held + HEAD_COST_RATIO * head
--- a/packages/wasabideck_entry/wasabideck_entry/http_server.py
+++ b/packages/wasabideck_entry/wasabideck_entry/http_server.py
@@ -22,7 +22,7 @@
 from wasabideck_policy.outcomes import WasabideckError
 from wasabideck_policy.tickets import MAX_TICKET_BYTES
 
-from .accounted_http import EntryRequest, protocol_factory
+from .accounted_http import MAX_HEADER_BYTES, EntryRequest, protocol_factory
 from .authentication import authenticate
 from .caller_endpoint import problem_response
 from .connection_limits import ConnectionLimiter
@@ -35,7 +35,6 @@
 RESPONSE_TIMEOUT_SECONDS = 3700
 REQUEST_TIMEOUT_SECONDS = 30
 IDLE_TIMEOUT_SECONDS = 75
-MAX_HEADER_BYTES = 8192
 TICKETS_PATH = "/v1/tickets"
 CLOSE_POLL_INTERVAL_SECONDS = 0.02
 
--- a/tests/limits/test_product_entry.py
+++ b/tests/limits/test_product_entry.py
@@ -176,6 +176,13 @@
     run("http", LIMITS, 700, payload)
 
 
+def test_heads_of_short_lines_sent_ahead(run):
+    # Guards against heads that many connections have parsed before any is counted.
+    lines = b"a:b\r\n" * ((HEAD_BYTES - 200) // 5) + b"content-length: 0\r\n\r\n"
+    payload = head(lines, token="sample-crowd-token-3") * 200
+    run("http", LIMITS, 600, payload)
+
+
 def test_peers_that_open_streams(run):
     # Guards against a client of the inner protocol that fills the memory.
     run("inner", LIMITS, 100, inner_crowd.open_streams(400, 400))
