Merge the evidence that a peer replies with to pushed evidence

Cause: when an entry is connected again, its first message is the push of its own evidence, after 20 ms. The replies carry what it lacks, and were dropped. What it missed came with its next regular poll, after up to 1 s, or from the store.

Why it works: the reply to a push is merged as that to a poll is, in the same step in which the peer counts as heard. The merge is a union, so it may repeat.

The new test failed before: parts.quarantined(0.0) was empty.

--- a/packages/wasabideck_base/wasabideck_base/gossip.py
+++ b/packages/wasabideck_base/wasabideck_base/gossip.py
@@ -284,10 +284,13 @@
         await self._sync_all(req, addresses)
 
     async def _sync_all(self, req: pb.SyncRequest, addresses: Iterable[str]) -> None:
-        calls = (
-            self._sync(address, req, SYNC_TIMEOUT_SECONDS) for address in addresses
-        )
-        await asyncio.gather(*calls)
+        await asyncio.gather(*(self._send(req, address) for address in addresses))
+
+    async def _send(self, req: pb.SyncRequest, address: str) -> None:
+        reply = await self._sync(address, req, SYNC_TIMEOUT_SECONDS)
+        if reply is not None:
+            # It has what this process missed while it was cut off.
+            self._merge_crashes(reply)
 
     def handle_sync(self, req: pb.SyncRequest) -> pb.SyncReply:
         """Return a reply with everything that a peer lacks and this process knows."""
--- a/tests/cluster_state/test_gossip.py
+++ b/tests/cluster_state/test_gossip.py
@@ -14,6 +14,7 @@
 from wasabideck_policy.declarations import CONFIGURATION, Declaration
 from wasabideck_policy.membership import AGENT, ENTRY, Member
 from wasabideck_wire import inner_pb2 as pb
+from wasabideck_wire.crashes import suspects_to_messages
 
 
 class Process:
@@ -258,6 +259,22 @@
     run_with(scenario, one, two)
 
 
+def test_a_push_brings_the_evidence_that_was_missed(run_with):
+    # Guards against an entry that talks to its peers again after a cut, and sends on a
+    # part that crashes servers until its next regular poll.
+    back, peer = Process("back"), Process("peer")
+
+    async def scenario():
+        record_part_crashes(peer, "found meanwhile", 3)
+        record_part_crashes(back, "own", 1)
+        parts = back.gossip.part_gossip.parts
+        own = suspects_to_messages(parts, ["own"])
+        await back.gossip.push_suspects(own, [peer.address])
+        assert parts.quarantined(0.0) == {"found meanwhile"}
+
+    run_with(scenario, back, peer)
+
+
 def test_a_reply_repeats_no_evidence_that_the_peer_has(run_with):
     # Guards against messages that carry all evidence both ways, over thin links, for as
     # long as a part is quarantined.
