Announce the close of a stopping entry's connections again

Callers saw: the responses of a wasabideck serve that shuts down did not say 'connection: close' any more, so that a kept connection was closed under their next request.

Cause: since the protocol of a transport is an AccountedProtocol, and the response middleware read req.protocol.recv_buffer. sanic logs the AttributeError and sends the response without the header.

Ruled out: other uses of a request's protocol; there are none.

Why it works: the stream of a request has the same buffer, whatever wraps the protocol.

--- a/packages/wasabideck_entry/wasabideck_entry/entry.py
+++ b/packages/wasabideck_entry/wasabideck_entry/entry.py
@@ -302,5 +302,5 @@
     async def close_after(req: Request, _: object) -> None:
         # The response announces that the connection is closed, so that the caller does
         # not send its next request on it. One that has been read already is answered.
-        if entry.shutting_down and not req.protocol.recv_buffer:
+        if entry.shutting_down and not req.stream.recv_buffer:
             req.stream.keep_alive = False
--- a/tests/product/test_entry_drain.py
+++ b/tests/product/test_entry_drain.py
@@ -51,6 +51,12 @@
     assert received.count(b"HTTP/1.1 ") == 2
 
 
+def test_the_response_of_a_stopping_entry_announces_the_close(sent_while_stopping):
+    # Guards against callers that send their next request on a connection that closes.
+    received = sent_while_stopping(request("only"))
+    assert b"\r\nconnection: close\r\n" in received.partition(b"\r\n\r\n")[0] + b"\r\n"
+
+
 def test_a_late_call_that_outlasts_the_drain_is_answered(
     sent_while_stopping, monkeypatch
 ):
