Let callers of the product's entry read a refusal while they send on

Callers saw: a reset connection in place of the 413 to a body or head that is too large, or of the 401 to a large body, in 12 of 15 calls that send all before they read.

Cause: sanic gives up the body when it is over its limit, waits 1 ms and closes. A close with unread bytes resets the connection, and the response that the caller has not read is lost.

Ruled out: parsing the rest of the body, which costs what the limit is to save.

Change: after the last response of a connection with unread input, the writing side is closed and what still comes is discarded: for 10 s, 16 MiB and two seconds without a byte at most, as at the platform's entry.

Four of the five cases of test_a_caller_that_sends_on_reads_the_refusal failed before (ConnectionResetError); the one of a malformed chunk passed.

--- a/packages/wasabideck_entry/wasabideck_entry/accounted_http.py
+++ b/packages/wasabideck_entry/wasabideck_entry/accounted_http.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import re
 import ssl
 import time
@@ -38,6 +39,11 @@
 # of them cost as much as one that is read on its own.
 CHUNKS_AT_ONCE = 1024
 READ_COST = 8
+# Maximum time and bytes for which input is discarded after the last response, and the
+# time without input after which the connection is closed.
+LINGER_SECONDS = 10.0
+LINGER_IDLE_SECONDS = 2.0
+MAX_LINGER_BYTES = 16 * 1024 * 1024
 # A chunk as nearly all senders write it, up to its data; others are left to sanic.
 _PLAIN_CHUNK = re.compile(rb"\r\n([0-9A-Fa-f]{1,8})\r\n")
 
@@ -56,15 +62,28 @@
 
 
 class TurnTakingHttp(Http):
-    """Reads requests sent ahead, and bodies of many chunks, when it is their turn."""
+    """Reads requests sent ahead, and bodies of many chunks, when it is their turn.
 
-    __slots__ = ("_was_sent_ahead",)
+    Attributes
+    ----------
+    is_discarding : bool
+        Whether the last response was written, and the caller may still send.
+    """
+
+    __slots__ = ("_gave_up", "_was_sent_ahead", "is_discarding")
 
     def init_for_request(self) -> None:
         """Reset what belongs to a request, before a byte of the next one is awaited."""
         super().init_for_request()
         is_first = self.protocol.state["requests_count"] == 0
         self._was_sent_ahead = bool(self.recv_buffer) and not is_first
+        self._gave_up = self.is_discarding = False
+
+    async def http1(self) -> None:
+        """Answer requests until the connection ends, and let the caller read."""
+        await super().http1()
+        if self.request_body or self.recv_buffer:
+            await self._discard_input()
 
     async def http1_request_header(self) -> None:
         """Receive and parse the head of the next request."""
@@ -72,10 +91,15 @@
             await self.protocol.turns.wait()
         await super().http1_request_header()
 
+    async def error_response(self, exception: BaseException) -> None:
+        """Answer with an error; the rest of the body is not parsed before a close."""
+        await super().error_response(exception)
+        self._gave_up = not self.keep_alive
+
     async def __aiter__(self) -> AsyncIterator[bytes]:
         """Iterate over the body, whether a handler reads it or it is discarded."""
         reads = 0
-        while self.request_body:
+        while self.request_body and not self._gave_up:
             if self.protocol.conn_info.lost:
                 raise RequestCancelled
             data = self._received_chunks()
@@ -108,6 +132,27 @@
         self.request_bytes = self.request_max_size - max_size
         return b"".join(taken)
 
+    async def _discard_input(self) -> None:
+        """Discard input for a while after the last response.
+
+        A close with unread bytes would reset the connection, and the caller might lose
+        the response.
+        """
+        transport = self.protocol.transport
+        if transport is None or transport.is_closing():
+            return
+        if transport.can_write_eof():
+            transport.write_eof()
+        self.is_discarding = True
+        discarded = 0
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(LINGER_SECONDS):
+                while discarded <= MAX_LINGER_BYTES:
+                    discarded += len(self.recv_buffer)
+                    self.recv_buffer.clear()
+                    async with asyncio.timeout(LINGER_IDLE_SECONDS):
+                        await self._receive_more()
+
 
 class EntryProtocol(HttpProtocol):
     """Connection of a caller, which shares processor time with others."""
--- a/packages/wasabideck_entry/wasabideck_entry/http_server.py
+++ b/packages/wasabideck_entry/wasabideck_entry/http_server.py
@@ -132,6 +132,7 @@
         # A body that is too long is refused by its Content-Length, or, if its transfer
         # encoding is chunked, as soon as the received bytes exceed the limit.
         if int(request.headers.get("content-length", 0)) > max_bytes:
+            request.stream.keep_alive = False
             raise PayloadTooLarge(f"body: at most {max_bytes} bytes are allowed")
 
     @app.signal("http.lifecycle.complete")
--- a/packages/wasabideck_entry/wasabideck_entry/idle_connections.py
+++ b/packages/wasabideck_entry/wasabideck_entry/idle_connections.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 from sanic.http import Stage
-from sanic.server import AsyncioServer, HttpProtocol
+from sanic.server import AsyncioServer
+
+from .accounted_http import EntryProtocol
 
 __all__ = ["close_idle_connections", "count_requests_in_progress"]
 
@@ -25,7 +27,9 @@
             conn.close()
 
 
-def _is_idle(conn: HttpProtocol) -> bool:
+def _is_idle(conn: EntryProtocol) -> bool:
+    if conn.http is None:
+        return not conn.recv_buffer
     # Bytes in the buffer belong to a request that the connection's task has not read.
-    stage = Stage.IDLE if conn.http is None else conn.http.stage
-    return stage is Stage.IDLE and not conn.recv_buffer
+    is_read = conn.http.stage is Stage.IDLE and not conn.recv_buffer
+    return is_read and not conn.http.is_discarding
