End a shutdown of the product's entry beside callers that stall

Operators saw: wasabideck serve did not end after SIGTERM, not within 90 s, while callers held bodies that stop short of their end, or did not read their answers. Callers learned nothing, though their requests had not run.

Cause: the drain waits up to 60 s for requests in progress, and one that is not whole counted as such. Then the loop cancels all tasks and waits for them: sanic answers a cancelled request, and goes on reading the rest of its body, or waits for the caller to read. No second cancellation comes.

Ruled out: a shorter drain, which would cut calls that are running.

Change: a shutdown refuses requests that got no byte for two seconds, or are not whole after ten, with 503 ShuttingDown, not-run; it aborts connections whose responses were not read for two seconds, and what is left at the end of the drain after its last responses.

test_stalled_connections_do_not_keep_a_stopping_entry (4 cases) and test_a_stopping_entry_refuses_a_request_that_is_not_whole (2) failed before: no end or no answer within 30 s.

--- a/packages/wasabideck_entry/wasabideck_entry/accounted_http.py
+++ b/packages/wasabideck_entry/wasabideck_entry/accounted_http.py
@@ -12,11 +12,12 @@
 
 from sanic import Request
 from sanic.exceptions import RequestCancelled
-from sanic.http import Http
+from sanic.http import Http, Stage
 from sanic.server import HttpProtocol
 from wasabideck_base.accounted_protocol import AccountedProtocol
 from wasabideck_base.connection_budget import ConnectionBudget
 from wasabideck_base.tls_handshake import HandshakeProtocol
+from wasabideck_policy.outcomes import WasabideckError
 
 from .turns import TurnQueue
 
@@ -44,6 +45,10 @@
 LINGER_SECONDS = 10.0
 LINGER_IDLE_SECONDS = 2.0
 MAX_LINGER_BYTES = 16 * 1024 * 1024
+# Time without progress after which a shutdown does not wait for a caller, and the
+# Retry-After of its refusal: other entries can take the request immediately.
+DRAIN_STALL_SECONDS = 2.0
+SHUTDOWN_RETRY_SECONDS = 0.1
 # A chunk as nearly all senders write it, up to its data; others are left to sanic.
 _PLAIN_CHUNK = re.compile(rb"\r\n([0-9A-Fa-f]{1,8})\r\n")
 
@@ -61,6 +66,13 @@
         self.body = bytes(body)
 
 
+class ShuttingDown(WasabideckError):
+    """The entry ends, and a request was not read to its end."""
+
+    status = 503
+    retry_after = SHUTDOWN_RETRY_SECONDS
+
+
 class TurnTakingHttp(Http):
     """Reads requests sent ahead, and bodies of many chunks, when it is their turn.
 
@@ -111,6 +123,13 @@
             if data := data or await self.read():
                 yield data
 
+    @property
+    def is_reading(self) -> bool:
+        """Whether a request has begun to arrive and is not whole."""
+        if self.stage is Stage.HANDLER:
+            return bool(self.request_body) and not self._gave_up
+        return self.stage is Stage.REQUEST
+
     def _received_chunks(self) -> bytes:
         """Take the chunks that were received, whole and within the limit, at once.
 
@@ -158,11 +177,45 @@
     """Connection of a caller, which shares processor time with others."""
 
     HTTP_CLASS = TurnTakingHttp
-    __slots__ = ("turns",)
+    __slots__ = ("_unread_since", "turns")
 
     def __init__(self, turns: TurnQueue, **options: object):
         super().__init__(**options)
         self.turns = turns
+        self._unread_since: float | None = None
+
+    def pause_writing(self) -> None:
+        """Note that the caller does not read."""
+        self._unread_since = time.monotonic()
+        super().pause_writing()
+
+    def resume_writing(self) -> None:
+        """Note that the caller reads again."""
+        self._unread_since = None
+        super().resume_writing()
+
+    @property
+    def task(self) -> asyncio.Task | None:
+        """The task that serves the connection; None once it has ended."""
+        return self._task
+
+    def end_if_stalled(self, now: float, reads_until: float) -> None:
+        """Refuse a request that does not go on, and abort an unread response.
+
+        Parameters
+        ----------
+        now, reads_until : float
+            The present time, and the time at which requests are refused that are not
+            whole, in seconds of the monotonic clock.
+        """
+        http = self._http
+        unread_since = now if self._unread_since is None else self._unread_since
+        if now - unread_since > DRAIN_STALL_SECONDS:
+            self.transport.abort()
+        elif http is not None and http.is_reading:
+            if now - self._time > DRAIN_STALL_SECONDS or now > reads_until:
+                http.exception = ShuttingDown("the entry is shutting down")
+                self._task.cancel()
 
 
 def protocol_factory(
--- a/packages/wasabideck_entry/wasabideck_entry/http_server.py
+++ b/packages/wasabideck_entry/wasabideck_entry/http_server.py
@@ -37,6 +37,10 @@
 IDLE_TIMEOUT_SECONDS = 75
 TICKETS_PATH = "/v1/tickets"
 CLOSE_POLL_INTERVAL_SECONDS = 0.02
+# Time after which a shutdown refuses requests that are still being received.
+READ_DRAIN_SECONDS = 10.0
+# Time in which the last responses of cancelled requests are written.
+FINAL_WRITE_SECONDS = 0.5
 
 
 @frozen
@@ -105,13 +109,33 @@
 async def close_http(server: AsyncioServer, seconds: float) -> None:
     """Stop listening, and close each open connection once its request has ended.
 
-    Returns after the given time at the latest, even if connections are still open.
+    Requests that stop short of their end are refused, and so are those that are not
+    whole after ``READ_DRAIN_SECONDS``. Connections that are left after the given time
+    are aborted.
     """
     server.close()
-    deadline = time.monotonic() + seconds
-    while server.connections and time.monotonic() < deadline:
+    started_at = now = time.monotonic()
+    while server.connections and now < started_at + seconds:
         close_idle_connections(server)
+        for conn in list(server.connections):
+            conn.end_if_stalled(now, started_at + READ_DRAIN_SECONDS)
         await asyncio.sleep(CLOSE_POLL_INTERVAL_SECONDS)
+        now = time.monotonic()
+    await _abort_connections(server)
+
+
+async def _abort_connections(server: AsyncioServer) -> None:
+    """Cancel what is still in progress, and abort its connections.
+
+    A task that was cancelled sends its last response, and its caller may not read.
+    """
+    tasks = [conn.task for conn in server.connections if conn.task is not None]
+    for task in tasks:
+        task.cancel()
+    if tasks:
+        await asyncio.wait(tasks, timeout=FINAL_WRITE_SECONDS)
+    for conn in list(server.connections):
+        conn.transport.abort()
 
 
 def _add_request_checks(app: Sanic, options: HttpOptions) -> None:
--- a/tests/limits/test_product_refusals.py
+++ b/tests/limits/test_product_refusals.py
@@ -6,6 +6,12 @@
 from limit_processes import HANG_SECONDS
 from test_product_entry import BODY_BYTES, SERVICES, LimitedLab, call, head
 
+STALLED_BODY = head(b"content-length: 1000000\r\n\r\n") + b"x" * 999_999
+STALLED_CHUNKS = head(b"transfer-encoding: chunked\r\n\r\n") + b"5\r\nxxxxx\r\n4"
+STALLED_HEAD = head(b"a: b\r\n")
+# Answers of some MB, of which the kernel holds a part only.
+UNREAD_ANSWERS = b"GET /metrics HTTP/1.1\r\nhost: x\r\n\r\n" * 2000
+
 
 async def send(address, payload):
     """Send a payload as far as it is read, and return the connection's streams."""
@@ -44,6 +50,47 @@
     return run
 
 
+@pytest.mark.parametrize(
+    "payload",
+    [STALLED_BODY, STALLED_CHUNKS, STALLED_HEAD, UNREAD_ANSWERS],
+    ids=["body", "chunks", "head", "unread-answers"],
+)
+def test_stalled_connections_do_not_keep_a_stopping_entry(run_entry_process, payload):
+    # Guards against a process that does not end because callers neither go on nor read.
+    async def scenario(child, address):
+        streams = [await send(address, payload) for _ in range(20)]
+        await asyncio.sleep(0.5)
+        child.terminate()
+        async with asyncio.timeout(HANG_SECONDS):
+            code = await child.wait()
+        for _, writer in streams:
+            writer.close()
+        return code
+
+    assert run_entry_process(scenario) == 0
+
+
+@pytest.mark.parametrize(
+    "payload", [STALLED_BODY, STALLED_CHUNKS], ids=["body", "chunks"]
+)
+def test_a_stopping_entry_refuses_a_request_that_is_not_whole(
+    run_entry_process, payload
+):
+    # Guards against callers that learn nothing, though their request has not run.
+    async def scenario(child, address):
+        reader, writer = await send(address, payload)
+        await asyncio.sleep(0.5)
+        child.terminate()
+        async with asyncio.timeout(HANG_SECONDS):
+            received = await reader.read()
+        writer.close()
+        return received
+
+    received = run_entry_process(scenario)
+    assert received.startswith(b"HTTP/1.1 503 ")
+    assert b'"outcome":"not-run"' in received
+
+
 @pytest.mark.parametrize(
     ("payload", "status"),
     [
