--- a/packages/wasabideck_entry/wasabideck_entry/accounted_http.py
+++ b/packages/wasabideck_entry/wasabideck_entry/accounted_http.py
@@ -1,4 +1,4 @@
-"""Accounts for what the connections of the entry's HTTP server hold."""
+"""Connections of the entry's HTTP server: what they hold, their turns and their end."""
 
 from __future__ import annotations
 
