--- a/packages/wasabideck_entry/wasabideck_entry/http_server.py
+++ b/packages/wasabideck_entry/wasabideck_entry/http_server.py
@@ -22,10 +22,11 @@
 from wasabideck_policy.outcomes import WasabideckError
 from wasabideck_policy.tickets import MAX_TICKET_BYTES
 
-from .accounted_http import MAX_HEADER_BYTES, EntryRequest, protocol_factory
+from .accounted_http import MAX_HEADER_BYTES, protocol_factory
 from .authentication import authenticate
 from .caller_endpoint import problem_response
 from .connection_limits import ConnectionLimiter
+from .http_connection import EntryRequest
 from .idle_connections import close_idle_connections
 
 __all__ = ["HttpOptions", "close_http", "make_app", "serve_http"]
--- a/packages/wasabideck_entry/wasabideck_entry/idle_connections.py
+++ b/packages/wasabideck_entry/wasabideck_entry/idle_connections.py
@@ -5,7 +5,7 @@
 from sanic.http import Stage
 from sanic.server import AsyncioServer
 
-from .accounted_http import EntryProtocol
+from .http_connection import EntryProtocol
 
 __all__ = ["close_idle_connections", "count_requests_in_progress"]
 
