--- a/packages/wasabideck_entry/wasabideck_entry/http_connection.py
+++ b/packages/wasabideck_entry/wasabideck_entry/http_connection.py
@@ -56,26 +56,20 @@
 
 
 class TurnTakingHttp(Http):
-    """Reads requests sent ahead, and bodies of many chunks, when it is their turn.
+    """Reads requests sent ahead, and bodies of many chunks, when it is their turn."""
 
-    Attributes
-    ----------
-    is_discarding : bool
-        Whether the last response was written, and the caller may still send.
-    """
-
-    __slots__ = ("_gave_up", "_was_sent_ahead", "is_discarding")
+    __slots__ = ("_gave_up", "_was_sent_ahead")
 
     def __init__(self, protocol: EntryProtocol):
         super().__init__(protocol)
-        self._gave_up = self._was_sent_ahead = self.is_discarding = False
+        self._gave_up = self._was_sent_ahead = False
 
     def init_for_request(self) -> None:
         """Reset what belongs to a request, before a byte of the next one is awaited."""
         super().init_for_request()
         is_first = self.protocol.state["requests_count"] == 0
         self._was_sent_ahead = bool(self.recv_buffer) and not is_first
-        self._gave_up = self.is_discarding = False
+        self._gave_up = False
 
     async def http1(self) -> None:
         """Answer requests until the connection ends, and let the caller read."""
@@ -156,7 +150,8 @@
             return
         if transport.can_write_eof():
             transport.write_eof()
-        self.is_discarding = True
+        # The connection is not idle: a shutdown must not close it yet.
+        self.stage = Stage.RESPONSE
         discarded = 0
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(LINGER_SECONDS):
--- a/packages/wasabideck_entry/wasabideck_entry/idle_connections.py
+++ b/packages/wasabideck_entry/wasabideck_entry/idle_connections.py
@@ -3,9 +3,7 @@
 from __future__ import annotations
 
 from sanic.http import Stage
-from sanic.server import AsyncioServer
-
-from .http_connection import EntryProtocol
+from sanic.server import AsyncioServer, HttpProtocol
 
 __all__ = ["close_idle_connections", "count_requests_in_progress"]
 
@@ -27,9 +25,7 @@
             conn.close()
 
 
-def _is_idle(conn: EntryProtocol) -> bool:
-    if conn.http is None:
-        return not conn.recv_buffer
+def _is_idle(conn: HttpProtocol) -> bool:
     # Bytes in the buffer belong to a request that the connection's task has not read.
-    is_read = conn.http.stage is Stage.IDLE and not conn.recv_buffer
-    return is_read and not conn.http.is_discarding
+    stage = Stage.IDLE if conn.http is None else conn.http.stage
+    return stage is Stage.IDLE and not conn.recv_buffer
