--- a/review/standins_2.py
+++ b/review/standins_2.py
@@ -122,12 +122,23 @@
     version: int = 1
     address: str = ""
     _changed: asyncio.Event = field(default_factory=asyncio.Event)
-    _server: asyncio.Server | None = None
+    _servers: list[asyncio.Server] = field(default_factory=list)
+    _writers: set[asyncio.StreamWriter] = field(default_factory=set)
 
     async def start(self, ip: str) -> None:
-        """Listen at a free port."""
-        self._server = await asyncio.start_server(self._serve, ip, 0)
-        self.address = "{}:{}".format(*self._server.sockets[0].getsockname()[:2])
+        """Listen at a free port, besides where it listens already."""
+        server = await asyncio.start_server(self._serve, ip, 0)
+        self.address = "{}:{}".format(*server.sockets[0].getsockname()[:2])
+        self._servers.append(server)
+
+    def leave_former(self) -> None:
+        """Listen at the newest address only, and end the connections at the others."""
+        former, self._servers = self._servers[:-1], self._servers[-1:]
+        for server in former:
+            server.close()
+        for writer in list(self._writers):
+            if "{}:{}".format(*writer.get_extra_info("sockname")) != self.address:
+                writer.transport.abort()
 
     def put(self, table: str, key: str, value: object) -> None:
         """Write a row in a transaction of its own; bytes are written as they are."""
@@ -159,6 +170,7 @@
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
+        self._writers.add(writer)
         try:
             while True:
                 req = await read_request(reader)
@@ -171,6 +183,7 @@
         except (asyncio.IncompleteReadError, OSError):
             pass
         finally:
+            self._writers.discard(writer)
             writer.transport.abort()
 
     async def _answer(self, req: Request) -> tuple[int, dict]:
@@ -305,8 +318,7 @@
 
     def start(self) -> None:
         """Start the process with the command of the deploy file."""
-        file = self.folder / f"{self.name}.json"
-        file.write_text(json.dumps(self.settings))
+        file = self.write_settings()
         env = {
             name: os.environ[name]
             for name in ("PATH", "HOME", "LANG")
@@ -327,6 +339,12 @@
                 stderr=log,
             )
 
+    def write_settings(self) -> Path:
+        """Write the settings file, and return its path."""
+        file = self.folder / f"{self.name}.json"
+        file.write_text(json.dumps(self.settings))
+        return file
+
     def signal(self, number: int) -> None:
         """Send a signal to the process, if it still runs."""
         if self.child.poll() is None:
@@ -561,6 +579,7 @@
     body: bytes = b"",
     deadline_ms: int = 600,
     connection: tuple | None = None,
+    key: str = "",
 ) -> Outcome:
     """Send one request, on a new connection or on one that is kept."""
     sent_at = time.monotonic()
@@ -573,6 +592,8 @@
                 f"{method} {path} HTTP/1.1\r\nHost: {HOST}\r\n"
                 f"X-Request-Id: {request_id}\r\nX-Deadline-Ms: {deadline_ms}\r\n"
             )
+            if key:
+                head += f"Authorization: Token {key}\r\n"
             if method == "POST":
                 head += f"Content-Length: {len(body)}\r\n"
             writer.write(head.encode() + b"\r\n" + body)
