--- a/review/10/case.py
+++ b/review/10/case.py
@@ -1,7 +1,7 @@
-"""A server leaves, and a row that lacks fields brings it back into use."""
+"""A request that crashes servers is sent on again after all entries were killed."""
 
 import asyncio
-import contextlib
+import signal
 import sys
 import time
 from pathlib import Path
@@ -11,6 +11,7 @@
 
 from standins_2 import (  # noqa: E402
     Record,
+    Request,
     Server,
     Store,
     ask,
@@ -23,82 +24,108 @@
     trouble,
 )
 
-DRAIN_SECONDS = 2.0
-# A request that was already on its way when the time was over isn't counted.
-TRANSIT_SECONDS = 0.1
-SERVES_ON_SECONDS = 12.0
-INTERVAL_SECONDS = 0.02
-WORK_SECONDS = 0.2
-# Without zone, version, slots, cold-left-ms, seq and born.
-KEPT_FIELDS = ("service", "addr", "state")
+POISON = b"poison" * 20
+STABLE_SECONDS = 3.0
+BACK_SECONDS = 2.0
+LEASE_SECONDS = 3.6
+RETRY_SECONDS = 4.0
+RETRIES_A_ROUND = 3
+KILLS = 3
+COUNTED_CRASHES = 3
+ALLOWED_RETRIES = 3
+
+
+class Crashing:
+    """Application servers that end when they begin to run the poisoned request."""
+
+    def __init__(self, store: Store, record: Record, ip: str):
+        self.store, self.record, self.ip = store, record, ip
+        self.servers: list[Server] = []
+        self.crashes: list[tuple[float, str]] = []
+        self.boots = 0
+        self.tasks: set[asyncio.Task] = set()
+
+    async def boot(self, port: int = 0) -> None:
+        """Start a server, with a new id."""
+        self.boots += 1
+        server = Server(f"i-{self.boots}", self.store, self.record, lambda req: 0.02)
+
+        async def on_run(req: Request) -> None:
+            if req.body != POISON:
+                return
+            self.crashes.append((time.monotonic(), req.headers["x-request-id"]))
+            self.record.note("crashes", server=server.name)
+            server.stop()
+            task = asyncio.create_task(self._come_back(server))
+            self.tasks.add(task)
+            raise ConnectionResetError
+
+        server.on_run = on_run
+        self.servers.append(server)
+        await server.start(self.ip, port)
+
+    async def _come_back(self, server: Server) -> None:
+        await asyncio.sleep(BACK_SECONDS)
+        await self.boot(int(server.address.rpartition(":")[2]))
+        await asyncio.sleep(LEASE_SECONDS - BACK_SECONDS)
+        self.store.remove("servers", server.name)
 
 
 async def case(record: Record, folder: Path) -> tuple[bool, str]:
-    """Let a server leave before the odd row; return whether requests reach it late."""
+    """Send the request again and again; return whether it reaches too many servers."""
     ips = free_ip()
     store = Store()
     await store.start(ips.format(1))
-    routes = [route("status", "safe", 1000), route("order", "unsafe", 1000)]
+    routes = [route("order", "unsafe", 1000)]
     store.put("op", "config", manifest(routes, [{"name": "desk", "max-conns": 220}]))
-    servers = [
-        Server(f"i-{n}", store, record, lambda req: WORK_SECONDS) for n in (1, 2, 3)
+    servers = Crashing(store, record, ips.format(2))
+    for _ in range(4):
+        await servers.boot()
+    nodes = entry_nodes(2, ips, store, folder)
+    tries = []
+    with ended(nodes):
+        await start(nodes)
+        for turn in range(KILLS + 1):
+            if turn and trouble():
+                for node in nodes:
+                    node.signal(signal.SIGKILL)
+                record.note("all processes are killed")
+                for node in nodes:
+                    node.end()
+                await asyncio.sleep(0.5)
+                await start(nodes)
+            await asyncio.sleep(STABLE_SECONDS + 1.0)
+            for number in range(RETRIES_A_ROUND):
+                node = nodes[number % len(nodes)]
+                name = f"poison-{turn}-{number}"
+                outcome = await ask(node, record, name, "/order/a", "POST", POISON)
+                tries.append(outcome)
+                probe = await ask(
+                    node, record, f"other-{turn}-{number}", "/order/b", "POST", b"x"
+                )
+                record.note("another order", status=probe.status)
+                await asyncio.sleep(RETRY_SECONDS)
+    if len(servers.crashes) < COUNTED_CRASHES:
+        return False, f"{len(servers.crashes)} crashes in {len(tries)} tries"
+    third = servers.crashes[COUNTED_CRASHES - 1][0]
+    reached = {name for _, name in servers.crashes}
+    late = [
+        t
+        for t in tries
+        if t.request_id in reached and t.sent_at > third + STABLE_SECONDS
     ]
-    for server in servers:
-        await server.start(ips.format(2))
-    leaver = servers[2]
-    (node,) = nodes = entry_nodes(1, ips, store, folder)
-    outcomes, asking = [], set()
-
-    async def send() -> None:
-        number = 0
-        while True:
-            number += 1
-            kind = "order" if number % 2 else "status"
-            method, body = ("POST", b"x" * 600) if number % 2 else ("GET", b"")
-            task = asyncio.create_task(
-                ask(node, record, f"r{number}", f"/{kind}/{number}", method, body)
-            )
-            asking.add(task)
-            task.add_done_callback(lambda t: outcomes.append(t.result()))
-            task.add_done_callback(asking.discard)
-            await asyncio.sleep(INTERVAL_SECONDS)
+    return len(late) > ALLOWED_RETRIES, (
+        f"{len(servers.crashes)} crashes in {len(tries)} tries; {len(late)} tries that "
+        f"were sent later than stable-ms after the third crash reached servers"
+    )
 
-    with ended(nodes):
+
+async def start(nodes: list) -> None:
+    """Start all entries, and wait until they are ready."""
+    for node in nodes:
         node.start()
+    for node in nodes:
         await node.wait_ready()
-        sending = asyncio.create_task(send())
-        await asyncio.sleep(5.0)
-        store.remove("servers", leaver.name)
-        gone_at = time.monotonic()
-        record.note("confirmed: the entry is removed", server=leaver.name)
-        await asyncio.sleep(1.0)
-        if trouble():
-            entry = leaver.entry()
-            odd = {name: entry[name] for name in KEPT_FIELDS}
-            store.put("servers", leaver.name, odd)
-            record.note("another writer's row", key=leaver.name, value=odd)
-        await asyncio.sleep(gone_at + SERVES_ON_SECONDS - time.monotonic())
-        leaver.stop()
-        record.note("the server exits", server=leaver.name)
-        await asyncio.sleep(2.0)
-        sending.cancel()
-        with contextlib.suppress(asyncio.CancelledError):
-            await sending
-        await asyncio.gather(*asking)
-    limit = gone_at + DRAIN_SECONDS + TRANSIT_SECONDS
-    late = [a for a in leaver.arrivals if a.at > limit]
-    for arrival in late[:50]:
-        record.note(
-            "too late",
-            request=arrival.request_id,
-            after=f"{arrival.at - gone_at:.2f} s",
-        )
-    lost = [o for o in outcomes if o.status == 502 and o.sent_at > limit]
-    return bool(late), (
-        f"{len(late)} requests reached {leaver.name} later than drain-ms after the "
-        f"store had confirmed that its entry was removed; {len(lost)} of all ended in "
-        f"502; {len(outcomes)} were sent"
-    )
 
 
 run_case(FOLDER, case)
